--- /dev/null
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -0,0 +1,60 @@
+/// The settings file of one instance: its addresses, its data centre and
+/// where the platform is.
+#ifndef MAGNOLIASPREAD_SETTINGS_H
+#define MAGNOLIASPREAD_SETTINGS_H
+
+#include <magnoliaspread/error.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnoliaspread {
+
+/// An IP number and a port.
+struct endpoint_address {
+  std::string Address = "127.0.0.1";
+  std::uint16_t Port = 0;
+
+  bool operator==(const endpoint_address &) const = default;
+};
+
+struct instance_settings {
+  std::string Name;
+  std::string Region;
+  std::string DataCentre;
+  /// Callers: look-ups and requests.
+  endpoint_address Public;
+  /// The fleet's own processes, over TCP and UDP on the same port.
+  endpoint_address Internal;
+  /// Operators: /metrics, /healthz, /status.
+  endpoint_address Admin;
+  endpoint_address Platform;
+  /// Shared secret of the fleet, 32 bytes in hex; authenticates the internal
+  /// port. Read from the file that FleetSecretFile names when that is set.
+  std::string FleetSecret;
+  std::string FleetSecretFile;
+  std::uint32_t TrafficThreads = 1;
+  /// How long callers may keep a look-up's answer.
+  std::chrono::milliseconds LookupTtl{2000};
+  /// Longest time that a graceful shutdown waits for requests in flight.
+  std::chrono::milliseconds DrainTimeout{60000};
+  /// How long a lease lasts without renewal.
+  std::chrono::milliseconds LeaseTtl{10000};
+  /// Pause between two runs of the control systems.
+  std::chrono::milliseconds ControlTick{20};
+  std::uint64_t MaxHeaderBytes = 16384;
+};
+
+/// Reads the settings file's JSON text. The error names the file, the field,
+/// the value and what is allowed; unknown fields are errors.
+result<instance_settings> parseSettings(std::string_view Json,
+                                        std::string_view FileName);
+
+/// Reads and parses the file at \p FileName.
+result<instance_settings> loadSettings(const std::string &FileName);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/settings/include/magnoliaspread/table.h
@@ -0,0 +1,145 @@
+/// The operators' configuration table: what the platform holds and every
+/// instance puts in force as one version.
+#ifndef MAGNOLIASPREAD_TABLE_H
+#define MAGNOLIASPREAD_TABLE_H
+
+#include <magnoliaspread/error.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// Applies to every workspace or service where a row allows it.
+inline constexpr std::string_view AnyName = "*";
+
+enum class key_state : std::uint8_t { Active, Withdrawn };
+enum class drain_state : std::uint8_t { Active, Draining };
+
+struct data_centre_row {
+  std::string Name;
+  std::string Region;
+  /// Share of every fleet-wide limit that is minted here, in parts per
+  /// thousand; all rows add up to at most 1000.
+  std::uint32_t QuotaPermille = 0;
+  /// Number of leased quota shares that the data centre's part is cut into.
+  std::uint32_t QuotaShares = 2;
+  drain_state State = drain_state::Active;
+};
+
+struct region_row {
+  std::string Name;
+  drain_state State = drain_state::Active;
+};
+
+/// One direction between two regions.
+struct link_row {
+  std::string From;
+  std::string To;
+  std::uint64_t BytesPerSecond = 0;
+};
+
+struct service_row {
+  std::string Name;
+  /// Path prefix that routes to the service, such as "/calendar/".
+  std::string Prefix;
+  /// Open to all: no key is asked for.
+  bool Open = false;
+  /// Longest time to a whole answer when the caller names no deadline.
+  std::chrono::milliseconds Deadline{30000};
+  /// Longest pause between two pieces of a body.
+  std::chrono::milliseconds ProgressTimeout{5000};
+};
+
+struct target_row {
+  std::string Name;
+  std::string Service;
+  std::string DataCentre;
+  std::string Address;
+  std::uint16_t Port = 0;
+  /// Requests that the target runs at a time.
+  std::uint32_t Slots = 1;
+  drain_state State = drain_state::Active;
+};
+
+struct workspace_row {
+  std::string Name;
+  /// Requests per second over the whole fleet.
+  double Rate = 0;
+  /// Requests at once over the whole fleet, on top of the rate.
+  double Burst = 0;
+  /// Share of contended slots against other workspaces.
+  double Weight = 1;
+};
+
+/// Keys are kept as BLAKE2b-256 hashes in hex, never in clear text.
+struct key_row {
+  std::string Id;
+  std::string Workspace;
+  std::string Hash;
+  key_state State = key_state::Active;
+};
+
+/// Part of a service's traffic, of one workspace or of all, that a region
+/// takes, relative to the other rows of the same service and workspace. A
+/// service without rows is served in the caller's own region first.
+struct weight_row {
+  std::string Region;
+  std::string Service;
+  std::string Workspace{AnyName};
+  double Weight = 1;
+  /// Requests in flight that the region takes by this row; 0 is no limit.
+  std::uint32_t Limit = 0;
+};
+
+/// How fast traffic may move between regions after an edit or a failure.
+struct shift_row {
+  std::string Service{AnyName};
+  /// Largest part of the traffic that may be away from where the former
+  /// weights put it while a shift is under way, per minute, in percent.
+  double RampPercentPerMinute = 100;
+  /// Largest part of the traffic that may be moved at any time, in percent.
+  double CapPercent = 100;
+};
+
+/// Weights before the last accepted edit, from which a ramp starts.
+struct shift_origin {
+  std::vector<weight_row> From;
+  /// Platform time of the edit, milliseconds since the epoch.
+  std::int64_t StartedAtMs = 0;
+};
+
+struct config_table {
+  /// Rises by one with each accepted edit; 0 is no configuration.
+  std::uint64_t Version = 0;
+  std::vector<region_row> Regions;
+  std::vector<data_centre_row> DataCentres;
+  std::vector<link_row> Links;
+  std::vector<service_row> Services;
+  std::vector<target_row> Targets;
+  std::vector<workspace_row> Workspaces;
+  std::vector<key_row> Keys;
+  std::vector<weight_row> Weights;
+  std::vector<shift_row> Shifts;
+  shift_origin Origin;
+};
+
+/// Reads a table from JSON text and checks every row. The error names the
+/// row, the field, the value and what is allowed.
+result<config_table> parseTable(std::string_view Json);
+
+/// The whole table as one line of JSON that parseTable() reads back.
+std::string formatTable(const config_table &Table);
+
+/// Checks names, references between rows, ranges and sums.
+status checkTable(const config_table &Table);
+
+/// BLAKE2b-256 of a key in hex, as key_row holds it.
+std::string hashKey(std::string_view Key);
+
+} // namespace magnoliaspread
+
+#endif
