--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnoliaspread {
 
@@ -20,6 +21,15 @@
   bool operator==(const endpoint_address &) const = default;
 };
 
+/// Another instance, as known before the platform or a peer tells more.
+struct peer_settings {
+  std::string Name;
+  std::string Region;
+  std::string DataCentre;
+  endpoint_address Internal;
+  endpoint_address Public;
+};
+
 struct instance_settings {
   std::string Name;
   std::string Region;
@@ -45,6 +55,9 @@
   /// Pause between two runs of the control systems.
   std::chrono::milliseconds ControlTick{20};
   std::uint64_t MaxHeaderBytes = 16384;
+  /// Seeds membership when the platform can't be reached at the start. May
+  /// name the instance itself.
+  std::vector<peer_settings> Peers;
 };
 
 /// Reads the settings file's JSON text. The error names the file, the field,
--- a/packages/settings/include/magnoliaspread/table.h
+++ b/packages/settings/include/magnoliaspread/table.h
@@ -28,11 +28,15 @@
   /// Number of leased quota shares that the data centre's part is cut into.
   std::uint32_t QuotaShares = 2;
   drain_state State = drain_state::Active;
+
+  bool operator==(const data_centre_row &) const = default;
 };
 
 struct region_row {
   std::string Name;
   drain_state State = drain_state::Active;
+
+  bool operator==(const region_row &) const = default;
 };
 
 /// One direction between two regions.
@@ -40,6 +44,8 @@
   std::string From;
   std::string To;
   std::uint64_t BytesPerSecond = 0;
+
+  bool operator==(const link_row &) const = default;
 };
 
 struct service_row {
@@ -52,6 +58,8 @@
   std::chrono::milliseconds Deadline{30000};
   /// Longest pause between two pieces of a body.
   std::chrono::milliseconds ProgressTimeout{5000};
+
+  bool operator==(const service_row &) const = default;
 };
 
 struct target_row {
@@ -63,6 +71,8 @@
   /// Requests that the target runs at a time.
   std::uint32_t Slots = 1;
   drain_state State = drain_state::Active;
+
+  bool operator==(const target_row &) const = default;
 };
 
 struct workspace_row {
@@ -73,6 +83,8 @@
   double Burst = 0;
   /// Share of contended slots against other workspaces.
   double Weight = 1;
+
+  bool operator==(const workspace_row &) const = default;
 };
 
 /// Keys are kept as BLAKE2b-256 hashes in hex, never in clear text.
@@ -81,6 +93,8 @@
   std::string Workspace;
   std::string Hash;
   key_state State = key_state::Active;
+
+  bool operator==(const key_row &) const = default;
 };
 
 /// Part of a service's traffic, of one workspace or of all, that a region
@@ -93,6 +107,8 @@
   double Weight = 1;
   /// Requests in flight that the region takes by this row; 0 is no limit.
   std::uint32_t Limit = 0;
+
+  bool operator==(const weight_row &) const = default;
 };
 
 /// How fast traffic may move between regions after an edit or a failure.
@@ -103,6 +119,8 @@
   double RampPercentPerMinute = 100;
   /// Largest part of the traffic that may be moved at any time, in percent.
   double CapPercent = 100;
+
+  bool operator==(const shift_row &) const = default;
 };
 
 /// Weights before the last accepted edit, from which a ramp starts.
@@ -110,6 +128,8 @@
   std::vector<weight_row> From;
   /// Platform time of the edit, milliseconds since the epoch.
   std::int64_t StartedAtMs = 0;
+
+  bool operator==(const shift_origin &) const = default;
 };
 
 struct config_table {
@@ -125,6 +145,8 @@
   std::vector<weight_row> Weights;
   std::vector<shift_row> Shifts;
   shift_origin Origin;
+
+  bool operator==(const config_table &) const = default;
 };
 
 /// Reads a table from JSON text and checks every row. The error names the
@@ -134,6 +156,9 @@
 /// The whole table as one line of JSON that parseTable() reads back.
 std::string formatTable(const config_table &Table);
 
+/// The same JSON with one row a line, for people and version control.
+std::string formatTableRows(const config_table &Table);
+
 /// Checks names, references between rows, ranges and sums.
 status checkTable(const config_table &Table);
 
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -1,14 +1,162 @@
 #include <magnoliaspread/settings.h>
 
+#include "json_read_p.h"
+#include "schema_p.h"
+
+#include <exception>
+#include <fstream>
+#include <iterator>
+#include <set>
+
 namespace magnoliaspread {
+namespace {
+
+constexpr std::size_t SecretLength = 64;
+constexpr double MaxThreads = 256;
+constexpr double MinHeaderBytes = 1024;
+constexpr double MaxHeaderLimit = 1 << 20;
+constexpr double MinTickMs = 1;
+constexpr double MaxTickMs = 1000;
+constexpr double MinLeaseMs = 500;
+constexpr double MaxLeaseMs = 600000;
+
+void readAddress(object_reader &Reader, std::string_view Name,
+                 endpoint_address &Address, read_fault &Fault) {
+  const boost::json::value *Json = Reader.take(Name, presence::Required);
+  if (!Json)
+    return;
+  object_reader Part(*Json, Reader.nameOf(Name), Fault);
+  Part(textField("address", presence::Required, text_rule::IpAddress),
+       Address.Address);
+  Part(numberField("port", presence::Required, 0, MaxPort), Address.Port);
+  Part.finish();
+}
+
+void readIdentity(object_reader &Reader, std::string &Name, std::string &Region,
+                  std::string &DataCentre) {
+  Reader(textField("name", presence::Required, text_rule::Name), Name);
+  Reader(textField("region", presence::Required, text_rule::Name), Region);
+  Reader(textField("data_centre", presence::Required, text_rule::Name),
+         DataCentre);
+}
+
+void readPeers(object_reader &Reader, std::vector<peer_settings> &Peers,
+               read_fault &Fault) {
+  const boost::json::array *Array = Reader.takeArray("peers");
+  if (!Array)
+    return;
+  std::set<std::string> Names;
+  for (const boost::json::value &Json : *Array) {
+    std::string Where =
+        Reader.nameOf("peers") + "[" + std::to_string(Peers.size()) + "]";
+    object_reader Part(Json, Where, Fault);
+    peer_settings &Peer = Peers.emplace_back();
+    readIdentity(Part, Peer.Name, Peer.Region, Peer.DataCentre);
+    readAddress(Part, "internal", Peer.Internal, Fault);
+    readAddress(Part, "public", Peer.Public, Fault);
+    Part.finish();
+    if (!Names.insert(Peer.Name).second)
+      Fault.set(faultText(Where, "name", "\"" + Peer.Name + "\"",
+                          "a name that no other peer has"));
+  }
+}
+
+void readLimits(object_reader &Reader, instance_settings &Settings) {
+  Reader(numberField("traffic_threads", presence::Optional, 1, MaxThreads),
+         Settings.TrafficThreads);
+  Reader(numberField("lookup_ttl_ms", presence::Optional, 0, MaxMilliseconds),
+         Settings.LookupTtl);
+  Reader(
+      numberField("drain_timeout_ms", presence::Optional, 0, MaxMilliseconds),
+      Settings.DrainTimeout);
+  Reader(
+      numberField("lease_ttl_ms", presence::Optional, MinLeaseMs, MaxLeaseMs),
+      Settings.LeaseTtl);
+  Reader(
+      numberField("control_tick_ms", presence::Optional, MinTickMs, MaxTickMs),
+      Settings.ControlTick);
+  Reader(numberField("max_header_bytes", presence::Optional, MinHeaderBytes,
+                     MaxHeaderLimit),
+         Settings.MaxHeaderBytes);
+}
+
+bool isSecret(std::string_view Text) {
+  return Text.size() == SecretLength &&
+         Text.find_first_not_of("0123456789abcdefABCDEF") == Text.npos;
+}
+
+/// Checks or loads the secret; its value never goes into a message.
+void readSecret(object_reader &Reader, std::string_view FileName,
+                instance_settings &Settings, read_fault &Fault) {
+  std::string Where(FileName);
+  Reader(textField("fleet_secret", presence::Optional, text_rule::Free),
+         Settings.FleetSecret);
+  Reader(textField("fleet_secret_file", presence::Optional, text_rule::Free),
+         Settings.FleetSecretFile);
+  std::string_view Field = "fleet_secret";
+  if (!Settings.FleetSecretFile.empty()) {
+    Field = "fleet_secret_file";
+    if (!Settings.FleetSecret.empty())
+      return Fault.set(Where + ": fields \"fleet_secret\" and "
+                               "\"fleet_secret_file\" are both set, allowed: "
+                               "one of them");
+    std::ifstream File(Settings.FleetSecretFile);
+    if (!(File >> Settings.FleetSecret))
+      return Fault.set(faultText(Where, Field,
+                                 "\"" + Settings.FleetSecretFile + "\"",
+                                 "a file that can be read"));
+  }
+  if (!isSecret(Settings.FleetSecret))
+    Fault.set(faultText(Where, Field, "of another form",
+                        "32 bytes as 64 hex digits"));
+}
+
+result<instance_settings> parseChecked(std::string_view Text,
+                                       std::string_view FileName) {
+  auto Json = parseJson(Text, error_kind::BadSettings);
+  if (failed(Json)) {
+    error Fault = errorOf(Json);
+    Fault.Detail = std::string(FileName) + ": " + Fault.Detail;
+    return Fault;
+  }
+  instance_settings Settings;
+  read_fault Fault;
+  object_reader Reader(valueOf(Json), std::string(FileName), Fault);
+  readIdentity(Reader, Settings.Name, Settings.Region, Settings.DataCentre);
+  readAddress(Reader, "public", Settings.Public, Fault);
+  readAddress(Reader, "internal", Settings.Internal, Fault);
+  readAddress(Reader, "admin", Settings.Admin, Fault);
+  readAddress(Reader, "platform", Settings.Platform, Fault);
+  readLimits(Reader, Settings);
+  readPeers(Reader, Settings.Peers, Fault);
+  readSecret(Reader, FileName, Settings, Fault);
+  Reader.finish();
+  if (Fault.found())
+    return error{error_kind::BadSettings, std::move(Fault.Text), {}};
+  return Settings;
+}
+
+} // namespace
 
-result<instance_settings> parseSettings(std::string_view /*Json*/,
+result<instance_settings> parseSettings(std::string_view Json,
                                         std::string_view FileName) {
-  return error{error_kind::BadSettings, std::string(FileName), {}};
+  try {
+    return parseChecked(Json, FileName);
+  } catch (const std::exception &Fault) {
+    return error{error_kind::BadSettings,
+                 std::string(FileName) + ": " + Fault.what(),
+                 {}};
+  }
 }
 
 result<instance_settings> loadSettings(const std::string &FileName) {
-  return parseSettings("", FileName);
+  std::ifstream File(FileName, std::ios::binary);
+  if (!File)
+    return error{error_kind::BadSettings,
+                 FileName + ": can't be opened, allowed: a file to read",
+                 {}};
+  std::string Text{std::istreambuf_iterator<char>(File), {}};
+  return parseSettings(Text, FileName);
 }
 
 } // namespace magnoliaspread
