--- a/packages/settings/include/magnoliaspread/table.h
+++ b/packages/settings/include/magnoliaspread/table.h
@@ -6,6 +6,7 @@
 #include <magnoliaspread/error.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -132,6 +133,20 @@
   bool operator==(const shift_origin &) const = default;
 };
 
+/// One accepted edit. An editor whose answer was lost finds its edit here.
+struct edit_record {
+  /// Random, given by the editor.
+  std::string Id;
+  /// Version of the table that the edit made.
+  std::uint64_t Version = 0;
+  /// Platform time of the edit, milliseconds since the epoch.
+  std::int64_t AtMs = 0;
+
+  bool operator==(const edit_record &) const = default;
+};
+
+inline constexpr std::size_t MaxEditRecords = 64;
+
 struct config_table {
   /// Rises by one with each accepted edit; 0 is no configuration.
   std::uint64_t Version = 0;
@@ -145,6 +160,8 @@
   std::vector<weight_row> Weights;
   std::vector<shift_row> Shifts;
   shift_origin Origin;
+  /// The latest edits, oldest first; at most MaxEditRecords.
+  std::vector<edit_record> Edits;
 
   bool operator==(const config_table &) const = default;
 };
--- a/packages/settings/src/schema_p.h
+++ b/packages/settings/src/schema_p.h
@@ -113,7 +113,16 @@
         R.CapPercent);
 }
 
-/// Calls \p Visit with the name and the rows of each kind, in JSON order.
+template <class Visitor, row_of<edit_record> Row>
+void visitFields(Visitor &Visit, Row &R) {
+  Visit(textField("id", presence::Key, text_rule::Name), R.Id);
+  Visit(numberField("version", presence::Required, 0, MaxWholeNumber),
+        R.Version);
+  Visit(numberField("at_ms", presence::Required, 0, MaxWholeNumber), R.AtMs);
+}
+
+/// Calls \p Visit with the name and the rows of each kind that operators
+/// edit, in JSON order.
 template <class Visitor, class Table>
 void visitKinds(Visitor &Visit, Table &T) {
   Visit("regions", T.Regions);
--- a/packages/settings/src/table_check.cpp
+++ b/packages/settings/src/table_check.cpp
@@ -108,6 +108,7 @@
   Check("services", Table.Services.size(), MaxServices);
   Check("targets", Table.Targets.size(), MaxTargets);
   Check("workspaces", Table.Workspaces.size(), MaxWorkspaces);
+  Check("edits", Table.Edits.size(), MaxEditRecords);
 }
 
 void table_checker::checkPlaces() {
@@ -199,6 +200,7 @@
   checkCapacities();
   visitKinds(CheckKind, Table);
   checkRows("origin.from", Table.Origin.From);
+  checkRows("edits", Table.Edits);
   checkPlaces();
   checkServices();
   checkTargets();
--- a/packages/settings/src/table_format.cpp
+++ b/packages/settings/src/table_format.cpp
@@ -51,7 +51,9 @@
   Out.append(",").append(KindBreak).append("\"origin\":{\"from\":");
   writeRows(Out, Table.Origin.From, RowBreak);
   Out.append(",\"started_at_ms\":").append(toText(Table.Origin.StartedAtMs));
-  return Out.append("}}");
+  Out.append("},").append(KindBreak).append("\"edits\":");
+  writeRows(Out, Table.Edits, RowBreak);
+  return Out.append("}");
 }
 
 } // namespace
--- a/packages/settings/src/table_parse.cpp
+++ b/packages/settings/src/table_parse.cpp
@@ -45,6 +45,7 @@
   };
   visitKinds(ReadKind, Table);
   readOrigin(Reader, Table.Origin, Fault);
+  readRows(Reader, "edits", Table.Edits, Fault);
   Reader.finish();
   return Table;
 }
--- a/packages/settings/tests/tables.h
+++ b/packages/settings/tests/tables.h
@@ -30,6 +30,7 @@
                {"porto", "calendar", "aero", 0.3, 0}};
   T.Shifts = {{"*", 50, 60}, {"calendar", 12.5, 25}};
   T.Origin = {{{"porto", "calendar", "*", 1, 0}}, 1'700'000'000'000};
+  T.Edits = {{"e-1", 6, 1'600'000'000'000}, {"e-2", 7, 1'700'000'000'000}};
   return T;
 }
 
