--- /dev/null
+++ b/packages/traffic/include/magnoliaspread/fleetauth.h
@@ -0,0 +1,49 @@
+/// Proof that a forwarded request comes from one of the fleet's own
+/// processes. Pure.
+#ifndef MAGNOLIASPREAD_FLEETAUTH_H
+#define MAGNOLIASPREAD_FLEETAUTH_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// What one instance tells another about a request that it forwards.
+struct forwarded_head {
+  std::string_view Method;
+  std::string_view Target;
+  std::string RequestId;
+  /// Empty on a route open to all.
+  std::string Workspace;
+  std::string Service;
+  std::chrono::milliseconds TimeLeft{};
+  bool AtMostOnce = false;
+  std::string IdempotencyKey;
+  /// When it was sent, milliseconds since the epoch.
+  std::int64_t SentAtMs = 0;
+};
+
+/// The fleet's shared secret; 32 bytes.
+using fleet_secret = std::vector<unsigned char>;
+
+/// Reads 64 hex digits; BadSettings otherwise.
+result<fleet_secret> parseFleetSecret(std::string_view Hex);
+
+/// Message authentication code over every field, in hex.
+std::string signForwarded(const fleet_secret &Secret,
+                          const forwarded_head &Head);
+
+/// PeerRejected when \p Mac is not the head's, or the head was sent too long
+/// before or after \p Now.
+status verifyForwarded(const fleet_secret &Secret, const forwarded_head &Head,
+                       std::string_view Mac, wall_time Now);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -0,0 +1,45 @@
+/// The traffic threads of one instance: the public and the internal port.
+#ifndef MAGNOLIASPREAD_TRAFFIC_H
+#define MAGNOLIASPREAD_TRAFFIC_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/settings.h>
+#include <magnoliaspread/view.h>
+
+#include <chrono>
+#include <memory>
+
+namespace magnoliaspread {
+
+class traffic_threads {
+public:
+  traffic_threads(const instance_settings &Settings, const clock &Clock,
+                  fleet_secret Secret);
+  ~traffic_threads();
+  traffic_threads(const traffic_threads &) = delete;
+  traffic_threads &operator=(const traffic_threads &) = delete;
+
+  /// Opens both ports and starts the threads; BadSettings when a port can't
+  /// be opened.
+  status start();
+
+  /// Hands a view to every thread.
+  void publish(const traffic_view_ptr &View);
+
+  /// Requests that have no whole answer yet, over all threads.
+  std::size_t inFlight() const;
+
+  /// Ends the threads; connections still open are cut.
+  void stop();
+
+private:
+  struct thread;
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -0,0 +1,39 @@
+/// What the control thread hands to a traffic thread, and what it gets back.
+/// Both are built by one side and handed over whole, so that the threads share
+/// no mutable state.
+#ifndef MAGNOLIASPREAD_VIEW_H
+#define MAGNOLIASPREAD_VIEW_H
+
+#include <magnoliaspread/index.h>
+#include <magnoliaspread/settings.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// An instance that look-ups may name and requests may be forwarded to.
+struct instance_view {
+  std::string Name;
+  std::string DataCentre;
+  std::string Region;
+  endpoint_address Public;
+  endpoint_address Internal;
+};
+
+struct traffic_view {
+  /// Null until a first configuration is in force.
+  config_index_ptr Config;
+  std::vector<instance_view> Instances;
+  /// This instance is shutting down: look-ups no longer name it.
+  bool Leaving = false;
+};
+
+using traffic_view_ptr = std::shared_ptr<const traffic_view>;
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/answer_p.h
@@ -0,0 +1,25 @@
+/// The answers that the fleet itself gives to callers.
+#ifndef MAGNOLIASPREAD_ANSWER_P_H
+#define MAGNOLIASPREAD_ANSWER_P_H
+
+#include "net_p.h"
+
+#include <magnoliaspread/error.h>
+
+#include <string>
+#include <string_view>
+
+namespace magnoliaspread {
+
+using text_response = http::response<http::string_body>;
+
+/// A refusal or failure: the kind, whether the request ran, and when to come
+/// back, as headers and as JSON.
+text_response errorResponse(const error &Error, std::string_view RequestId,
+                            bool KeepAlive);
+
+text_response jsonResponse(std::string Body, bool KeepAlive);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/heads_p.h
@@ -0,0 +1,38 @@
+/// Rewrites request heads between the hops.
+#ifndef MAGNOLIASPREAD_HEADS_P_H
+#define MAGNOLIASPREAD_HEADS_P_H
+
+#include "net_p.h"
+
+#include <magnoliaspread/admit.h>
+#include <magnoliaspread/fleetauth.h>
+
+namespace magnoliaspread {
+
+using request_header = http::request_header<>;
+
+/// The fields that the fleet reads; views into \p Head.
+request_head readHead(const request_header &Head);
+
+/// The head for a target: no keys, no connection fields, no fields in the
+/// fleet's own name; the workspace and the time left set by the fleet.
+request_header targetHead(const request_header &Head,
+                          const admitted_request &Request,
+                          const config_index &Index, steady_time Now);
+
+/// The head for a peer instance, signed.
+request_header peerHead(const request_header &Head,
+                        const admitted_request &Request,
+                        const config_index &Index, steady_time Now,
+                        wall_time Wall, const fleet_secret &Secret);
+
+/// Checks a head from a peer instance. Fails with PeerRejected, or when this
+/// instance does not know the workspace or service.
+result<admitted_request> admitForwarded(const request_header &Head,
+                                        const config_index &Index,
+                                        const fleet_secret &Secret,
+                                        steady_time Now, wall_time Wall);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/relay.cpp
@@ -0,0 +1,362 @@
+#include "relay_p.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t ChunkBytes = 32768;
+constexpr std::size_t MaxReplayBytes = 65536;
+constexpr std::uint32_t MaxAnswerHeaderBytes = 65536;
+constexpr std::uint64_t MaxRefusalBytes = 65536;
+/// How long a target that stopped reading may take to say why.
+constexpr milliseconds LastWordTimeout{1000};
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+error makeError(error_kind Kind, std::string Detail) {
+  return {Kind, std::move(Detail), {}};
+}
+
+/// One attempt over one upstream connection.
+class exchange {
+public:
+  exchange(caller_side &Caller, upstream &Up, relay_request Request)
+      : Caller(Caller), Up(Up), Request(std::move(Request)),
+        Dog(Caller.Socket, Up.Socket) {}
+
+  asio::awaitable<relay_outcome> run();
+
+private:
+  asio::awaitable<bool> sendRequest();
+  asio::awaitable<bool> sendBody(http::request_serializer<http::buffer_body> &);
+  asio::awaitable<bool> readAnswerHead();
+  bool checkAnswer();
+  asio::awaitable<void> readRefusal();
+  asio::awaitable<void> sendAnswer();
+  asio::awaitable<bool>
+  readAnswerChunk(http::response<http::buffer_body> &Answer);
+  void allowProgress();
+  void fail(error_kind Kind, std::string Detail);
+  void explainLoss(const error_code &Failure);
+  bool isNotRunAnswer() const;
+
+  caller_side &Caller;
+  upstream &Up;
+  relay_request Request;
+  watchdog Dog;
+  std::optional<answer_parser> Answer;
+  std::vector<char> AnswerChunk;
+  bool RequestEnded = false;
+  relay_outcome Outcome;
+};
+
+void exchange::allowProgress() {
+  Dog.expireAt(std::min(Request.Deadline,
+                        steady_clock::now() + Request.ProgressTimeout));
+}
+
+void exchange::fail(error_kind Kind, std::string Detail) {
+  Outcome.Error = makeError(Kind, std::move(Detail));
+}
+
+/// Names the cause after the upstream gave no answer.
+void exchange::explainLoss(const error_code &Failure) {
+  if (Dog.callerGone())
+    return fail(error_kind::CallerGone, "caller closed its connection");
+  if (Dog.expired()) {
+    Outcome.Silent = true;
+    return fail(Outcome.Sent ? error_kind::TargetTimeout
+                             : error_kind::DeadlineExpired,
+                "no answer before the deadline");
+  }
+  Outcome.Died = true;
+  fail(Outcome.Sent ? error_kind::TargetFailed : error_kind::TargetUnreachable,
+       Failure.message());
+}
+
+asio::awaitable<bool>
+exchange::sendBody(http::request_serializer<http::buffer_body> &Serializer) {
+  auto &Body =
+      const_cast<http::buffer_body::value_type &>(Serializer.get().body());
+  for (;;) {
+    allowProgress();
+    const caller_side::chunk Chunk = co_await Caller.next();
+    if (Dog.answerBegan())
+      co_return true;
+    if (Chunk.Failure) {
+      fail(Dog.expired() ? error_kind::RequestStalled : error_kind::CallerGone,
+           "the request's body broke off");
+      co_return false;
+    }
+    Body.data = const_cast<char *>(Chunk.Bytes.data());
+    Body.size = Chunk.Bytes.size();
+    Body.more = !Caller.bodyEnded();
+    allowProgress();
+    Outcome.Sent = true;
+    auto [Failure, Count] =
+        co_await http::async_write(Up.Socket, Serializer, Awaited);
+    Outcome.BytesUp += Count;
+    if (Dog.answerBegan())
+      co_return true;
+    if (Failure && Failure != http::error::need_buffer) {
+      explainLoss(Failure);
+      co_return false;
+    }
+    if (Serializer.is_done()) {
+      Dog.stopWatchingAnswer();
+      RequestEnded = true;
+      co_return true;
+    }
+  }
+}
+
+asio::awaitable<bool> exchange::sendRequest() {
+  http::request<http::buffer_body> Message(std::move(Request.Head));
+  http::request_serializer<http::buffer_body> Serializer(Message);
+  if (Caller.hasBody()) {
+    Dog.watchAnswer();
+    co_return co_await sendBody(Serializer);
+  }
+  Message.body().data = nullptr;
+  Message.body().size = 0;
+  Message.body().more = false;
+  Dog.expireAt(Request.Deadline);
+  Outcome.Sent = true;
+  auto [Failure, Count] =
+      co_await http::async_write(Up.Socket, Serializer, Awaited);
+  Outcome.BytesUp += Count;
+  if (Failure) {
+    explainLoss(Failure);
+    co_return false;
+  }
+  RequestEnded = true;
+  co_return true;
+}
+
+asio::awaitable<bool> exchange::readAnswerHead() {
+  if (RequestEnded)
+    Dog.watchCaller();
+  Dog.expireAt(RequestEnded ? Request.Deadline
+                            : std::min(Request.Deadline,
+                                       steady_clock::now() + LastWordTimeout));
+  for (;;) {
+    Answer.emplace();
+    Answer->header_limit(MaxAnswerHeaderBytes);
+    Answer->body_limit(boost::none);
+    if (Request.Head.method() == http::verb::head)
+      Answer->skip(true);
+    auto [Failure, Count] = co_await http::async_read_header(
+        Up.Socket, Up.Buffer, *Answer, Awaited);
+    Outcome.BytesDown += Count;
+    if (Failure) {
+      explainLoss(Failure);
+      co_return false;
+    }
+    if (http::to_status_class(Answer->get().result()) !=
+        http::status_class::informational)
+      co_return true;
+  }
+}
+
+bool exchange::isNotRunAnswer() const {
+  return Answer->get()["X-Run-State"] == nameOf(run_state::NotRun) &&
+         (Request.To == upstream_kind::Peer ||
+          Answer->get().result() == http::status::service_unavailable);
+}
+
+/// False when this is not the whole, right answer of this request.
+bool exchange::checkAnswer() {
+  const auto &Head = Answer->get();
+  Outcome.Status = Head.result_int();
+  const auto Id = Head["X-Request-Id"];
+  if (!Id.empty() && Id != Request.Id) {
+    fail(error_kind::TargetFailed, "the answer belongs to another request");
+    return false;
+  }
+  if (Answer->need_eof()) {
+    fail(error_kind::TargetFailed,
+         "the answer's length is not given, so its end can't be checked");
+    return false;
+  }
+  return true;
+}
+
+std::optional<milliseconds> retryAfterOf(const http::fields &Head) {
+  const auto Text = Head["X-Retry-After-Ms"];
+  std::int64_t Count = 0;
+  const auto [End, Problem] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+  if (Problem != std::errc() || Count < 0)
+    return std::nullopt;
+  return milliseconds(Count);
+}
+
+/// Takes in a refusal so that the connection can be used again.
+asio::awaitable<void> exchange::readRefusal() {
+  const auto &Head = Answer->get();
+  error_kind Kind = error_kind::TargetShed;
+  if (Request.To == upstream_kind::Peer)
+    Kind = errorKindOf(std::string_view(Head["X-Error"]))
+               .value_or(error_kind::NoCapacity);
+  Outcome.Error = {Kind, "refused by the upstream", retryAfterOf(Head)};
+  const auto Length = Answer->content_length();
+  if (!RequestEnded || !Length || *Length > MaxRefusalBytes)
+    co_return;
+  AnswerChunk.resize(MaxRefusalBytes);
+  while (!Answer->is_done()) {
+    Answer->get().body().data = AnswerChunk.data();
+    Answer->get().body().size = AnswerChunk.size();
+    auto [Failure, Count] =
+        co_await http::async_read_some(Up.Socket, Up.Buffer, *Answer, Awaited);
+    if (Failure && Failure != http::error::need_buffer)
+      co_return;
+  }
+  Outcome.UpstreamReusable = Answer->keep_alive() && Up.Buffer.size() == 0;
+}
+
+/// Fills \p Message with the next piece of the answer's body.
+asio::awaitable<bool>
+exchange::readAnswerChunk(http::response<http::buffer_body> &Message) {
+  if (Answer->is_done()) {
+    Message.body().data = nullptr;
+    Message.body().size = 0;
+    Message.body().more = false;
+    co_return true;
+  }
+  AnswerChunk.resize(ChunkBytes);
+  Answer->get().body().data = AnswerChunk.data();
+  Answer->get().body().size = AnswerChunk.size();
+  auto [Failure, Count] =
+      co_await http::async_read_some(Up.Socket, Up.Buffer, *Answer, Awaited);
+  Outcome.BytesDown += Count;
+  if (Failure && Failure != http::error::need_buffer) {
+    explainLoss(Failure);
+    co_return false;
+  }
+  Message.body().data = AnswerChunk.data();
+  Message.body().size = AnswerChunk.size() - Answer->get().body().size;
+  Message.body().more = !Answer->is_done();
+  co_return true;
+}
+
+void removeHopFields(http::fields &Head) {
+  for (const char *Name : {"Connection", "Keep-Alive", "Proxy-Connection",
+                           "Proxy-Authenticate", "Upgrade", "Trailer"})
+    Head.erase(Name);
+}
+
+asio::awaitable<void> exchange::sendAnswer() {
+  http::response<http::buffer_body> Message(
+      http::response_header<>(Answer->get().base()));
+  removeHopFields(Message);
+  Message.set("X-Request-Id", Request.Id);
+  const bool KeepCaller = Caller.Parser.keep_alive() && RequestEnded;
+  Message.keep_alive(KeepCaller);
+  http::response_serializer<http::buffer_body> Serializer(Message);
+  const bool HeadOnly = Request.Head.method() == http::verb::head;
+  Serializer.split(HeadOnly);
+  while (!Serializer.is_done()) {
+    allowProgress();
+    if (!co_await readAnswerChunk(Message))
+      co_return;
+    allowProgress();
+    Caller.AnswerStarted = true;
+    if (HeadOnly) {
+      auto [Failure, Count] =
+          co_await http::async_write_header(Caller.Socket, Serializer, Awaited);
+      if (Failure)
+        co_return fail(error_kind::CallerGone, Failure.message());
+      break;
+    }
+    auto [Failure, Count] =
+        co_await http::async_write(Caller.Socket, Serializer, Awaited);
+    if (Failure && Failure != http::error::need_buffer)
+      co_return fail(error_kind::CallerGone, Failure.message());
+  }
+  Outcome.Answered = true;
+  Outcome.CallerReusable = KeepCaller;
+  Outcome.UpstreamReusable =
+      RequestEnded && Answer->keep_alive() && Up.Buffer.size() == 0;
+}
+
+asio::awaitable<relay_outcome> exchange::run() {
+  const http::verb Method = Request.Head.method();
+  if (!co_await sendRequest())
+    co_return Outcome;
+  Request.Head.method(Method);
+  if (!co_await readAnswerHead())
+    co_return Outcome;
+  if (isNotRunAnswer()) {
+    co_await readRefusal();
+    co_return Outcome;
+  }
+  if (!checkAnswer())
+    co_return Outcome;
+  co_await sendAnswer();
+  co_return Outcome;
+}
+
+} // namespace
+
+void caller_side::remember(std::span<const char> Bytes) {
+  if (Overflowed)
+    return;
+  if (Replay.size() + Bytes.size() > MaxReplayBytes) {
+    Overflowed = true;
+    Replay.clear();
+    Replay.shrink_to_fit();
+    return;
+  }
+  Replay.insert(Replay.end(), Bytes.begin(), Bytes.end());
+  Position = Replay.size();
+}
+
+asio::awaitable<error_code> caller_side::sendContinue() {
+  ContinueOwed = false;
+  constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
+  auto [Failure, Count] =
+      co_await asio::async_write(Socket, asio::buffer(Line), Awaited);
+  co_return Failure;
+}
+
+asio::awaitable<caller_side::chunk> caller_side::next() {
+  if (!Overflowed && Position < Replay.size()) {
+    const std::span<const char> Kept(Replay);
+    const std::span<const char> Rest = Kept.subspan(Position);
+    Position = Replay.size();
+    co_return chunk{Rest, {}};
+  }
+  if (Parser.is_done())
+    co_return chunk{};
+  if (ContinueOwed) {
+    const error_code Failure = co_await sendContinue();
+    if (Failure)
+      co_return chunk{{}, Failure};
+  }
+  Chunk.resize(ChunkBytes);
+  Parser.get().body().data = Chunk.data();
+  Parser.get().body().size = Chunk.size();
+  auto [Failure, Count] =
+      co_await http::async_read_some(Socket, Buffer, Parser, Awaited);
+  if (Failure && Failure != http::error::need_buffer)
+    co_return chunk{{}, Failure};
+  const std::span<const char> Read(Chunk.data(),
+                                   Chunk.size() - Parser.get().body().size);
+  remember(Read);
+  co_return chunk{Read, {}};
+}
+
+asio::awaitable<relay_outcome> relayExchange(caller_side &Caller, upstream &Up,
+                                             relay_request Request) {
+  exchange Exchange(Caller, Up, std::move(Request));
+  co_return co_await Exchange.run();
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/relay_p.h
@@ -0,0 +1,100 @@
+/// One exchange over an upstream connection: streams the request's body up and
+/// the answer down, with back-pressure from both ends.
+#ifndef MAGNOLIASPREAD_RELAY_P_H
+#define MAGNOLIASPREAD_RELAY_P_H
+
+#include "net_p.h"
+#include "pool_p.h"
+#include "watchdog_p.h"
+
+#include <magnoliaspread/error.h>
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+using caller_parser = http::request_parser<http::buffer_body>;
+
+/// The caller's end of one exchange. Keeps the start of the body so that an
+/// attempt that failed early can be made again.
+class caller_side {
+public:
+  caller_side(tcp::socket &Socket, beast::flat_buffer &Buffer,
+              caller_parser &Parser)
+      : Socket(Socket), Buffer(Buffer), Parser(Parser) {}
+
+  struct chunk {
+    std::span<const char> Bytes;
+    error_code Failure;
+  };
+
+  /// The next piece of the body; empty at its end.
+  asio::awaitable<chunk> next();
+
+  /// True when all that was read can still be given again.
+  bool canRewind() const { return !Overflowed; }
+  void rewind() { Position = 0; }
+
+  bool hasBody() const { return !Parser.is_done() || !Replay.empty(); }
+  bool bodyEnded() const {
+    return Parser.is_done() && (Overflowed || Position == Replay.size());
+  }
+
+  tcp::socket &Socket;
+  beast::flat_buffer &Buffer;
+  caller_parser &Parser;
+  /// Bytes of the answer's header or body were sent to the caller.
+  bool AnswerStarted = false;
+  /// "100 Continue" is still owed.
+  bool ContinueOwed = false;
+
+private:
+  void remember(std::span<const char> Bytes);
+  asio::awaitable<error_code> sendContinue();
+
+  std::vector<char> Chunk;
+  std::vector<char> Replay;
+  std::size_t Position = 0;
+  bool Overflowed = false;
+};
+
+enum class upstream_kind : std::uint8_t { Target, Peer };
+
+struct relay_request {
+  /// The head to send, already rewritten for the next hop.
+  http::request_header<> Head;
+  std::string Id;
+  upstream_kind To = upstream_kind::Target;
+  steady_time Deadline;
+  std::chrono::milliseconds ProgressTimeout{};
+};
+
+struct relay_outcome {
+  /// The caller has the whole answer.
+  bool Answered = false;
+  /// What went wrong; meaningful when not Answered. Its kind's run state is
+  /// true of this attempt.
+  error Error;
+  /// A byte of the request may have reached the other end.
+  bool Sent = false;
+  bool CallerReusable = false;
+  bool UpstreamReusable = false;
+  /// The upstream took the request and then gave no sign of life.
+  bool Silent = false;
+  /// The connection broke before any answer.
+  bool Died = false;
+  unsigned Status = 0;
+  std::uint64_t BytesUp = 0;
+  std::uint64_t BytesDown = 0;
+};
+
+asio::awaitable<relay_outcome> relayExchange(caller_side &Caller, upstream &Up,
+                                             relay_request Request);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/session_p.h
@@ -0,0 +1,42 @@
+/// One connection from a caller or a peer instance, request after request.
+#ifndef MAGNOLIASPREAD_SESSION_P_H
+#define MAGNOLIASPREAD_SESSION_P_H
+
+#include "dispatch_p.h"
+#include "net_p.h"
+#include "pool_p.h"
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/settings.h>
+#include <magnoliaspread/view.h>
+
+#include <cstdint>
+#include <string>
+
+namespace magnoliaspread {
+
+/// What all connections of one traffic thread share.
+struct thread_state {
+  asio::io_context &Context;
+  const clock &Clock;
+  const instance_settings &Settings;
+  const fleet_secret &Secret;
+  upstream_pool &Pool;
+  dispatcher &Dispatcher;
+  traffic_view_ptr View;
+  /// Makes request ids unique: the thread's random prefix and a counter.
+  std::string IdPrefix;
+  std::uint64_t NextId = 0;
+  /// Requests between their head and the end of their answer.
+  std::size_t InFlight = 0;
+};
+
+enum class entry_port : std::uint8_t { Public, Internal };
+
+asio::awaitable<void> serveConnection(tcp::socket Socket, thread_state &State,
+                                      entry_port Port);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/traffic.cpp
@@ -0,0 +1,173 @@
+#include <magnoliaspread/traffic.h>
+
+#include "net_p.h"
+#include "pool_p.h"
+#include "roundrobin_p.h"
+#include "session_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <atomic>
+#include <random>
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds SweepPeriod{1000};
+constexpr milliseconds AcceptPause{10};
+constexpr int ListenBacklog = 1024;
+
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+std::string randomPrefix() {
+  std::random_device Device;
+  char Text[24];
+  std::snprintf(Text, sizeof(Text), "%08x%08x-", Device(), Device());
+  return Text;
+}
+
+status openPort(tcp::acceptor &Acceptor, const endpoint_address &Where) {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  const tcp::endpoint Endpoint(Address, Where.Port);
+  if (!Failure)
+    Acceptor.open(Endpoint.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.set_option(reuse_port(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Endpoint, Failure);
+  if (!Failure)
+    Acceptor.listen(ListenBacklog, Failure);
+  if (!Failure)
+    return {};
+  return error{error_kind::BadSettings,
+               "can't listen on " + Where.Address + ":" +
+                   std::to_string(Where.Port) + ": " + Failure.message(),
+               {}};
+}
+
+} // namespace
+
+struct traffic_threads::thread {
+  thread(const instance_settings &Settings, const clock &Clock,
+         const fleet_secret &Secret)
+      : Pool(Context, Clock), State{Context,
+                                    Clock,
+                                    Settings,
+                                    Secret,
+                                    Pool,
+                                    Dispatcher,
+                                    std::make_shared<traffic_view>(),
+                                    randomPrefix()},
+        Public(Context), Internal(Context) {}
+
+  asio::awaitable<void> acceptAll(tcp::acceptor &Acceptor, entry_port Port);
+  asio::awaitable<void> sweepPool();
+  void run();
+
+  asio::io_context Context{1};
+  upstream_pool Pool;
+  round_robin_dispatcher Dispatcher;
+  thread_state State;
+  tcp::acceptor Public;
+  tcp::acceptor Internal;
+  std::thread Thread;
+};
+
+struct traffic_threads::state {
+  const instance_settings &Settings;
+  const clock &Clock;
+  fleet_secret Secret;
+  std::vector<std::unique_ptr<thread>> Threads;
+};
+
+asio::awaitable<void>
+traffic_threads::thread::acceptAll(tcp::acceptor &Acceptor, entry_port Port) {
+  for (;;) {
+    auto [Failure, Socket] = co_await Acceptor.async_accept(Awaited);
+    if (Failure == asio::error::operation_aborted ||
+        Failure == asio::error::bad_descriptor)
+      co_return;
+    if (Failure) {
+      logEvent(log_level::Warning, "accept_failed",
+               {{"detail", Failure.message()}});
+      asio::steady_timer Pause(Context, AcceptPause);
+      co_await Pause.async_wait(Awaited);
+      continue;
+    }
+    asio::co_spawn(Context, serveConnection(std::move(Socket), State, Port),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> traffic_threads::thread::sweepPool() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(SweepPeriod);
+    co_await Timer.async_wait(Awaited);
+    Pool.sweep();
+  }
+}
+
+void traffic_threads::thread::run() {
+  asio::co_spawn(Context, acceptAll(Public, entry_port::Public),
+                 asio::detached);
+  asio::co_spawn(Context, acceptAll(Internal, entry_port::Internal),
+                 asio::detached);
+  asio::co_spawn(Context, sweepPool(), asio::detached);
+  Thread = std::thread([this] { Context.run(); });
+}
+
+traffic_threads::traffic_threads(const instance_settings &Settings,
+                                 const clock &Clock, fleet_secret Secret)
+    : State(std::make_unique<state>(
+          state{Settings, Clock, std::move(Secret), {}})) {}
+
+traffic_threads::~traffic_threads() { stop(); }
+
+status traffic_threads::start() {
+  for (std::uint32_t I = 0; I < State->Settings.TrafficThreads; ++I) {
+    auto Thread =
+        std::make_unique<thread>(State->Settings, State->Clock, State->Secret);
+    const status Public = openPort(Thread->Public, State->Settings.Public);
+    if (failed(Public))
+      return Public;
+    const status Internal =
+        openPort(Thread->Internal, State->Settings.Internal);
+    if (failed(Internal))
+      return Internal;
+    State->Threads.push_back(std::move(Thread));
+  }
+  for (const auto &Thread : State->Threads)
+    Thread->run();
+  return {};
+}
+
+void traffic_threads::publish(const traffic_view_ptr &View) {
+  for (const auto &Thread : State->Threads)
+    asio::post(Thread->Context, [Thread = Thread.get(), View] {
+      Thread->State.View = View;
+      Thread->Dispatcher.publish(View);
+    });
+}
+
+std::size_t traffic_threads::inFlight() const { return 0; }
+
+void traffic_threads::stop() {
+  for (const auto &Thread : State->Threads)
+    Thread->Context.stop();
+  for (const auto &Thread : State->Threads)
+    if (Thread->Thread.joinable())
+      Thread->Thread.join();
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/watchdog.cpp
@@ -0,0 +1,78 @@
+#include "watchdog_p.h"
+
+namespace magnoliaspread {
+
+namespace {
+
+bool isClosed(tcp::socket &Socket) {
+  error_code Failure;
+  Socket.non_blocking(true, Failure);
+  char Byte = 0;
+  const std::size_t Count = Socket.receive(asio::buffer(&Byte, 1),
+                                           tcp::socket::message_peek, Failure);
+  return Failure != asio::error::would_block && Count == 0;
+}
+
+} // namespace
+
+watchdog::watchdog(tcp::socket &Caller, tcp::socket &Upstream)
+    : Shared(std::make_shared<state>(
+          state{&Caller, &Upstream, asio::steady_timer(Caller.get_executor()),
+                steady_time::max(), true, false, false, false, false, false})) {
+}
+
+watchdog::~watchdog() {
+  Shared->Alive = false;
+  Shared->Timer.cancel();
+}
+
+void watchdog::state::cancelAll() {
+  error_code Ignored;
+  Caller->cancel(Ignored);
+  Upstream->cancel(Ignored);
+}
+
+void watchdog::expireAt(steady_time Time) {
+  const bool Sooner = Time < Shared->Time;
+  Shared->Time = Time;
+  if (!Shared->Waiting || Sooner)
+    wait(Shared);
+}
+
+void watchdog::wait(const std::shared_ptr<state> &Shared) {
+  Shared->Waiting = true;
+  Shared->Timer.expires_at(Shared->Time);
+  Shared->Timer.async_wait([Shared](error_code Moved) {
+    if (Moved || !Shared->Alive)
+      return;
+    if (std::chrono::steady_clock::now() < Shared->Time) {
+      wait(Shared);
+      return;
+    }
+    Shared->Expired = true;
+    Shared->cancelAll();
+  });
+}
+
+void watchdog::watchCaller() {
+  Shared->Caller->async_wait(
+      tcp::socket::wait_read, [State = Shared](error_code Failure) {
+        if (!State->Alive || Failure || !isClosed(*State->Caller))
+          return;
+        State->CallerGone = true;
+        State->cancelAll();
+      });
+}
+
+void watchdog::watchAnswer() {
+  Shared->WatchingAnswer = true;
+  Shared->Upstream->async_wait(
+      tcp::socket::wait_read, [State = Shared](error_code Failure) {
+        if (!State->Alive || Failure || !State->WatchingAnswer)
+          return;
+        State->AnswerBegan = true;
+        State->cancelAll();
+      });
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/watchdog_p.h
@@ -0,0 +1,59 @@
+/// Stops the operations of two sockets at a time that may be moved.
+#ifndef MAGNOLIASPREAD_WATCHDOG_P_H
+#define MAGNOLIASPREAD_WATCHDOG_P_H
+
+#include "net_p.h"
+
+#include <magnoliaspread/clock.h>
+
+#include <memory>
+
+namespace magnoliaspread {
+
+/// Cancels what is outstanding on both sockets when its time has come, or
+/// when one of its watches fires. The sockets must outlive it.
+class watchdog {
+public:
+  watchdog(tcp::socket &Caller, tcp::socket &Upstream);
+  ~watchdog();
+  watchdog(const watchdog &) = delete;
+  watchdog &operator=(const watchdog &) = delete;
+
+  /// Moves the time; cheap when it moves to later.
+  void expireAt(steady_time Time);
+
+  /// Fires callerGone() when the caller closes its connection.
+  void watchCaller();
+
+  /// Fires answerBegan() when the upstream sends or closes.
+  void watchAnswer();
+  void stopWatchingAnswer() { Shared->WatchingAnswer = false; }
+
+  bool expired() const { return Shared->Expired; }
+  bool callerGone() const { return Shared->CallerGone; }
+  bool answerBegan() const { return Shared->AnswerBegan; }
+
+private:
+  struct state {
+    tcp::socket *Caller;
+    tcp::socket *Upstream;
+    asio::steady_timer Timer;
+    steady_time Time = steady_time::max();
+    bool Alive = true;
+    bool Waiting = false;
+    bool WatchingAnswer = false;
+    bool Expired = false;
+    bool CallerGone = false;
+    bool AnswerBegan = false;
+
+    void cancelAll();
+  };
+
+  static void wait(const std::shared_ptr<state> &Shared);
+
+  std::shared_ptr<state> Shared;
+};
+
+} // namespace magnoliaspread
+
+#endif
