--- /dev/null
+++ b/packages/coordination/src/member.cpp
@@ -0,0 +1,451 @@
+#include <magnoliaspread/member.h>
+
+#include "member_p.h"
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A tick that comes this late means that the process was paused.
+constexpr milliseconds PauseLimit{1500};
+constexpr milliseconds SettleTime{2000};
+constexpr milliseconds AgeingPeriod{250};
+/// A start under a known name takes precedence only when it learns of the
+/// other incarnation this soon.
+constexpr milliseconds ClaimWindow{10000};
+/// Heartbeats that an instance given up for dead could have sent unheard by
+/// the one that gave it up, while others still heard them.
+constexpr std::uint64_t DeathSequenceMargin = 5;
+constexpr milliseconds UnconfirmedLimit{30000};
+constexpr std::uint32_t UnconfirmedAnswers = 3;
+constexpr std::size_t MaxVersionMarks = 16;
+constexpr std::uint32_t RowRelays = 2;
+constexpr std::uint32_t SummaryRelays = 2;
+constexpr std::size_t MaxRelays = 256;
+/// Time for a mate's relay to come before the rows are asked for.
+constexpr milliseconds RelayGrace{2500};
+
+} // namespace
+
+membership::membership(member_identity Identity, std::uint64_t Seed,
+                       steady_time Now)
+    : Self(std::move(Identity)), Random(Seed), Started(Now), SettledAt(Now),
+      LastTick(Now), LastHeartbeat(Now - HeartbeatPeriod), NextHeartbeat(Now),
+      NextAgeing(Now), NextJoin(Now), NextRequests(Now), NextHurry(Now) {}
+
+outbox membership::tick(steady_time Now) {
+  outbox Out;
+  noticePause(Now);
+  if (Now >= NextAgeing) {
+    NextAgeing = Now + AgeingPeriod;
+    age(Now);
+  }
+  sendHeartbeat(Now, Out);
+  sendJoin(Now, Out);
+  sendRequests(Now, Out);
+  sendSummaries(Now, Out);
+  return Out;
+}
+
+outbox membership::receive(steady_time Now, const endpoint_address &From,
+                           const member_message &Message) {
+  outbox Out;
+  noticePause(Now);
+  if (const auto *Heartbeat = std::get_if<heartbeat_message>(&Message))
+    receiveHeartbeat(Now, From, *Heartbeat, Out);
+  else if (const auto *Summary = std::get_if<summary_message>(&Message))
+    receiveSummary(Now, From, *Summary, Out);
+  else if (const auto *Rows = std::get_if<rows_message>(&Message))
+    receiveRows(Now, From, *Rows, Out);
+  else if (const auto *Request = std::get_if<rows_request>(&Message))
+    receiveRequest(Now, From, *Request, Out);
+  return Out;
+}
+
+void membership::seed(std::vector<seed_address> Addresses) {
+  std::erase_if(Addresses, [&](const seed_address &Seed) {
+    return Seed.Internal == Self.Internal;
+  });
+  Seeds = std::move(Addresses);
+}
+
+void membership::retainDataCentres(const std::vector<std::string> &Names) {
+  const auto Gone = [&](const std::string &Name) {
+    return std::find(Names.begin(), Names.end(), Name) == Names.end();
+  };
+  std::vector<std::string> Dropped;
+  for (const peer_centre &Centre : Centres)
+    if (Gone(Centre.Name))
+      Dropped.push_back(Centre.Name);
+  for (const std::string &Name : Dropped) {
+    const std::vector<instance_handle> Handles = Table.ofDataCentre(Name);
+    for (const instance_handle Handle : Handles)
+      Table.remove(Handle);
+  }
+  std::erase_if(Centres, [&](const peer_centre &C) { return Gone(C.Name); });
+}
+
+outbox membership::leave(steady_time Now) {
+  if (Own.State != member_state::Leaving)
+    LeftAt = Now;
+  Own.State = member_state::Leaving;
+  NextHeartbeat = Now;
+  HurryWanted = true;
+  outbox Out;
+  sendHeartbeat(Now, Out);
+  return Out;
+}
+
+void membership::setConfig(steady_time Now, config_stamp Config) {
+  if (Config.Version <= Own.Config.Version)
+    return;
+  Own.Config = Config;
+  if (!isSpeaker())
+    return;
+  NextHeartbeat =
+      std::min(NextHeartbeat, std::max(Now, LastHeartbeat + MinHeartbeatGap));
+  HurryWanted = true;
+}
+
+void membership::reportRefused(steady_time Now, std::string_view Name,
+                               std::uint64_t Incarnation) {
+  const instance_handle Handle = Table.byName(Name);
+  if (!Handle.valid())
+    return;
+  member_entry &Entry = Table.at(Handle);
+  if (Entry.live() && Entry.Row.Identity.Incarnation == Incarnation)
+    markDead(Now, Entry);
+}
+
+void membership::receiveHeartbeat(steady_time Now, const endpoint_address &From,
+                                  const heartbeat_message &Message,
+                                  outbox &Out) {
+  if (Message.Incarnation == Self.Incarnation)
+    return;
+  for (const data_centre_summary &Summary : Message.Summaries)
+    takeSummary(Now, Summary, false);
+  const instance_handle Handle = Table.byIncarnation(Message.Incarnation);
+  if (!Handle.valid()) {
+    Out.push_back({{From}, rows_request{self(), ""}});
+    return;
+  }
+  member_entry &Entry = Table.at(Handle);
+  if (!isOwn(Entry.Row))
+    return;
+  if (Message.Report.Sequence <= Entry.Row.Report.Sequence) {
+    ++Counts.StaleDropped;
+    return;
+  }
+  takeHeartbeat(Now, Entry, Message.Report);
+  if (Message.Speaker)
+    takeSilence(Now, Message);
+}
+
+void membership::takeHeartbeat(steady_time Now, member_entry &Entry,
+                               const member_report &Report) {
+  const member_state Before = Entry.Row.Report.State;
+  Entry.Row.Report = Report;
+  if (Before == member_state::Leaving)
+    Entry.Row.Report.State = member_state::Leaving;
+  Entry.LastHeard = Now;
+  if (Before == member_state::Dead)
+    ++Counts.Revived;
+  const bool Left = Entry.Row.Report.State == member_state::Leaving &&
+                    Before != member_state::Leaving;
+  if (Before != member_state::Dead && !Left)
+    return;
+  Entry.ChangedAt = Now;
+  HurryWanted = true;
+}
+
+void membership::takeSilence(steady_time Now,
+                             const heartbeat_message &Message) {
+  for (peer_centre &Centre : Centres) {
+    const bool Silent =
+        std::find(Message.SilentCentres.begin(), Message.SilentCentres.end(),
+                  Centre.Name) != Message.SilentCentres.end();
+    (Silent ? Centre.SaidSilentAt : Centre.SaidHeardAt) = Now;
+  }
+}
+
+void membership::receiveSummary(steady_time Now, const endpoint_address &From,
+                                const summary_message &Message, outbox &Out) {
+  if (Message.Summary.DataCentre == Self.DataCentre)
+    return;
+  for (const member_row &Row : Message.Changed)
+    takeRow(Now, From, Row, true, Out);
+  takeSummary(Now, Message.Summary, true);
+}
+
+void membership::takeSummary(steady_time Now,
+                             const data_centre_summary &Summary, bool Direct) {
+  peer_centre *Found = centreOrNew(Now, Summary.DataCentre);
+  if (Found == nullptr)
+    return;
+  peer_centre &Centre = *Found;
+  const data_centre_summary Before = Centre.Summary;
+  if (Summary.Speaker == Before.Speaker &&
+      Summary.Sequence <= Before.Sequence) {
+    if (Summary.Sequence < Before.Sequence)
+      ++Counts.StaleDropped;
+    return;
+  }
+  Centre.Summary = Summary;
+  Centre.LastHeard = Now;
+  const bool News = Before.RowsHash != Summary.RowsHash ||
+                    Before.LowestVersion != Summary.LowestVersion ||
+                    Before.Config != Summary.Config;
+  if (Direct && News)
+    Centre.RelaysLeft = SummaryRelays;
+  checkHash(Now, Centre, Direct);
+}
+
+void membership::checkHash(steady_time Now, peer_centre &Centre, bool Direct) {
+  if (Centre.Summary.Sequence == 0 ||
+      rowsHash(Centre.Name) == Centre.Summary.RowsHash) {
+    Centre.MismatchSince.reset();
+    return;
+  }
+  if (Centre.MismatchSince)
+    return;
+  const bool Wait = !Direct && !Table.ofDataCentre(Centre.Name).empty();
+  Centre.MismatchSince = Now;
+  Centre.AnswersSinceMismatch = 0;
+  Centre.NextRequest =
+      std::max(Centre.NextRequest, Wait ? Now + RelayGrace : Now);
+}
+
+void membership::receiveRows(steady_time Now, const endpoint_address &From,
+                             const rows_message &Message, outbox &Out) {
+  peer_centre *Last = nullptr;
+  for (const member_row &Row : Message.Rows) {
+    takeRow(Now, From, Row, !Message.Relayed, Out);
+    if (Last == nullptr || Last->Name != Row.Identity.DataCentre) {
+      Last = centre(Row.Identity.DataCentre);
+      if (Last != nullptr)
+        ++Last->AnswersSinceMismatch;
+    }
+  }
+  for (peer_centre &Centre : Centres)
+    if (Centre.MismatchSince)
+      checkHash(Now, Centre, false);
+}
+
+void membership::takeRow(steady_time Now, const endpoint_address &From,
+                         const member_row &Row, bool Relay, outbox &Out) {
+  if (Row.Identity.Name == Self.Name) {
+    meetOwnName(Now, Row);
+    return;
+  }
+  const bool FromItself = Row.Identity.Internal == From;
+  if (mergeRow(Now, Row, FromItself)) {
+    if (isOwn(Row))
+      HurryWanted = true;
+    else if (Relay && Relays.size() < MaxRelays)
+      Relays.push_back({Row, RowRelays});
+    return;
+  }
+  const std::optional<member_row> Known = find(Row.Identity.Name);
+  if (FromItself && Known &&
+      Known->Identity.Incarnation != Row.Identity.Incarnation)
+    Out.push_back({{From}, rows_message{{*Known}, true}});
+}
+
+bool membership::mergeRow(steady_time Now, const member_row &Row,
+                          bool FromItself) {
+  if (!isOwn(Row) && centreOrNew(Now, Row.Identity.DataCentre) == nullptr)
+    return false;
+  const instance_handle Handle = Table.byName(Row.Identity.Name);
+  if (!Handle.valid())
+    return addRow(Now, Row, FromItself);
+  member_entry &Entry = Table.at(Handle);
+  switch (compareRows(Entry.Row, Row)) {
+  case row_order::Replaces:
+    Table.remove(Handle);
+    return addRow(Now, Row, FromItself);
+  case row_order::Newer:
+    return isOwn(Row) ? mergeMate(Now, Entry, Row)
+                      : mergeRemote(Now, Entry, Row);
+  case row_order::Same:
+    if (!isOwn(Row))
+      Entry.LastHeard = Now;
+    return false;
+  case row_order::Older:
+    ++Counts.StaleDropped;
+    return false;
+  }
+  return false;
+}
+
+bool membership::addRow(steady_time Now, const member_row &Row,
+                        bool FromItself) {
+  member_row Added = Row;
+  if (isOwn(Row) && !FromItself && Row.Report.State == member_state::Alive)
+    Added.Report.State = member_state::Suspect;
+  if (!Table.add(Added, Now).valid()) {
+    ++Counts.TableFull;
+    return false;
+  }
+  if (Row.Report.State != member_state::Dead)
+    ++Counts.Joined;
+  return true;
+}
+
+/// News of a mate from others: only its leaving, or its death while it isn't
+/// heard here, count; its life is proved by its own heartbeats.
+bool membership::mergeMate(steady_time Now, member_entry &Entry,
+                           const member_row &Row) {
+  const member_state State = Row.Report.State;
+  if (State == member_state::Leaving && Entry.eligible()) {
+    Entry.Row.Report.State = member_state::Leaving;
+    Entry.ChangedAt = Now;
+    return true;
+  }
+  if (State != member_state::Dead || !Entry.live() ||
+      Now - Entry.LastHeard < SuspectAfter)
+    return false;
+  Entry.Row.Report = Row.Report;
+  Entry.ChangedAt = Now;
+  ++Counts.Died;
+  return true;
+}
+
+bool membership::mergeRemote(steady_time Now, member_entry &Entry,
+                             const member_row &Row) {
+  const member_state Before = Entry.Row.Report.State;
+  Entry.Row = Row;
+  Entry.LastHeard = Now;
+  if (Before == member_state::Leaving &&
+      Row.Report.State == member_state::Alive)
+    Entry.Row.Report.State = member_state::Leaving;
+  if (Entry.Row.Report.State == Before)
+    return false;
+  if (Entry.Row.Report.State == member_state::Dead)
+    ++Counts.Died;
+  if (Before == member_state::Dead)
+    ++Counts.Revived;
+  Entry.ChangedAt = Now;
+  return true;
+}
+
+void membership::meetOwnName(steady_time Now, const member_row &Row) {
+  if (Row.Identity.Incarnation == Self.Incarnation) {
+    if (Row.Report.State == member_state::Dead)
+      Own.Sequence = std::max(Own.Sequence, Row.Report.Sequence);
+    return;
+  }
+  const bool Outranks = compareRows(self(), Row) == row_order::Replaces;
+  if (!Outranks)
+    return;
+  if (Now - Started < ClaimWindow) {
+    Self.Epoch = Row.Identity.Epoch + 1;
+    return;
+  }
+  Superseded = true;
+  if (Own.State != member_state::Leaving)
+    LeftAt = Now;
+  Own.State = member_state::Leaving;
+}
+
+void membership::receiveRequest(steady_time Now, const endpoint_address &From,
+                                const rows_request &Message, outbox &Out) {
+  takeRow(Now, From, Message.Sender, true, Out);
+  const bool Mate = isOwn(Message.Sender);
+  if (Message.DataCentre.empty()) {
+    Out.push_back({{From}, rows_message{{self()}, Mate}});
+    return;
+  }
+  appendRows(Now, Message.DataCentre, From, Mate, Out);
+  if (Mate && Message.DataCentre == Self.DataCentre)
+    appendSummaries(From, Out);
+}
+
+void membership::markDead(steady_time Now, member_entry &Entry) {
+  Entry.Row.Report.State = member_state::Dead;
+  Entry.Row.Report.Sequence += DeathSequenceMargin;
+  Entry.ChangedAt = Now;
+  ++Counts.Died;
+  if (isOwn(Entry.Row))
+    HurryWanted = true;
+}
+
+/// After a pause of this process the silence of others was its own.
+void membership::noticePause(steady_time Now) {
+  const auto Pause = Now - LastTick;
+  LastTick = std::max(LastTick, Now);
+  if (Pause <= PauseLimit)
+    return;
+  ++Counts.Pauses;
+  SettledAt = Now + SettleTime;
+  for (const instance_handle Handle : Table.ofDataCentre(Self.DataCentre)) {
+    member_entry &Entry = Table.at(Handle);
+    Entry.LastHeard = Now;
+    if (Entry.eligible())
+      Entry.Row.Report.State = member_state::Suspect;
+  }
+  for (peer_centre &Centre : Centres)
+    Centre.LastHeard += Pause;
+}
+
+void membership::age(steady_time Now) {
+  ageMates(Now);
+  dropUnconfirmed(Now);
+  forgetDead(Now);
+  trackLowest(Now);
+}
+
+void membership::ageMates(steady_time Now) {
+  for (const instance_handle Handle : Table.ofDataCentre(Self.DataCentre)) {
+    member_entry &Entry = Table.at(Handle);
+    const auto Silence = Now - Entry.LastHeard;
+    if (!Entry.live())
+      continue;
+    if (Silence >= DeadAfter)
+      markDead(Now, Entry);
+    else if (Silence >= SuspectAfter && Entry.eligible())
+      Entry.Row.Report.State = member_state::Suspect;
+  }
+}
+
+/// Rows that a data centre's answers leave out, though its summary differs
+/// from what is known here, are of instances that it has forgotten.
+void membership::dropUnconfirmed(steady_time Now) {
+  for (peer_centre &Centre : Centres) {
+    if (!Centre.MismatchSince ||
+        Now - *Centre.MismatchSince < UnconfirmedLimit ||
+        Centre.AnswersSinceMismatch < UnconfirmedAnswers)
+      continue;
+    for (const instance_handle Handle : Table.ofDataCentre(Centre.Name)) {
+      member_entry &Entry = Table.at(Handle);
+      if (Entry.live() && Entry.LastHeard < *Centre.MismatchSince)
+        markDead(Now, Entry);
+    }
+    Centre.MismatchSince.reset();
+    checkHash(Now, Centre, true);
+  }
+}
+
+void membership::forgetDead(steady_time Now) {
+  const std::size_t Slots = Table.entries().size();
+  for (std::uint16_t I = 0; I < Slots; ++I) {
+    const member_entry &Entry = Table.entries()[I];
+    if (Entry.Used && !Entry.live() && Now - Entry.ChangedAt >= DeadHold)
+      Table.remove({I});
+  }
+}
+
+void membership::trackLowest(steady_time Now) {
+  const std::uint64_t Lowest = lowestVersion();
+  while (!LowestMarks.empty() && LowestMarks.back().Version > Lowest)
+    LowestMarks.pop_back();
+  if (LowestMarks.empty() || LowestMarks.back().Version < Lowest)
+    LowestMarks.push_back({Lowest, Now});
+  if (LowestMarks.size() > MaxVersionMarks)
+    LowestMarks.pop_front();
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/coordination/src/memberviews.cpp
@@ -0,0 +1,153 @@
+#include <magnoliaspread/member.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace magnoliaspread {
+
+namespace {
+
+constexpr std::chrono::milliseconds SpeakerSayHolds{3000};
+/// An instance that isn't a speaker hears summaries less often.
+constexpr std::chrono::milliseconds RelayedSilentAfter{60000};
+
+} // namespace
+
+std::vector<member_row> membership::matesAlive() const {
+  std::vector<member_row> Mates;
+  for (const instance_handle Handle : Table.ofDataCentre(Self.DataCentre))
+    if (Table.at(Handle).live())
+      Mates.push_back(Table.at(Handle).Row);
+  return Mates;
+}
+
+std::vector<member_row>
+membership::lookupInstances(steady_time Now,
+                            std::string_view DataCentre) const {
+  std::vector<member_row> Named;
+  const peer_centre *Centre = centre(DataCentre);
+  if (Centre != nullptr && isSilent(Now, *Centre))
+    return Named;
+  if (DataCentre == Self.DataCentre && Own.State == member_state::Alive)
+    Named.push_back(self());
+  for (const instance_handle Handle : Table.ofDataCentre(DataCentre))
+    if (Table.at(Handle).eligible())
+      Named.push_back(Table.at(Handle).Row);
+  return Named;
+}
+
+std::optional<member_row> membership::find(std::string_view Name) const {
+  if (Name == Self.Name)
+    return self();
+  const instance_handle Handle = Table.byName(Name);
+  if (!Handle.valid())
+    return std::nullopt;
+  return Table.at(Handle).Row;
+}
+
+std::optional<member_row>
+membership::findIncarnation(std::uint64_t Incarnation) const {
+  if (Incarnation == Self.Incarnation)
+    return self();
+  const instance_handle Handle = Table.byIncarnation(Incarnation);
+  if (!Handle.valid())
+    return std::nullopt;
+  return Table.at(Handle).Row;
+}
+
+std::vector<data_centre_view> membership::dataCentres(steady_time Now) const {
+  std::vector<data_centre_view> Views;
+  for (const peer_centre &Centre : Centres) {
+    Views.push_back({Centre.Summary, isSilent(Now, Centre)});
+    Views.back().Summary.DataCentre = Centre.Name;
+  }
+  return Views;
+}
+
+bool membership::isSilent(steady_time Now, const peer_centre &Centre) const {
+  const auto Recent = [&](const std::optional<steady_time> &At) {
+    return At && Now - *At < SpeakerSayHolds;
+  };
+  if (isSpeaker())
+    return Now - Centre.LastHeard >= SilentAfter;
+  if (Recent(Centre.SaidHeardAt))
+    return false;
+  return Recent(Centre.SaidSilentAt) ||
+         Now - Centre.LastHeard >= RelayedSilentAfter;
+}
+
+std::vector<member_row>
+membership::speakers(std::string_view DataCentre) const {
+  std::vector<member_row> Rows;
+  if (DataCentre == Self.DataCentre && Own.State == member_state::Alive)
+    Rows.push_back(self());
+  for (const instance_handle Handle : Table.ofDataCentre(DataCentre))
+    if (Table.at(Handle).eligible())
+      Rows.push_back(Table.at(Handle).Row);
+  const auto Before = [](const member_row &A, const member_row &B) {
+    return speakerScore(A.Identity) > speakerScore(B.Identity);
+  };
+  const std::size_t Count = std::min(SpeakersPerDataCentre, Rows.size());
+  std::partial_sort(Rows.begin(),
+                    Rows.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Rows.end(), Before);
+  Rows.resize(Count);
+  return Rows;
+}
+
+bool membership::isSpeaker() const {
+  if (Own.State != member_state::Alive)
+    return false;
+  const std::uint64_t OwnScore = speakerScore(Self);
+  std::size_t Above = 0;
+  for (const instance_handle Handle : Table.ofDataCentre(Self.DataCentre)) {
+    const member_entry &Entry = Table.at(Handle);
+    if (Entry.eligible() && speakerScore(Entry.Row.Identity) > OwnScore)
+      ++Above;
+  }
+  return Above < SpeakersPerDataCentre;
+}
+
+std::uint64_t membership::lowestVersion() const {
+  std::uint64_t Lowest = Own.Config.Version;
+  for (const instance_handle Handle : Table.ofDataCentre(Self.DataCentre)) {
+    const member_entry &Entry = Table.at(Handle);
+    const std::uint64_t Version = Entry.Row.Report.Config.Version;
+    if (Entry.live() && Version != 0)
+      Lowest = std::min(Lowest, Version);
+  }
+  for (const peer_centre &Centre : Centres) {
+    const std::vector<instance_handle> &Rows = Table.ofDataCentre(Centre.Name);
+    const bool AnyLive =
+        std::any_of(Rows.begin(), Rows.end(), [&](instance_handle Handle) {
+          return Table.at(Handle).live();
+        });
+    if (AnyLive)
+      Lowest = std::min(Lowest, Centre.Summary.LowestVersion);
+  }
+  return Lowest;
+}
+
+std::optional<steady_time>
+membership::everywhereSince(std::uint64_t Version) const {
+  for (const version_mark &Mark : LowestMarks)
+    if (Mark.Version >= Version)
+      return Mark.At;
+  return std::nullopt;
+}
+
+membership::peer_centre *membership::centre(std::string_view Name) {
+  for (peer_centre &Centre : Centres)
+    if (Centre.Name == Name)
+      return &Centre;
+  return nullptr;
+}
+
+const membership::peer_centre *membership::centre(std::string_view Name) const {
+  for (const peer_centre &Centre : Centres)
+    if (Centre.Name == Name)
+      return &Centre;
+  return nullptr;
+}
+
+} // namespace magnoliaspread
