Daemon: control thread, configuration system and admin port

The configuration comes from the platform's object by poll and watch, or from a peer; only a higher version goes in force.

--- /dev/null
+++ b/packages/daemon/src/admin_p.h
@@ -0,0 +1,46 @@
+/// The operators' port: /healthz, /status and /metrics, on the control thread.
+#ifndef MAGNOLIASPREAD_ADMIN_P_H
+#define MAGNOLIASPREAD_ADMIN_P_H
+
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/settings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+struct admin_answer {
+  unsigned Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+};
+
+struct admin_page {
+  std::string Path;
+  std::function<admin_answer()> Make;
+};
+
+class admin_port {
+public:
+  admin_port(boost::asio::io_context &Context, std::vector<admin_page> Pages);
+
+  /// BadSettings when the port can't be opened.
+  status open(const endpoint_address &Where);
+  void close();
+
+private:
+  void accept();
+  admin_answer answer(std::string_view Path) const;
+
+  boost::asio::io_context &Context;
+  std::vector<admin_page> Pages;
+  boost::asio::ip::tcp::acceptor Acceptor;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/configsys.cpp
@@ -0,0 +1,109 @@
+#include "configsys_p.h"
+
+#include "peerfetch_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <charconv>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds WatchWait{20000};
+constexpr milliseconds WatchRetry{500};
+constexpr std::size_t StampDigits = 8;
+
+config_stamp stampOf(const config_table &Table, const std::string &Text) {
+  config_stamp Stamp{Table.Version, 0};
+  const std::string Digest = hashKey(Text).substr(0, StampDigits);
+  std::from_chars(Digest.data(), Digest.data() + Digest.size(), Stamp.Hash, 16);
+  return Stamp;
+}
+
+} // namespace
+
+config_system::config_system(boost::asio::io_context &Context,
+                             object_store &Store, const clock &Clock,
+                             const fleet_secret &Secret, std::uint64_t Seed,
+                             accepted_handler Accepted)
+    : Context(Context), Store(Store), Clock(Clock), Secret(Secret),
+      Accepted(std::move(Accepted)), Sync(Seed, Clock.now()),
+      NextWatch(Clock.now()) {}
+
+void config_system::tick(bool Speaker, std::vector<config_holder> Holders) {
+  const steady_time Now = Clock.now();
+  Sync.setHolders(std::move(Holders));
+  if (const auto Fetch = Sync.nextFetch(Now, Speaker))
+    fetch(*Fetch);
+  if (!Polling && Sync.platformPollDue(Now, Speaker))
+    poll();
+  if (Speaker && !Watching && Now >= NextWatch)
+    watch();
+}
+
+void config_system::poll() {
+  Polling = true;
+  Store.get({TableObject}, [this](result<stored_object> Answer) {
+    Polling = false;
+    if (failed(Answer))
+      return;
+    ObjectVersion = valueOf(Answer).Version;
+    Sync.confirmCurrent(Clock.now());
+    take(valueOf(Answer).Value, config_source::Platform);
+  });
+}
+
+void config_system::watch() {
+  Watching = true;
+  Store.watch({TableObject, ObjectVersion, WatchWait},
+              [this](result<watch_answer> Answer) {
+                Watching = false;
+                if (failed(Answer)) {
+                  NextWatch = Clock.now() + WatchRetry;
+                  return;
+                }
+                Sync.confirmCurrent(Clock.now());
+                if (!valueOf(Answer).Changed)
+                  return;
+                const stored_object &Object = valueOf(Answer).Object;
+                ObjectVersion = Object.Version;
+                if (Object.Version != NoObject)
+                  take(Object.Value, config_source::Platform);
+              });
+}
+
+void config_system::fetch(const config_fetch &Fetch) {
+  fetchFromPeer(Context, Clock, Secret, Fetch.From,
+                [this, Peer = Fetch.Peer](result<std::string> Answer) {
+                  if (failed(Answer) ||
+                      !take(valueOf(Answer), config_source::Peer))
+                    Sync.fetchFailed(Clock.now(), Peer);
+                });
+}
+
+bool config_system::take(const std::string &Text, config_source Source) {
+  result<config_table> Parsed = parseTable(Text);
+  const steady_time Now = Clock.now();
+  if (failed(Parsed)) {
+    logEvent(
+        log_level::Warning, "table_refused",
+        {{"source", Source == config_source::Platform ? "platform" : "peer"},
+         {"detail", errorOf(Parsed).Detail}});
+    return false;
+  }
+  const config_stamp Stamp = stampOf(valueOf(Parsed), Text);
+  if (Sync.judge(Now, Stamp, Source) != config_verdict::Accept)
+    return true;
+  Sync.putInForce(Now, Stamp);
+  logEvent(
+      log_level::Info, "config_in_force",
+      {{"version", Stamp.Version},
+       {"source", Source == config_source::Platform ? "platform" : "peer"}});
+  Accepted(indexTable(std::move(valueOf(Parsed))));
+  return true;
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,45 @@
+/// magnoliaspreadd: one entry instance.
+#include <magnoliaspread/control.h>
+#include <magnoliaspread/log.h>
+#include <magnoliaspread/settings.h>
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr const char *Version = "magnoliaspreadd 0.1.0";
+
+int reportError(const magnoliaspread::error &Error) {
+  std::cerr << magnoliaspread::answerOf(Error.Kind).Name << ": " << Error.Detail
+            << '\n';
+  return ExitFailed;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Entry instance of the magnoliaspread traffic steering system");
+  App.set_version_flag("--version", Version);
+  std::string SettingsFile;
+  bool CheckOnly = false;
+  App.add_option("--settings", SettingsFile, "JSON settings of this instance")
+      ->required();
+  App.add_flag("--check", CheckOnly, "check the settings and exit");
+  App.footer("Exit codes: 0 drained or checked, 1 failed, above 100 usage.");
+  CLI11_PARSE(App, Argc, Argv);
+  const auto Settings = magnoliaspread::loadSettings(SettingsFile);
+  if (magnoliaspread::failed(Settings))
+    return reportError(magnoliaspread::errorOf(Settings));
+  if (CheckOnly)
+    return ExitOk;
+  magnoliaspread::initLog(Argv[0]);
+  const magnoliaspread::system_clock Clock;
+  const auto Ended =
+      magnoliaspread::runInstance(magnoliaspread::valueOf(Settings), Clock);
+  if (magnoliaspread::failed(Ended))
+    return reportError(magnoliaspread::errorOf(Ended));
+  return ExitOk;
+}
--- /dev/null
+++ b/packages/daemon/src/peerfetch.cpp
@@ -0,0 +1,92 @@
+#include "peerfetch_p.h"
+
+#include <magnoliaspread/confsync.h>
+#include <magnoliaspread/traffic.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace magnoliaspread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto Awaited = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t MaxTableBytes = 4u << 20;
+
+http::request<http::empty_body> fetchRequest(const clock &Clock,
+                                             const fleet_secret &Secret) {
+  forwarded_head Head;
+  Head.Method = "GET";
+  Head.Target = ConfigPath;
+  Head.SentAtMs =
+      duration_cast<milliseconds>(Clock.wall().time_since_epoch()).count();
+  http::request<http::empty_body> Request(http::verb::get, ConfigPath, 11);
+  Request.set(http::field::host, "peer");
+  Request.set("X-Deadline-Ms", "0");
+  Request.set("X-Fleet-Sent-Ms", std::to_string(Head.SentAtMs));
+  Request.set("X-Fleet-Signature", signForwarded(Secret, Head));
+  Request.keep_alive(false);
+  return Request;
+}
+
+error unreachable(const boost::system::error_code &Failure) {
+  return {error_kind::PeerUnreachable, Failure.message(), {}};
+}
+
+asio::awaitable<result<std::string>>
+fetch(asio::io_context &Context, http::request<http::empty_body> Request,
+      endpoint_address Peer) {
+  beast::tcp_stream Stream(Context);
+  Stream.expires_after(FetchTimeout);
+  boost::system::error_code Failure;
+  const auto Address = asio::ip::make_address(Peer.Address, Failure);
+  if (Failure)
+    co_return unreachable(Failure);
+  std::tie(Failure) =
+      co_await Stream.async_connect(tcp::endpoint(Address, Peer.Port), Awaited);
+  if (Failure)
+    co_return unreachable(Failure);
+  auto [WriteFailure, Written] =
+      co_await http::async_write(Stream, Request, Awaited);
+  if (WriteFailure)
+    co_return unreachable(WriteFailure);
+  beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxTableBytes);
+  auto [ReadFailure, Read] =
+      co_await http::async_read(Stream, Buffer, Parser, Awaited);
+  if (ReadFailure)
+    co_return unreachable(ReadFailure);
+  if (Parser.get().result() != http::status::ok)
+    co_return error{error_kind::PeerRejected, Parser.get().body(), {}};
+  co_return std::move(Parser.get().body());
+}
+
+} // namespace
+
+void fetchFromPeer(asio::io_context &Context, const clock &Clock,
+                   const fleet_secret &Secret, const endpoint_address &Peer,
+                   std::function<void(result<std::string>)> Done) {
+  asio::co_spawn(
+      Context, fetch(Context, fetchRequest(Clock, Secret), Peer),
+      [Done = std::move(Done)](std::exception_ptr Thrown,
+                               result<std::string> Fetched) {
+        if (Thrown)
+          Fetched = error{error_kind::PeerUnreachable, "fetch broke", {}};
+        Done(std::move(Fetched));
+      });
+}
+
+} // namespace magnoliaspread
