--- /dev/null
+++ b/packages/platform/include/magnoliaspread/http_store.h
@@ -0,0 +1,60 @@
+/// The object store over HTTP. Calls are bounded in number and rate, retried
+/// with back-off until their deadline, and a write whose answer was lost is
+/// found out by reading before it is sent again.
+#ifndef MAGNOLIASPREAD_HTTP_STORE_H
+#define MAGNOLIASPREAD_HTTP_STORE_H
+
+#include <magnoliaspread/call_pacer.h>
+#include <magnoliaspread/platform.h>
+#include <magnoliaspread/settings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace magnoliaspread {
+
+struct http_store_settings {
+  endpoint_address Platform;
+  pacer_settings Pace;
+  /// One exchange on a connection, connecting included.
+  std::chrono::milliseconds CallTimeout{1000};
+  /// One operation with its retries and read-backs.
+  std::chrono::milliseconds OperationTimeout{5000};
+  /// A watch without an answer this long after its wait is dead.
+  std::chrono::milliseconds WatchSlack{1000};
+  /// An idle connection is not used again after this.
+  std::chrono::milliseconds MaxIdle{10000};
+  /// Operations at once, watches apart.
+  std::size_t MaxCalls = 8;
+  std::size_t MaxQueuedCalls = 64;
+  std::size_t MaxWatches = 8;
+};
+
+class http_store final : public object_store {
+public:
+  /// \p Io and \p Clock must outlive the store. \p Seed must be unpredictable
+  /// and differ between processes: write ids come from it.
+  http_store(boost::asio::io_context &Io, const http_store_settings &Settings,
+             const clock &Clock, std::uint64_t Seed);
+  /// Drops the completions of calls in flight.
+  ~http_store() override;
+
+  void get(get_request Request, completion<stored_object> Done) override;
+  void put(put_request Request, completion<put_answer> Done) override;
+  void remove(remove_request Request, completion<std::monostate> Done) override;
+  void list(list_request Request, completion<object_list> Done) override;
+  /// One attempt: fails with PlatformUnavailable when the connection breaks or
+  /// stays silent past the wait, for the caller to watch again.
+  void watch(watch_request Request, completion<watch_answer> Done) override;
+  bool reachable() const override;
+  std::optional<wall_time> platformTimeAtLeast() const override;
+  const platform_counters &counters() const override;
+
+private:
+  class operations;
+  std::shared_ptr<operations> Operations;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/platform/src/http_exchange.cpp
@@ -0,0 +1,215 @@
+#include "http_exchange_p.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <utility>
+
+namespace magnoliaspread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+using asio::awaitable;
+using asio::redirect_error;
+using asio::use_awaitable;
+using boost::system::error_code;
+
+namespace {
+
+/// Bytes; a list carries many values.
+constexpr std::uint64_t MaxAnswerBytes = 64u << 20;
+
+/// HTTP status codes from here on are faults of the server.
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned TooManyRequests = 429;
+
+constexpr int Http11 = 11;
+
+bool isServerFault(unsigned Status) {
+  return Status >= FirstServerError || Status == TooManyRequests;
+}
+
+std::optional<wall_time> parseTime(beast::string_view Text) {
+  std::int64_t Milliseconds = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Error] = std::from_chars(Text.data(), End, Milliseconds);
+  if (Error != std::errc() || Last != End)
+    return std::nullopt;
+  return wall_time(std::chrono::milliseconds(Milliseconds));
+}
+
+} // namespace
+
+http_exchange::http_exchange(asio::io_context &Io,
+                             const http_store_settings &Settings,
+                             const clock &Clock, std::uint64_t Seed)
+    : Io(Io), Settings(Settings), Clock(Clock),
+      Pacer(Settings.Pace, Clock.now(), Seed) {}
+
+void http_exchange::stop() {
+  Stopped = true;
+  for (asio::steady_timer &Sleeper : Sleepers)
+    Sleeper.cancel();
+  for (auto &[Id, Connection] : Connections)
+    Connection.Stream.cancel();
+  closeIdle();
+}
+
+std::optional<wall_time> http_exchange::serverTimeAtLeast() const {
+  if (!ServerTime)
+    return std::nullopt;
+  const auto Elapsed = Clock.now() - ServerTime->ReceivedAt;
+  return ServerTime->Time +
+         std::chrono::duration_cast<wall_time::duration>(Elapsed);
+}
+
+awaitable<void> http_exchange::sleepUntil(steady_time Until) {
+  const auto Sleeper = Sleepers.emplace(Sleepers.end(), Io);
+  Sleeper->expires_after(Until - Clock.now());
+  error_code Ignored;
+  co_await Sleeper->async_wait(redirect_error(use_awaitable, Ignored));
+  Sleepers.erase(Sleeper);
+}
+
+awaitable<bool> http_exchange::waitForPace(steady_time Deadline) {
+  while (!Stopped && !Pacer.tryTake(Clock.now())) {
+    const steady_time Next = Pacer.nextTry(Clock.now());
+    if (Next >= Deadline)
+      co_return false;
+    co_await sleepUntil(Next);
+  }
+  co_return !Stopped;
+}
+
+http_exchange::connection_id http_exchange::takeIdle() {
+  const steady_time OldestUse = Clock.now() - Settings.MaxIdle;
+  std::erase_if(Connections, [OldestUse](const auto &Row) {
+    return Row.second.Idle && Row.second.LastUsed < OldestUse;
+  });
+  for (auto &[Id, Connection] : Connections) {
+    if (!Connection.Idle)
+      continue;
+    Connection.Idle = false;
+    Connection.Reused = true;
+    return Id;
+  }
+  return 0;
+}
+
+void http_exchange::closeIdle() {
+  std::erase_if(Connections, [](const auto &Row) { return Row.second.Idle; });
+}
+
+void http_exchange::release(connection_id Id, bool KeepAlive) {
+  connection &Connection = Connections.at(Id);
+  Connection.Idle = KeepAlive && !Stopped;
+  Connection.LastUsed = Clock.now();
+  if (!Connection.Idle)
+    Connections.erase(Id);
+}
+
+awaitable<http_exchange::connection_id> http_exchange::openConnection() {
+  const connection_id Id = ++LastConnection;
+  connection &Connection = Connections.try_emplace(Id, Io).first->second;
+  ++Counters.ConnectionsOpened;
+  error_code Error;
+  const asio::ip::tcp::endpoint Endpoint(
+      asio::ip::make_address(Settings.Platform.Address, Error),
+      Settings.Platform.Port);
+  Connection.Stream.expires_after(Settings.CallTimeout);
+  co_await Connection.Stream.async_connect(
+      Endpoint, redirect_error(use_awaitable, Error));
+  if (!Error && !Stopped)
+    co_return Id;
+  Connections.erase(Id);
+  co_return 0;
+}
+
+http_exchange::http_request
+http_exchange::makeRequest(exchange_request &Request) const {
+  http_request Message(Request.Method, Request.Path, Http11);
+  Message.set(http::field::host, Settings.Platform.Address);
+  if (Request.IfMatch)
+    Message.set(http::field::if_match, std::to_string(*Request.IfMatch));
+  if (!Request.Body.empty())
+    Message.set(http::field::content_type, "application/json");
+  Message.body() = std::move(Request.Body);
+  Message.prepare_payload();
+  return Message;
+}
+
+void http_exchange::noteFailure(call_kind Kind, steady_time StartedAt) {
+  ++Counters.of(Kind).Failed;
+  Reachable = false;
+  Pacer.callFailed(StartedAt, Clock.now());
+  closeIdle();
+}
+
+void http_exchange::noteAnswer(const http_response &Response) {
+  Reachable = true;
+  if (const std::optional<wall_time> Time = parseTime(Response["X-Time-Ms"]))
+    if (const std::optional<wall_time> Known = serverTimeAtLeast();
+        !Known || *Time > *Known)
+      ServerTime = {Clock.now(), *Time};
+  if (!Pacer.callSucceeded())
+    return;
+  for (asio::steady_timer &Sleeper : Sleepers)
+    Sleeper.cancel();
+}
+
+awaitable<exchange_reply>
+http_exchange::exchangeOn(connection_id Id, const http_request &Request,
+                          std::chrono::milliseconds Timeout) {
+  connection &Connection = Connections.at(Id);
+  Connection.Stream.expires_after(Timeout);
+  error_code Error;
+  co_await http::async_write(Connection.Stream, Request,
+                             redirect_error(use_awaitable, Error));
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  if (!Error)
+    co_await http::async_read(Connection.Stream, Connection.Buffer, Parser,
+                              redirect_error(use_awaitable, Error));
+  if (Error || Stopped) {
+    release(Id, false);
+    co_return exchange_reply{exchange_outcome::NoAnswer, 0, {}};
+  }
+  http_response Response = Parser.release();
+  release(Id, Response.keep_alive());
+  if (isServerFault(Response.result_int()))
+    co_return exchange_reply{
+        exchange_outcome::NoAnswer, Response.result_int(), {}};
+  noteAnswer(Response);
+  co_return exchange_reply{exchange_outcome::Answered, Response.result_int(),
+                           std::move(Response.body())};
+}
+
+awaitable<exchange_reply> http_exchange::call(exchange_request Request,
+                                              steady_time Deadline) {
+  const call_kind Kind = Request.Kind;
+  const std::chrono::milliseconds Timeout = Request.Timeout;
+  const http_request Message = makeRequest(Request);
+  if (!co_await waitForPace(Deadline))
+    co_return exchange_reply{};
+  const steady_time StartedAt = Clock.now();
+  connection_id Id = takeIdle();
+  if (Id == 0)
+    Id = co_await openConnection();
+  if (Id == 0) {
+    noteFailure(Kind, StartedAt);
+    co_return exchange_reply{exchange_outcome::NotSent, 0, {}};
+  }
+  ++Counters.of(Kind).Sent;
+  exchange_reply Reply = co_await exchangeOn(Id, Message, Timeout);
+  if (Reply.Outcome == exchange_outcome::NoAnswer)
+    noteFailure(Kind, StartedAt);
+  co_return Reply;
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/platform/src/http_exchange_p.h
@@ -0,0 +1,118 @@
+/// One HTTP exchange at a time on pooled connections to one server, paced and
+/// with a timeout.
+#ifndef MAGNOLIASPREAD_HTTP_EXCHANGE_P_H
+#define MAGNOLIASPREAD_HTTP_EXCHANGE_P_H
+
+#include <magnoliaspread/http_store.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+namespace magnoliaspread {
+
+struct exchange_request {
+  call_kind Kind = call_kind::Get;
+  boost::beast::http::verb Method = boost::beast::http::verb::get;
+  /// Path and query, encoded.
+  std::string Path;
+  std::optional<object_version> IfMatch;
+  std::string Body;
+  /// From the last byte sent to the answer.
+  std::chrono::milliseconds Timeout{1000};
+};
+
+enum class exchange_outcome : std::uint8_t {
+  Answered,
+  /// No connection, so no byte was sent.
+  NotSent,
+  /// Sent, but the connection broke, the time ran out or the server reported
+  /// a fault of its own.
+  NoAnswer,
+  /// Not sent: the pace allows no call before the deadline.
+  OutOfTime,
+};
+
+struct exchange_reply {
+  exchange_outcome Outcome = exchange_outcome::OutOfTime;
+  /// HTTP status code.
+  unsigned Status = 0;
+  std::string Body;
+};
+
+class http_exchange {
+public:
+  http_exchange(boost::asio::io_context &Io,
+                const http_store_settings &Settings, const clock &Clock,
+                std::uint64_t Seed);
+
+  /// Waits for the pace, but not past \p Deadline. The object must live until
+  /// the coroutine ends.
+  boost::asio::awaitable<exchange_reply> call(exchange_request Request,
+                                              steady_time Deadline);
+
+  /// Ends every wait and closes every connection.
+  void stop();
+
+  bool stopped() const { return Stopped; }
+  bool reachable() const { return Reachable; }
+  std::optional<wall_time> serverTimeAtLeast() const;
+
+  platform_counters Counters;
+
+private:
+  using http_request =
+      boost::beast::http::request<boost::beast::http::string_body>;
+  using http_response =
+      boost::beast::http::response<boost::beast::http::string_body>;
+
+  struct connection {
+    explicit connection(boost::asio::io_context &Io) : Stream(Io) {}
+
+    boost::beast::tcp_stream Stream;
+    boost::beast::flat_buffer Buffer;
+    bool Idle = false;
+    bool Reused = false;
+    steady_time LastUsed;
+  };
+  using connection_id = std::uint64_t;
+
+  struct server_time {
+    steady_time ReceivedAt;
+    wall_time Time;
+  };
+
+  boost::asio::awaitable<bool> waitForPace(steady_time Deadline);
+  boost::asio::awaitable<void> sleepUntil(steady_time Until);
+  boost::asio::awaitable<connection_id> openConnection();
+  boost::asio::awaitable<exchange_reply>
+  exchangeOn(connection_id Id, const http_request &Request,
+             std::chrono::milliseconds Timeout);
+  connection_id takeIdle();
+  void release(connection_id Id, bool KeepAlive);
+  void closeIdle();
+  void noteFailure(call_kind Kind, steady_time StartedAt);
+  void noteAnswer(const http_response &Response);
+  http_request makeRequest(exchange_request &Request) const;
+
+  boost::asio::io_context &Io;
+  http_store_settings Settings;
+  const clock &Clock;
+  call_pacer Pacer;
+  std::unordered_map<connection_id, connection> Connections;
+  connection_id LastConnection = 0;
+  std::list<boost::asio::steady_timer> Sleepers;
+  std::optional<server_time> ServerTime;
+  bool Reachable = true;
+  bool Stopped = false;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/platform/src/http_store.cpp
@@ -0,0 +1,649 @@
+#include "envelope_p.h"
+#include "http_exchange_p.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+#include <random>
+#include <utility>
+
+namespace magnoliaspread {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace urls = boost::urls;
+
+using asio::awaitable;
+using http_verb = boost::beast::http::verb;
+
+namespace {
+
+/// Objects whose latest write ids are remembered.
+constexpr std::size_t MaxKnownWrites = 4096;
+
+/// HTTP status codes.
+constexpr unsigned Ok = 200;
+constexpr unsigned NotModified = 304;
+constexpr unsigned Missing = 404;
+constexpr unsigned Conflicting = 409;
+
+constexpr std::size_t MaxJsonDepth = 64;
+
+std::string objectPath(const std::string &Name) {
+  return "/objects/" + urls::encode(Name, urls::unreserved_chars + '/');
+}
+
+std::string listPath(const std::string &Prefix) {
+  return "/objects?prefix=" + urls::encode(Prefix, urls::unreserved_chars);
+}
+
+std::string watchPath(const watch_request &Request) {
+  return objectPath(Request.Name) +
+         "?watch=" + std::to_string(Request.Version) +
+         "&wait_ms=" + std::to_string(Request.Wait.count());
+}
+
+bool answeredWith(const exchange_reply &Reply, unsigned Status) {
+  return Reply.Outcome == exchange_outcome::Answered && Reply.Status == Status;
+}
+
+error unavailable(std::string Detail) {
+  return {error_kind::PlatformUnavailable, std::move(Detail), {}};
+}
+
+error unexpected(const exchange_reply &Reply) {
+  if (Reply.Outcome != exchange_outcome::Answered)
+    return unavailable("no answer from the platform");
+  return {error_kind::BadRequest,
+          "the platform answered " + std::to_string(Reply.Status),
+          {}};
+}
+
+json::value parseJson(const std::string &Text) {
+  json::parse_options Options;
+  Options.max_depth = MaxJsonDepth;
+  boost::system::error_code Error;
+  json::value Parsed = json::parse(Text, Error, {}, Options);
+  return Error ? json::value() : Parsed;
+}
+
+object_version versionIn(const json::value &Parsed) {
+  const json::object *Object = Parsed.if_object();
+  const json::value *Version =
+      Object == nullptr ? nullptr : Object->if_contains("version");
+  if (Version == nullptr)
+    return NoObject;
+  boost::system::error_code Error;
+  const auto Number = Version->to_number<object_version>(Error);
+  return Error ? NoObject : Number;
+}
+
+/// An object as read, with the envelope taken off.
+struct read_object {
+  stored_object Object;
+  std::string WriteId;
+  std::vector<std::string> PriorWriteIds;
+};
+
+/// Empty when \p Parsed isn't an object of the platform.
+std::optional<read_object> readObject(const json::value &Parsed) {
+  const json::object *Fields = Parsed.if_object();
+  const object_version Version = versionIn(Parsed);
+  if (Fields == nullptr || Version == NoObject)
+    return std::nullopt;
+  const json::value *Name = Fields->if_contains("name");
+  const json::value *Value = Fields->if_contains("value");
+  if (Name == nullptr || !Name->is_string() || Value == nullptr)
+    return std::nullopt;
+  envelope Envelope = unwrapValue(*Value);
+  return read_object{
+      {std::string(Name->get_string()), Version, std::move(Envelope.Value)},
+      std::move(Envelope.WriteId),
+      std::move(Envelope.PriorWriteIds)};
+}
+
+/// What is known of the writes that led to one version of an object.
+struct known_write {
+  object_version Version = NoObject;
+  std::string WriteId;
+  std::vector<std::string> PriorWriteIds;
+};
+
+/// A write that has been sent at least once.
+struct pending_write {
+  std::string WriteId;
+  std::optional<object_version> IfVersion;
+  /// The write that IfVersion, or the last version seen, came from; empty when
+  /// not known.
+  std::string BaseWriteId;
+};
+
+enum class write_effect : std::uint8_t {
+  Applied,
+  Superseded,
+  NotApplied,
+  Conflict,
+  Unknown,
+};
+
+bool contains(const std::vector<std::string> &Ids, const std::string &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+/// What became of \p Write, told from the object as it is now. Only conditional
+/// writes name the writes before them, so a chain that leads back to the base
+/// without the write proves that it was not applied and can't be any more.
+write_effect effectOf(const pending_write &Write, const read_object &Now) {
+  if (Now.WriteId == Write.WriteId)
+    return write_effect::Applied;
+  if (contains(Now.PriorWriteIds, Write.WriteId))
+    return write_effect::Superseded;
+  if (Write.IfVersion && Now.Object.Version == *Write.IfVersion)
+    return write_effect::NotApplied;
+  if (Write.BaseWriteId.empty())
+    return write_effect::Unknown;
+  if (!Write.IfVersion && Now.WriteId == Write.BaseWriteId)
+    return write_effect::NotApplied;
+  if (Write.IfVersion && contains(Now.PriorWriteIds, Write.BaseWriteId))
+    return write_effect::Conflict;
+  return write_effect::Unknown;
+}
+
+write_effect effectWhenMissing(const pending_write &Write) {
+  return Write.IfVersion == NoObject ? write_effect::NotApplied
+                                     : write_effect::Unknown;
+}
+
+} // namespace
+
+template <class T>
+using operation_function = std::function<awaitable<result<T>>(steady_time)>;
+
+class http_store::operations
+    : public std::enable_shared_from_this<http_store::operations> {
+public:
+  operations(asio::io_context &Io, const http_store_settings &Settings,
+             const clock &Clock, std::uint64_t Seed)
+      : Io(Io), Settings(Settings), Clock(Clock), Random(Seed),
+        Exchange(Io, Settings, Clock, Random()) {}
+
+  template <class T>
+  void start(call_kind Kind, completion<T> Done, operation_function<T> Run);
+  void stop();
+
+  awaitable<result<stored_object>> get(get_request Request,
+                                       steady_time Deadline);
+  awaitable<result<put_answer>> put(put_request Request, steady_time Deadline);
+  awaitable<result<std::monostate>> remove(remove_request Request,
+                                           steady_time Deadline);
+  awaitable<result<object_list>> list(list_request Request,
+                                      steady_time Deadline);
+  awaitable<result<watch_answer>> watch(watch_request Request,
+                                        steady_time Deadline);
+
+  const http_exchange &exchange() const { return Exchange; }
+
+private:
+  struct waiting_operation {
+    explicit waiting_operation(asio::io_context &Io) : Timer(Io) {}
+    asio::steady_timer Timer;
+    bool Admitted = false;
+  };
+
+  /// How a read-back of a pending write came out.
+  struct read_back {
+    /// Empty when there was no answer in time.
+    std::optional<write_effect> Effect;
+    object_version Version = NoObject;
+  };
+
+  template <class T>
+  static awaitable<void> run(std::shared_ptr<operations> Self, call_kind Kind,
+                             completion<T> Done, operation_function<T> Run);
+  awaitable<bool> admit(call_kind Kind, steady_time Deadline);
+  awaitable<bool> waitInQueue(steady_time Deadline);
+  void finish(call_kind Kind);
+
+  awaitable<exchange_reply> read(call_kind Kind, std::string Path,
+                                 steady_time Deadline);
+  awaitable<read_back> readBack(const std::string &Name,
+                                const pending_write &Write,
+                                steady_time Deadline);
+  pending_write beginWrite(const put_request &Request);
+  std::string envelopeFor(const put_request &Request,
+                          const pending_write &Write) const;
+  result<put_answer> written(const put_request &Request,
+                             const pending_write &Write,
+                             const exchange_reply &Reply);
+  std::optional<result<put_answer>> settled(const put_request &Request,
+                                            const pending_write &Write,
+                                            const read_back &Found);
+  void remember(const read_object &Read);
+  void remember(const std::string &Name, known_write Known);
+  std::vector<std::string> lineageOf(const std::string &Name,
+                                     object_version Version) const;
+  std::string newWriteId();
+
+  asio::io_context &Io;
+  http_store_settings Settings;
+  const clock &Clock;
+  std::mt19937_64 Random;
+  http_exchange Exchange;
+  std::list<waiting_operation> Queue;
+  std::unordered_map<std::string, known_write> KnownWrites;
+};
+
+template <class T>
+void http_store::operations::start(call_kind Kind, completion<T> Done,
+                                   operation_function<T> Run) {
+  asio::post(Io, [Self = shared_from_this(), Kind, Done = std::move(Done),
+                  Run = std::move(Run)]() mutable {
+    asio::io_context &Io = Self->Io;
+    asio::co_spawn(
+        Io, run<T>(std::move(Self), Kind, std::move(Done), std::move(Run)),
+        asio::detached);
+  });
+}
+
+template <class T>
+awaitable<void> http_store::operations::run(std::shared_ptr<operations> Self,
+                                            call_kind Kind, completion<T> Done,
+                                            operation_function<T> Run) {
+  const steady_time Deadline =
+      Self->Clock.now() + Self->Settings.OperationTimeout;
+  result<T> Result =
+      error{error_kind::QueueFull, "too many calls to the platform", {}};
+  const bool Admitted = co_await Self->admit(Kind, Deadline);
+  if (Admitted) {
+    Result = co_await Run(Deadline);
+    Self->finish(Kind);
+  }
+  if (!Self->Exchange.stopped())
+    Done(std::move(Result));
+}
+
+void http_store::operations::stop() {
+  Exchange.stop();
+  for (waiting_operation &Waiting : Queue)
+    Waiting.Timer.cancel();
+}
+
+awaitable<bool> http_store::operations::waitInQueue(steady_time Deadline) {
+  const auto Waiting = Queue.emplace(Queue.end(), Io);
+  Exchange.Counters.QueuedCalls = Queue.size();
+  Waiting->Timer.expires_after(Deadline - Clock.now());
+  boost::system::error_code Ignored;
+  co_await Waiting->Timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+  const bool Admitted = Waiting->Admitted;
+  Queue.erase(Waiting);
+  Exchange.Counters.QueuedCalls = Queue.size();
+  co_return Admitted;
+}
+
+awaitable<bool> http_store::operations::admit(call_kind Kind,
+                                              steady_time Deadline) {
+  platform_counters &Counters = Exchange.Counters;
+  if (Kind == call_kind::Watch &&
+      Counters.WaitingWatches < Settings.MaxWatches) {
+    ++Counters.WaitingWatches;
+    co_return true;
+  }
+  if (Kind != call_kind::Watch && Counters.ActiveCalls < Settings.MaxCalls) {
+    ++Counters.ActiveCalls;
+    co_return true;
+  }
+  if (Kind != call_kind::Watch && Queue.size() < Settings.MaxQueuedCalls &&
+      co_await waitInQueue(Deadline))
+    co_return true;
+  ++Counters.of(Kind).Refused;
+  co_return false;
+}
+
+/// Hands the place of a finished call to the first one in the queue.
+void http_store::operations::finish(call_kind Kind) {
+  if (Kind == call_kind::Watch) {
+    --Exchange.Counters.WaitingWatches;
+    return;
+  }
+  for (waiting_operation &Waiting : Queue) {
+    if (Waiting.Admitted)
+      continue;
+    Waiting.Admitted = true;
+    Waiting.Timer.cancel();
+    return;
+  }
+  --Exchange.Counters.ActiveCalls;
+}
+
+std::string http_store::operations::newWriteId() {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Id;
+  for (std::uint64_t Bits = Random(); Id.size() < 16; Bits >>= 4)
+    Id += Digits[Bits & 15];
+  return Id;
+}
+
+void http_store::operations::remember(const std::string &Name,
+                                      known_write Known) {
+  if (KnownWrites.size() >= MaxKnownWrites && !KnownWrites.contains(Name))
+    KnownWrites.clear();
+  known_write &Row = KnownWrites[Name];
+  if (Row.Version <= Known.Version)
+    Row = std::move(Known);
+}
+
+void http_store::operations::remember(const read_object &Read) {
+  if (Read.WriteId.empty())
+    KnownWrites.erase(Read.Object.Name);
+  else
+    remember(Read.Object.Name,
+             {Read.Object.Version, Read.WriteId, Read.PriorWriteIds});
+}
+
+std::vector<std::string>
+http_store::operations::lineageOf(const std::string &Name,
+                                  object_version Version) const {
+  std::vector<std::string> Ids;
+  const auto Known = KnownWrites.find(Name);
+  if (Known == KnownWrites.end() || Known->second.Version != Version)
+    return Ids;
+  Ids.push_back(Known->second.WriteId);
+  for (const std::string &Id : Known->second.PriorWriteIds)
+    if (Ids.size() < MaxPriorWrites)
+      Ids.push_back(Id);
+  return Ids;
+}
+
+awaitable<exchange_reply> http_store::operations::read(call_kind Kind,
+                                                       std::string Path,
+                                                       steady_time Deadline) {
+  exchange_request Request;
+  Request.Kind = Kind;
+  Request.Path = std::move(Path);
+  Request.Timeout = Settings.CallTimeout;
+  exchange_reply Reply;
+  do
+    Reply = co_await Exchange.call(Request, Deadline);
+  while (Reply.Outcome == exchange_outcome::NotSent ||
+         Reply.Outcome == exchange_outcome::NoAnswer);
+  if (answeredWith(Reply, Ok))
+    ++Exchange.Counters.of(Kind).Succeeded;
+  if (answeredWith(Reply, Missing))
+    ++Exchange.Counters.of(Kind).NotFound;
+  co_return Reply;
+}
+
+awaitable<result<stored_object>>
+http_store::operations::get(get_request Request, steady_time Deadline) {
+  const exchange_reply Reply =
+      co_await read(call_kind::Get, objectPath(Request.Name), Deadline);
+  if (answeredWith(Reply, Missing))
+    co_return error{error_kind::NotFound, Request.Name, {}};
+  if (!answeredWith(Reply, Ok))
+    co_return unexpected(Reply);
+  std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  if (!Read)
+    co_return unavailable("malformed object");
+  remember(*Read);
+  co_return std::move(Read->Object);
+}
+
+awaitable<result<object_list>>
+http_store::operations::list(list_request Request, steady_time Deadline) {
+  const exchange_reply Reply =
+      co_await read(call_kind::List, listPath(Request.Prefix), Deadline);
+  if (!answeredWith(Reply, Ok))
+    co_return unexpected(Reply);
+  const json::value Parsed = parseJson(Reply.Body);
+  const json::array *Rows = Parsed.if_array();
+  if (Rows == nullptr)
+    co_return unavailable("malformed list");
+  object_list List;
+  for (const json::value &Row : *Rows)
+    if (std::optional<read_object> Read = readObject(Row))
+      List.Objects.push_back(std::move(Read->Object));
+  co_return List;
+}
+
+awaitable<result<watch_answer>>
+http_store::operations::watch(watch_request Request, steady_time Deadline) {
+  exchange_request Call;
+  Call.Kind = call_kind::Watch;
+  Call.Path = watchPath(Request);
+  Call.Timeout = Request.Wait + Settings.WatchSlack;
+  const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
+  watch_answer Answer;
+  Answer.Object = {Request.Name, Request.Version, {}};
+  if (answeredWith(Reply, NotModified) || answeredWith(Reply, Missing) ||
+      answeredWith(Reply, Ok))
+    ++Exchange.Counters.of(call_kind::Watch).Succeeded;
+  if (answeredWith(Reply, NotModified))
+    co_return Answer;
+  Answer.Changed = true;
+  if (answeredWith(Reply, Missing)) {
+    Answer.Object.Version = NoObject;
+    co_return Answer;
+  }
+  if (!answeredWith(Reply, Ok))
+    co_return unexpected(Reply);
+  std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  if (!Read)
+    co_return unavailable("malformed object");
+  remember(*Read);
+  Answer.Object = std::move(Read->Object);
+  co_return Answer;
+}
+
+pending_write http_store::operations::beginWrite(const put_request &Request) {
+  pending_write Write{newWriteId(), Request.IfVersion, {}};
+  const auto Known = KnownWrites.find(Request.Name);
+  if (Known == KnownWrites.end())
+    return Write;
+  if (!Request.IfVersion || Known->second.Version == *Request.IfVersion)
+    Write.BaseWriteId = Known->second.WriteId;
+  return Write;
+}
+
+std::string
+http_store::operations::envelopeFor(const put_request &Request,
+                                    const pending_write &Write) const {
+  envelope Envelope{Write.WriteId, {}, Request.Value};
+  if (Request.IfVersion)
+    Envelope.PriorWriteIds = lineageOf(Request.Name, *Request.IfVersion);
+  return wrapValue(Envelope);
+}
+
+awaitable<http_store::operations::read_back> http_store::operations::readBack(
+    const std::string &Name, const pending_write &Write, steady_time Deadline) {
+  const exchange_reply Reply =
+      co_await read(call_kind::Get, objectPath(Name), Deadline);
+  read_back Found;
+  if (answeredWith(Reply, Missing))
+    Found.Effect = effectWhenMissing(Write);
+  if (!answeredWith(Reply, Ok))
+    co_return Found;
+  const std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  if (!Read)
+    co_return Found;
+  Found.Effect = effectOf(Write, *Read);
+  Found.Version = Read->Object.Version;
+  remember(*Read);
+  co_return Found;
+}
+
+std::optional<result<put_answer>>
+http_store::operations::settled(const put_request &Request,
+                                const pending_write &Write,
+                                const read_back &Found) {
+  if (!Found.Effect)
+    return unavailable("a write got no answer and could not be read back");
+  ++Exchange.Counters.WritesReadBack;
+  switch (*Found.Effect) {
+  case write_effect::Applied:
+    return put_answer{Found.Version, false};
+  case write_effect::Superseded:
+    return put_answer{Found.Version, true};
+  case write_effect::NotApplied:
+    return std::nullopt;
+  case write_effect::Conflict:
+    return error{error_kind::VersionConflict, Request.Name, {}};
+  case write_effect::Unknown:
+    break;
+  }
+  return error{error_kind::OutcomeUnknown,
+               "write " + Write.WriteId + " of " + Request.Name +
+                   " got no answer and was replaced or never applied",
+               {}};
+}
+
+result<put_answer>
+http_store::operations::written(const put_request &Request,
+                                const pending_write &Write,
+                                const exchange_reply &Reply) {
+  ++Exchange.Counters.of(call_kind::Put).Succeeded;
+  const object_version Version = versionIn(parseJson(Reply.Body));
+  std::vector<std::string> Prior;
+  if (Request.IfVersion)
+    Prior = lineageOf(Request.Name, *Request.IfVersion);
+  remember(Request.Name, {Version, Write.WriteId, std::move(Prior)});
+  return put_answer{Version, false};
+}
+
+awaitable<result<put_answer>>
+http_store::operations::put(put_request Request, steady_time Deadline) {
+  const pending_write Write = beginWrite(Request);
+  exchange_request Call;
+  Call.Kind = call_kind::Put;
+  Call.Method = http_verb::put;
+  Call.Path = objectPath(Request.Name);
+  Call.IfMatch = Request.IfVersion;
+  Call.Body = envelopeFor(Request, Write);
+  Call.Timeout = Settings.CallTimeout;
+  if (Call.Body.size() > MaxObjectBytes)
+    co_return error{error_kind::BadRequest, "value too large", {}};
+  bool MayHaveRun = false;
+  while (true) {
+    const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
+    if (answeredWith(Reply, Ok))
+      co_return written(Request, Write, Reply);
+    const bool Conflicts = answeredWith(Reply, Conflicting);
+    if (Conflicts)
+      ++Exchange.Counters.of(call_kind::Put).Conflicts;
+    if (Conflicts && !MayHaveRun)
+      co_return error{error_kind::VersionConflict, Request.Name, {}};
+    if (Reply.Outcome == exchange_outcome::NotSent)
+      continue;
+    if (Reply.Outcome != exchange_outcome::NoAnswer && !Conflicts)
+      co_return unexpected(Reply);
+    MayHaveRun = true;
+    const read_back Found = co_await readBack(Request.Name, Write, Deadline);
+    if (std::optional<result<put_answer>> Settled =
+            settled(Request, Write, Found))
+      co_return std::move(*Settled);
+  }
+}
+
+awaitable<result<std::monostate>>
+http_store::operations::remove(remove_request Request, steady_time Deadline) {
+  exchange_request Call;
+  Call.Kind = call_kind::Remove;
+  Call.Method = http_verb::delete_;
+  Call.Path = objectPath(Request.Name);
+  Call.IfMatch = Request.IfVersion;
+  Call.Timeout = Settings.CallTimeout;
+  call_counters &Counters = Exchange.Counters.of(call_kind::Remove);
+  bool MayHaveRun = false;
+  while (true) {
+    const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
+    const bool IsMissing = answeredWith(Reply, Missing);
+    if (answeredWith(Reply, Ok) || (IsMissing && MayHaveRun)) {
+      ++Counters.Succeeded;
+      KnownWrites.erase(Request.Name);
+      co_return std::monostate();
+    }
+    if (IsMissing) {
+      ++Counters.NotFound;
+      co_return error{error_kind::NotFound, Request.Name, {}};
+    }
+    if (answeredWith(Reply, Conflicting)) {
+      ++Counters.Conflicts;
+      co_return error{MayHaveRun ? error_kind::OutcomeUnknown
+                                 : error_kind::VersionConflict,
+                      Request.Name,
+                      {}};
+    }
+    if (Reply.Outcome == exchange_outcome::NoAnswer)
+      MayHaveRun = true;
+    else if (Reply.Outcome != exchange_outcome::NotSent)
+      co_return unexpected(Reply);
+  }
+}
+
+http_store::http_store(asio::io_context &Io,
+                       const http_store_settings &Settings, const clock &Clock,
+                       std::uint64_t Seed)
+    : Operations(std::make_shared<operations>(Io, Settings, Clock, Seed)) {}
+
+http_store::~http_store() { Operations->stop(); }
+
+void http_store::get(get_request Request, completion<stored_object> Done) {
+  Operations->start<stored_object>(
+      call_kind::Get, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->get(Request, Deadline);
+      });
+}
+
+void http_store::put(put_request Request, completion<put_answer> Done) {
+  Operations->start<put_answer>(
+      call_kind::Put, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->put(Request, Deadline);
+      });
+}
+
+void http_store::remove(remove_request Request,
+                        completion<std::monostate> Done) {
+  Operations->start<std::monostate>(
+      call_kind::Remove, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->remove(Request, Deadline);
+      });
+}
+
+void http_store::list(list_request Request, completion<object_list> Done) {
+  Operations->start<object_list>(
+      call_kind::List, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->list(Request, Deadline);
+      });
+}
+
+void http_store::watch(watch_request Request, completion<watch_answer> Done) {
+  Operations->start<watch_answer>(
+      call_kind::Watch, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->watch(Request, Deadline);
+      });
+}
+
+bool http_store::reachable() const {
+  return Operations->exchange().reachable();
+}
+
+std::optional<wall_time> http_store::platformTimeAtLeast() const {
+  return Operations->exchange().serverTimeAtLeast();
+}
+
+const platform_counters &http_store::counters() const {
+  return Operations->exchange().Counters;
+}
+
+} // namespace magnoliaspread
