--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -45,6 +45,12 @@
   return Identity;
 }
 
+http_store_settings storeSettings(const instance_settings &Settings) {
+  http_store_settings Store;
+  Store.Platform = Settings.Platform;
+  return Store;
+}
+
 class instance {
 public:
   instance(const instance_settings &Settings, const clock &Clock,
@@ -55,6 +61,8 @@
 private:
   void tick();
   void publish();
+  void take(const traffic_frame &Frame) { Frames[Frame.Thread] = Frame; }
+  std::size_t inFlight() const;
   void beginDrain();
   void watchDrain();
   admin_answer healthPage() const;
@@ -68,6 +76,8 @@
   membership Members;
   config_system Config;
   traffic_threads Traffic;
+  /// The latest frame of each traffic thread.
+  std::vector<traffic_frame> Frames;
   admin_port Admin;
   asio::steady_timer Timer;
   asio::signal_set Signals;
@@ -79,7 +89,7 @@
 instance::instance(const instance_settings &Settings, const clock &Clock,
                    fleet_secret FleetSecret)
     : Settings(Settings), Clock(Clock), Secret(std::move(FleetSecret)),
-      Store(Context, {.Platform = Settings.Platform}, Clock, randomNumber()),
+      Store(Context, storeSettings(Settings), Clock, randomNumber()),
       Members(identityOf(Settings, Clock), randomNumber(), Clock.now()),
       Config(Context, Store, Clock, Secret, randomNumber(),
              [this](const config_index_ptr &Index) {
@@ -87,11 +97,22 @@
                Members.setConfig(this->Clock.now(), Config.inForce());
                publish();
              }),
-      Traffic(Settings, Clock, Secret),
+      Traffic(Settings, Clock, Secret,
+              [this](traffic_frame Frame) {
+                asio::post(Context, [this, Frame] { take(Frame); });
+              }),
+      Frames(Settings.TrafficThreads),
       Admin(Context, {{"/healthz", [this] { return healthPage(); }},
                       {"/status", [this] { return statusPage(); }}}),
       Timer(Context), Signals(Context, SIGTERM, SIGINT) {}
 
+std::size_t instance::inFlight() const {
+  std::size_t Sum = 0;
+  for (const traffic_frame &Frame : Frames)
+    Sum += Frame.InFlight;
+  return Sum;
+}
+
 admin_answer instance::healthPage() const {
   const bool Ready = InForce != nullptr && !Draining;
   return {Ready ? 200U : 503U, "application/json",
@@ -107,7 +128,7 @@
       {"config_staleness_ms", Config.sync().staleness(Clock.now()).count()},
       {"platform_reachable", Store.reachable()},
       {"draining", Draining},
-      {"in_flight", Traffic.inFlight()}};
+      {"in_flight", inFlight()}};
   return {200, "application/json", boost::json::serialize(Status)};
 }
 
@@ -145,12 +166,12 @@
   const auto Since = Clock.now() - DrainingSince;
   const bool Unknown = Since >= Settings.LookupTtl + LookupGrace;
   const bool TooLong = Since >= Settings.DrainTimeout;
-  if (!TooLong && (!Unknown || Traffic.inFlight() > 0))
+  if (!TooLong && (!Unknown || inFlight() > 0))
     return;
   logEvent(log_level::Info, "drain_ended",
            {{"instance", Settings.Name},
             {"ms", duration_cast<milliseconds>(Since).count()},
-            {"in_flight", Traffic.inFlight()}});
+            {"in_flight", inFlight()}});
   Context.stop();
 }
 
--- a/packages/traffic/include/magnoliaspread/traffic.h
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -8,15 +8,21 @@
 #include <magnoliaspread/settings.h>
 #include <magnoliaspread/view.h>
 
-#include <chrono>
+#include <functional>
 #include <memory>
 
 namespace magnoliaspread {
 
+/// Path on the internal port where peers fetch the configuration.
+inline constexpr const char *ConfigPath = "/-/config";
+
+/// Runs on a traffic thread; has to hand the frame over and return.
+using frame_handler = std::function<void(traffic_frame)>;
+
 class traffic_threads {
 public:
   traffic_threads(const instance_settings &Settings, const clock &Clock,
-                  fleet_secret Secret);
+                  fleet_secret Secret, frame_handler OnFrame);
   ~traffic_threads();
   traffic_threads(const traffic_threads &) = delete;
   traffic_threads &operator=(const traffic_threads &) = delete;
@@ -28,9 +34,6 @@
   /// Hands a view to every thread.
   void publish(const traffic_view_ptr &View);
 
-  /// Requests that have no whole answer yet, over all threads.
-  std::size_t inFlight() const;
-
   /// Ends the threads; connections still open are cut.
   void stop();
 
--- a/packages/traffic/include/magnoliaspread/view.h
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -34,6 +34,15 @@
 
 using traffic_view_ptr = std::shared_ptr<const traffic_view>;
 
+/// What one traffic thread saw since its last frame.
+struct traffic_frame {
+  std::uint32_t Thread = 0;
+  /// Requests that have no whole answer yet.
+  std::size_t InFlight = 0;
+  /// Connections from callers and peers that are open.
+  std::size_t Connections = 0;
+};
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/traffic/src/heads.cpp
+++ b/packages/traffic/src/heads.cpp
@@ -121,6 +121,12 @@
   return Copy;
 }
 
+status verifyPeer(const request_header &Head, const fleet_secret &Secret,
+                  wall_time Wall) {
+  return verifyForwarded(Secret, readForwarded(Head), Head["X-Fleet-Signature"],
+                         Wall);
+}
+
 result<admitted_request> admitForwarded(const request_header &Head,
                                         const config_index &Index,
                                         const fleet_secret &Secret,
--- a/packages/traffic/src/heads_p.h
+++ b/packages/traffic/src/heads_p.h
@@ -26,6 +26,10 @@
                         const config_index &Index, steady_time Now,
                         wall_time Wall, const fleet_secret &Secret);
 
+/// PeerRejected when the head was not signed by one of the fleet's processes.
+status verifyPeer(const request_header &Head, const fleet_secret &Secret,
+                  wall_time Wall);
+
 /// Checks a head from a peer instance. Fails with PeerRejected, or when this
 /// instance does not know the workspace or service.
 result<admitted_request> admitForwarded(const request_header &Head,
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -6,6 +6,7 @@
 
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/lookup.h>
+#include <magnoliaspread/traffic.h>
 
 #include <optional>
 
@@ -22,18 +23,16 @@
 constexpr milliseconds LingerTime{1000};
 constexpr std::size_t MaxLingerBytes = 1u << 20;
 
-/// Counts a request for as long as it lives.
-class in_flight_mark {
+/// Adds one to a count for as long as it lives.
+class live_count {
 public:
-  explicit in_flight_mark(thread_state &State) : State(State) {
-    ++State.InFlight;
-  }
-  ~in_flight_mark() { --State.InFlight; }
-  in_flight_mark(const in_flight_mark &) = delete;
-  in_flight_mark &operator=(const in_flight_mark &) = delete;
+  explicit live_count(std::size_t &Count) : Count(Count) { ++Count; }
+  ~live_count() { --Count; }
+  live_count(const live_count &) = delete;
+  live_count &operator=(const live_count &) = delete;
 
 private:
-  thread_state &State;
+  std::size_t &Count;
 };
 
 class session {
@@ -48,6 +47,7 @@
   asio::awaitable<void> refuseHead(error_code Failure);
   asio::awaitable<bool> serveRequest();
   asio::awaitable<bool> serveLookup();
+  asio::awaitable<bool> serveConfig();
   asio::awaitable<bool> steer(const admitted_request &Request);
   asio::awaitable<relay_outcome> attempt(const admitted_request &Request,
                                          caller_side &Caller,
@@ -164,6 +164,19 @@
       jsonResponse(valueOf(Answer), Parser->is_done() && Parser->keep_alive()));
 }
 
+/// Answers a peer that asks for the configuration in force.
+asio::awaitable<bool> session::serveConfig() {
+  const status Verified =
+      verifyPeer(Parser->get().base(), State.Secret, State.Clock.wall());
+  if (failed(Verified))
+    co_return co_await refuse(errorOf(Verified), {});
+  if (View->Config == nullptr)
+    co_return co_await refuse(
+        {error_kind::NotFound, "no configuration is in force", {}}, {});
+  co_return co_await send(
+      jsonResponse(formatTable(View->Config->Table), false));
+}
+
 result<admitted_request> session::admit() {
   if (View->Config == nullptr)
     return error{error_kind::NoCapacity, "no configuration is in force", {}};
@@ -178,7 +191,9 @@
 asio::awaitable<bool> session::serveRequest() {
   View = State.View;
   ArrivedAt = State.Clock.now();
-  const in_flight_mark Mark(State);
+  const live_count Mark(State.InFlight);
+  if (Port == entry_port::Internal && Parser->get().target() == ConfigPath)
+    co_return co_await serveConfig();
   if (Port == entry_port::Public &&
       Parser->get().target().starts_with(LookupPath))
     co_return co_await serveLookup();
@@ -309,6 +324,7 @@
 
 asio::awaitable<void> serveConnection(tcp::socket Socket, thread_state &State,
                                       entry_port Port) {
+  const live_count Mark(State.Connections);
   session Session(std::move(Socket), State, Port);
   co_await Session.run();
 }
--- a/packages/traffic/src/session_p.h
+++ b/packages/traffic/src/session_p.h
@@ -30,6 +30,7 @@
   std::uint64_t NextId = 0;
   /// Requests between their head and the end of their answer.
   std::size_t InFlight = 0;
+  std::size_t Connections = 0;
 };
 
 enum class entry_port : std::uint8_t { Public, Internal };
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -58,9 +58,11 @@
 } // namespace
 
 struct traffic_threads::thread {
-  thread(const instance_settings &Settings, const clock &Clock,
-         const fleet_secret &Secret)
-      : Pool(Context, Clock), State{Context,
+  thread(std::uint32_t Number, const instance_settings &Settings,
+         const clock &Clock, const fleet_secret &Secret,
+         const frame_handler &OnFrame)
+      : Number(Number), OnFrame(OnFrame),
+        Pool(Context, Clock), State{Context,
                                     Clock,
                                     Settings,
                                     Secret,
@@ -72,8 +74,11 @@
 
   asio::awaitable<void> acceptAll(tcp::acceptor &Acceptor, entry_port Port);
   asio::awaitable<void> sweepPool();
+  asio::awaitable<void> sendFrames();
   void run();
 
+  std::uint32_t Number;
+  const frame_handler &OnFrame;
   asio::io_context Context{1};
   upstream_pool Pool;
   round_robin_dispatcher Dispatcher;
@@ -87,6 +92,7 @@
   const instance_settings &Settings;
   const clock &Clock;
   fleet_secret Secret;
+  frame_handler OnFrame;
   std::vector<std::unique_ptr<thread>> Threads;
 };
 
@@ -118,26 +124,37 @@
   }
 }
 
+asio::awaitable<void> traffic_threads::thread::sendFrames() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(State.Settings.ControlTick);
+    co_await Timer.async_wait(Awaited);
+    OnFrame({Number, State.InFlight, State.Connections});
+  }
+}
+
 void traffic_threads::thread::run() {
   asio::co_spawn(Context, acceptAll(Public, entry_port::Public),
                  asio::detached);
   asio::co_spawn(Context, acceptAll(Internal, entry_port::Internal),
                  asio::detached);
   asio::co_spawn(Context, sweepPool(), asio::detached);
+  asio::co_spawn(Context, sendFrames(), asio::detached);
   Thread = std::thread([this] { Context.run(); });
 }
 
 traffic_threads::traffic_threads(const instance_settings &Settings,
-                                 const clock &Clock, fleet_secret Secret)
+                                 const clock &Clock, fleet_secret Secret,
+                                 frame_handler OnFrame)
     : State(std::make_unique<state>(
-          state{Settings, Clock, std::move(Secret), {}})) {}
+          state{Settings, Clock, std::move(Secret), std::move(OnFrame), {}})) {}
 
 traffic_threads::~traffic_threads() { stop(); }
 
 status traffic_threads::start() {
   for (std::uint32_t I = 0; I < State->Settings.TrafficThreads; ++I) {
-    auto Thread =
-        std::make_unique<thread>(State->Settings, State->Clock, State->Secret);
+    auto Thread = std::make_unique<thread>(I, State->Settings, State->Clock,
+                                           State->Secret, State->OnFrame);
     const status Public = openPort(Thread->Public, State->Settings.Public);
     if (failed(Public))
       return Public;
@@ -160,8 +177,6 @@
     });
 }
 
-std::size_t traffic_threads::inFlight() const { return 0; }
-
 void traffic_threads::stop() {
   for (const auto &Thread : State->Threads)
     Thread->Context.stop();
