--- a/packages/platform/src/call_pacer.cpp
+++ b/packages/platform/src/call_pacer.cpp
@@ -27,8 +27,8 @@
 
 void call_pacer::backOff(steady_time Now) {
   const unsigned Doublings = std::min(Failures - 1, MaxDoublings);
-  const std::chrono::milliseconds Full =
-      std::min(Settings.MinBackoff * (1LL << Doublings), Settings.MaxBackoff);
+  const std::chrono::milliseconds Full = std::min<std::chrono::milliseconds>(
+      Settings.MinBackoff * (1 << Doublings), Settings.MaxBackoff);
   const double Part = std::uniform_real_distribution<>(0.5, 1.0)(Random);
   BlockedUntil = Now + std::chrono::duration_cast<steady_time::duration>(
                            std::chrono::duration<double, std::milli>(
--- a/packages/platform/src/memory_store.cpp
+++ b/packages/platform/src/memory_store.cpp
@@ -87,6 +87,10 @@
                 });
 }
 
+std::optional<wall_time> memory_store::platformTimeAtLeast() const {
+  return LastAnswer;
+}
+
 bool memory_store::unavailable() { return Cut || Platform.Faults.Down; }
 
 template <class T>
--- /dev/null
+++ b/packages/platform/tests/memory_store.cpp
@@ -0,0 +1,70 @@
+#include <magnoliaspread/memory_store.h>
+#include <magnoliaspread/story.h>
+
+#include <deque>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+STORY(memory_store_faults) {
+  fake_clock Clock;
+  memory_platform Platform(Clock);
+  std::deque<std::function<void()>> Tasks;
+  memory_store Store(Platform, Clock, [&](std::function<void()> Task) {
+    Tasks.push_back(std::move(Task));
+  });
+  const auto RunTasks = [&] {
+    for (; !Tasks.empty(); Tasks.pop_front())
+      Tasks.front()();
+  };
+  const auto Put = [&](put_request Request) {
+    result<put_answer> Answer = error{};
+    Store.put(std::move(Request),
+              [&](result<put_answer> Got) { Answer = std::move(Got); });
+    RunTasks();
+    return Answer;
+  };
+
+  section("a lost answer hides a write that took effect", [&] {
+    Platform.setFaults({false, 1, false, 1});
+    CPPUNIT_ASSERT(failed(Put({"x", "1", NoObject})));
+    CPPUNIT_ASSERT(!Store.reachable());
+    CPPUNIT_ASSERT(Platform.Objects.find("x").has_value());
+    Platform.setFaults({});
+  });
+  section("a watch ends with a change or with its wait", [&] {
+    int Changes = 0;
+    int Ends = 0;
+    const auto Count = [&](const result<watch_answer> &Got) {
+      ++(valueOf(Got).Changed ? Changes : Ends);
+    };
+    Store.watch({"x", Platform.Objects.versionOf("x"), 100ms}, Count);
+    RunTasks();
+    CPPUNIT_ASSERT_EQUAL(0, Changes);
+    CPPUNIT_ASSERT(!failed(Put({"x", "2", {}})));
+    CPPUNIT_ASSERT_EQUAL(1, Changes);
+    Store.watch({"x", Platform.Objects.versionOf("x"), 100ms}, Count);
+    Clock.advance(101ms);
+    Platform.expireWatches();
+    RunTasks();
+    CPPUNIT_ASSERT_EQUAL(1, Ends);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Store.counters().WaitingWatches);
+  });
+  section("a store that is cut off reaches nothing", [&] {
+    Store.setCut(true);
+    CPPUNIT_ASSERT(failed(Put({"x", "3", {}})));
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), Platform.Objects.find("x")->Value);
+    Store.setCut(false);
+  });
+  section("an ended store leaves no watch behind", [&] {
+    int Answers = 0;
+    {
+      memory_store Other(Platform, Clock,
+                         [](const std::function<void()> &Task) { Task(); });
+      Other.watch({"y", NoObject, 100ms},
+                  [&](const result<watch_answer> &) { ++Answers; });
+    }
+    CPPUNIT_ASSERT(!failed(Put({"y", "1", NoObject})));
+    CPPUNIT_ASSERT_EQUAL(0, Answers);
+  });
+}
--- /dev/null
+++ b/packages/platform/tests/writers.cpp
@@ -0,0 +1,170 @@
+/// Property: writers that add marks to one object at once, while answers are
+/// lost, add each mark once, and every mark whose write succeeded is there.
+#include "store_fixture.h"
+
+#include <magnoliaspread/memory_store.h>
+#include <magnoliaspread/story.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int MarksPerWriter = 12;
+constexpr const char *Name = "marks";
+
+/// Adds marks one after the other: reads, appends, puts the version read.
+class mark_writer {
+public:
+  mark_writer(object_store &Store, std::string Prefix, bool RetriesBlindly)
+      : Store(Store), Prefix(std::move(Prefix)),
+        RetriesBlindly(RetriesBlindly) {}
+
+  void run() {
+    if (!finished())
+      Store.get({Name}, [this](result<stored_object> Read) {
+        append(std::move(Read));
+      });
+  }
+
+  bool finished() const { return Next == MarksPerWriter; }
+
+  std::set<std::string> Succeeded;
+
+private:
+  std::string mark() const { return Prefix + std::to_string(Next); }
+
+  void append(result<stored_object> Read) {
+    if (failed(Read))
+      return run();
+    boost::json::value Marks = boost::json::parse(valueOf(Read).Value);
+    const boost::json::value Mark(mark());
+    boost::json::array &Rows = Marks.as_array();
+    const bool IsThere =
+        std::find(Rows.begin(), Rows.end(), Mark) != Rows.end();
+    if (CheckFirst && IsThere)
+      return next();
+    Rows.push_back(Mark);
+    put({Name, boost::json::serialize(Marks), valueOf(Read).Version});
+  }
+
+  void put(const put_request &Request) {
+    Store.put(Request, [this, Request](const result<put_answer> &Answer) {
+      if (!failed(Answer)) {
+        Succeeded.insert(mark());
+        return next();
+      }
+      const error_kind Kind = errorOf(Answer).Kind;
+      if (RetriesBlindly && Kind == error_kind::PlatformUnavailable)
+        return put(Request);
+      // A conflict says that the write was not applied.
+      CheckFirst = Kind != error_kind::VersionConflict;
+      run();
+    });
+  }
+
+  void next() {
+    ++Next;
+    CheckFirst = false;
+    run();
+  }
+
+  object_store &Store;
+  std::string Prefix;
+  bool RetriesBlindly;
+  bool CheckFirst = false;
+  int Next = 0;
+};
+
+struct outcome {
+  bool Finished = false;
+  int Doubled = 0;
+  int Missing = 0;
+};
+
+outcome judge(const std::string &Value, const std::set<std::string> &Succeeded,
+              bool Finished) {
+  std::map<std::string, int> Counts;
+  const boost::json::value Marks = boost::json::parse(Value);
+  for (const boost::json::value &Mark : Marks.as_array())
+    ++Counts[std::string(Mark.as_string())];
+  outcome Outcome;
+  Outcome.Finished = Finished;
+  for (const auto &[Mark, Times] : Counts)
+    Outcome.Doubled += Times > 1 ? 1 : 0;
+  for (const std::string &Mark : Succeeded)
+    Outcome.Missing += Counts.contains(Mark) ? 0 : 1;
+  return Outcome;
+}
+
+outcome runWriters(store_fixture &Fixture, object_store &First,
+                   object_store &Second, bool RetryBlindly) {
+  mark_writer A(First, "a", RetryBlindly);
+  mark_writer B(Second, "b", RetryBlindly);
+  A.run();
+  B.run();
+  const bool Finished =
+      Fixture.runUntil([&] { return A.finished() && B.finished(); });
+  std::set<std::string> Succeeded = A.Succeeded;
+  Succeeded.insert(B.Succeeded.begin(), B.Succeeded.end());
+  result<stored_object> Last = error{};
+  while (failed(Last))
+    Last = Fixture.get(First, Name);
+  return judge(valueOf(Last).Value, Succeeded, Finished);
+}
+
+outcome runAgainstServer(std::uint64_t Seed) {
+  store_fixture Fixture;
+  const auto First = Fixture.makeStore(Fixture.settings(), Seed * 2 + 1);
+  const auto Second = Fixture.makeStore(Fixture.settings(), Seed * 2 + 2);
+  Fixture.put(*First, {Name, "[]", NoObject});
+  platform_faults Faults;
+  Faults.LoseAnswers = 0.3;
+  Faults.Seed = Seed;
+  Fixture.Server.setFaults(Faults);
+  return runWriters(Fixture, *First, *Second, false);
+}
+
+/// The simple version: a write without an answer is sent again as it was.
+outcome runBlindRetry(std::uint64_t Seed) {
+  store_fixture Fixture;
+  memory_platform Platform(Fixture.Clock);
+  Platform.Objects.put({Name, "[]", NoObject});
+  memory_store_faults Faults;
+  Faults.LoseAnswers = 0.3;
+  Faults.Seed = Seed;
+  Platform.setFaults(Faults);
+  const post_function Post = [&](std::function<void()> Task) {
+    boost::asio::post(Fixture.Io, std::move(Task));
+  };
+  memory_store First(Platform, Fixture.Clock, Post);
+  memory_store Second(Platform, Fixture.Clock, Post);
+  return runWriters(Fixture, First, Second, true);
+}
+
+} // namespace
+
+STORY(writers_at_once_with_lost_answers) {
+  section("sending a lost write again as it was doubles marks", [&] {
+    int Doubled = 0;
+    for (std::uint64_t Seed = 1; Seed <= 4; ++Seed)
+      Doubled += runBlindRetry(Seed).Doubled;
+    CPPUNIT_ASSERT(Doubled > 0);
+  });
+  section("reading the write back first adds each mark once", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 8; ++Seed) {
+      const outcome Outcome = runAgainstServer(Seed);
+      const std::string Message = "seed " + std::to_string(Seed);
+      CPPUNIT_ASSERT_MESSAGE(Message, Outcome.Finished);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Doubled);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Missing);
+    }
+  });
+}
