Add the wire package: control datagrams in authenticated frames

Thrift bodies with limits on lists and strings, a keyed BLAKE2b tag over frame and body, and a window of sequences per sender against replays.

--- /dev/null
+++ b/packages/wire/idl/control.thrift
@@ -0,0 +1,145 @@
+/// Control datagrams between instances. Regenerate gen/ with scripts/gen-wire
+/// after an edit. Field numbers are never used twice.
+namespace cpp magnoliaspread.idl
+
+struct Address {
+  1: string ip
+  2: i32 port
+}
+
+struct ConfigStamp {
+  1: i64 version
+  2: i32 hash
+}
+
+struct Load {
+  1: i32 freeSlots
+  2: i32 queueLength
+}
+
+struct Identity {
+  1: string name
+  2: string dataCentre
+  3: string region
+  4: i64 incarnation
+  5: i64 epoch
+  6: Address internal
+  7: Address publicAddress
+}
+
+struct Report {
+  1: i64 sequence
+  2: i8 state
+  3: ConfigStamp config
+  4: Load load
+  5: bool platformReachable
+}
+
+struct Row {
+  1: Identity identity
+  2: Report report
+}
+
+struct Summary {
+  1: string dataCentre
+  2: i64 rowsHash
+  3: i64 speaker
+  4: i64 sequence
+  5: i64 lowestVersion
+  6: ConfigStamp config
+  7: i32 alive
+  8: Load load
+  9: bool platformReachable
+}
+
+struct Heartbeat {
+  1: i64 incarnation
+  2: Report report
+  3: optional bool speaker
+  4: optional list<Summary> summaries
+  5: optional list<string> silentCentres
+}
+
+struct SummaryNews {
+  1: Summary summary
+  2: list<Row> changed
+}
+
+struct Rows {
+  1: list<Row> rows
+  2: bool relayed
+}
+
+struct RowsRequest {
+  1: Row sender
+  2: string dataCentre
+}
+
+struct AskRow {
+  1: i64 limit
+  2: i64 want
+  3: i64 held
+  4: i64 returned
+}
+
+struct TokenAsk {
+  1: i64 incarnation
+  2: i64 sequence
+  3: i64 accepted
+  4: list<AskRow> rows
+}
+
+struct GrantRow {
+  1: i64 limit
+  2: i64 tokens
+  3: i64 left
+  4: i64 sparePerSecond
+}
+
+struct TokenGrant {
+  1: i64 incarnation
+  2: i64 sequence
+  3: i32 shares
+  4: list<GrantRow> rows
+}
+
+struct Mate {
+  1: string name
+  2: i64 incarnation
+}
+
+struct PromiseRow {
+  1: i32 index
+  2: i64 version
+}
+
+struct PromiseRequest {
+  1: Mate sender
+  2: i64 sequence
+  3: list<PromiseRow> rows
+}
+
+struct PromiseReply {
+  1: Mate sender
+  2: i64 sequence
+  3: list<i32> indexes
+}
+
+struct QuarantineNotice {
+  1: i64 fingerprint
+  2: i64 remainingMs
+  3: i32 deaths
+}
+
+/// Exactly one field is set; it is the kind of the datagram.
+struct Datagram {
+  1: optional Heartbeat heartbeat
+  2: optional SummaryNews summary
+  3: optional Rows rows
+  4: optional RowsRequest rowsRequest
+  5: optional TokenAsk tokenAsk
+  6: optional TokenGrant tokenGrant
+  7: optional PromiseRequest promiseRequest
+  8: optional PromiseReply promiseReply
+  9: optional QuarantineNotice quarantine
+}
--- /dev/null
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -0,0 +1,75 @@
+/// Codec of control datagrams: a Thrift body in an authenticated frame.
+///
+/// Frame, numbers big-endian: magic (2 bytes), format version (1), sender's
+/// incarnation (8), sequence (8), body in the compact protocol, keyed
+/// BLAKE2b tag (16) over all before it.
+#ifndef MAGNOLIASPREAD_DATAGRAM_H
+#define MAGNOLIASPREAD_DATAGRAM_H
+
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/membermsg.h>
+#include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/replay.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace magnoliaspread {
+
+/// Largest datagram in bytes, frame included; fits any path unfragmented.
+inline constexpr std::size_t MaxDatagramBytes = 1200;
+inline constexpr std::size_t FleetKeyBytes = 32;
+inline constexpr std::size_t DatagramHeaderBytes = 19;
+inline constexpr std::size_t DatagramTagBytes = 16;
+/// Longest name of an instance, data centre or region, in bytes.
+inline constexpr std::size_t MaxNameBytes = 64;
+/// Most elements of any list in a datagram.
+inline constexpr std::size_t MaxDatagramListRows = 256;
+
+using control_message = std::variant<member_message, quarantine_notice>;
+
+using fleet_key = std::array<unsigned char, FleetKeyBytes>;
+
+/// Reads the fleet secret of the settings, 32 bytes in hex.
+result<fleet_key> parseFleetKey(std::string_view Hex);
+
+struct received_datagram {
+  /// Incarnation of the sending process.
+  std::uint64_t Sender = 0;
+  std::uint64_t Sequence = 0;
+  control_message Message;
+};
+
+class datagram_codec {
+public:
+  /// \p Incarnation is this process's own.
+  datagram_codec(const fleet_key &Key, std::uint64_t Incarnation)
+      : Key(Key), Incarnation(Incarnation) {}
+
+  /// One datagram, which may be sent to several receivers. BadDatagram if the
+  /// message is larger than MaxDatagramBytes.
+  result<std::string> encode(const control_message &Message);
+
+  /// Checks and reads one datagram. BadDatagram: its form is wrong, it was
+  /// received before, or it is one of this process's own. ForgedDatagram: its
+  /// tag wasn't made with the fleet's key.
+  result<received_datagram> decode(std::string_view Datagram);
+
+private:
+  fleet_key Key;
+  std::uint64_t Incarnation;
+  std::uint64_t LastSequence = 0;
+  replay_filter Replays;
+};
+
+/// The body alone, without a frame.
+result<std::string> encodeBody(const control_message &Message);
+result<control_message> decodeBody(std::string_view Body);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/wire/src/codec_p.h
@@ -0,0 +1,45 @@
+/// Conversions between the messages of coordination and their Thrift form.
+/// The readers throw malformed_message for values out of range.
+#ifndef MAGNOLIASPREAD_CODEC_P_H
+#define MAGNOLIASPREAD_CODEC_P_H
+
+#include <magnoliaspread/datagram.h>
+
+#include <control_types.h>
+
+#include <cstdint>
+#include <limits>
+#include <stdexcept>
+#include <string>
+
+namespace magnoliaspread {
+
+/// Caught inside the codec, where Thrift's own exceptions are.
+class malformed_message : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+void writeMember(const member_message &Message, idl::Datagram &Body);
+void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
+
+/// Read the field of \p Body that is set.
+heartbeat_message readHeartbeat(const idl::Heartbeat &From);
+summary_message readSummaryNews(const idl::SummaryNews &From);
+rows_message readRows(const idl::Rows &From);
+rows_request readRowsRequest(const idl::RowsRequest &From);
+quarantine_notice readQuarantine(const idl::QuarantineNotice &From);
+
+/// Names are checked for their length, numbers for their range.
+std::string readName(const std::string &From);
+
+template <class Narrow> Narrow readNumber(std::int64_t From) {
+  if (From < static_cast<std::int64_t>(std::numeric_limits<Narrow>::min()) ||
+      From > static_cast<std::int64_t>(std::numeric_limits<Narrow>::max()))
+    throw malformed_message("number out of range");
+  return static_cast<Narrow>(From);
+}
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/wire/src/membercodec.cpp
@@ -0,0 +1,220 @@
+#include "codec_p.h"
+
+namespace magnoliaspread {
+
+namespace {
+
+void write(const endpoint_address &From, idl::Address &To) {
+  To.ip = From.Address;
+  To.port = From.Port;
+}
+
+endpoint_address read(const idl::Address &From) {
+  return {readName(From.ip), readNumber<std::uint16_t>(From.port)};
+}
+
+void write(const config_stamp &From, idl::ConfigStamp &To) {
+  To.version = static_cast<std::int64_t>(From.Version);
+  To.hash = static_cast<std::int32_t>(From.Hash);
+}
+
+config_stamp read(const idl::ConfigStamp &From) {
+  return {static_cast<std::uint64_t>(From.version),
+          static_cast<std::uint32_t>(From.hash)};
+}
+
+void write(const load_summary &From, idl::Load &To) {
+  To.freeSlots = static_cast<std::int32_t>(From.FreeSlots);
+  To.queueLength = static_cast<std::int32_t>(From.QueueLength);
+}
+
+load_summary read(const idl::Load &From) {
+  return {static_cast<std::uint32_t>(From.freeSlots),
+          static_cast<std::uint32_t>(From.queueLength)};
+}
+
+void write(const member_identity &From, idl::Identity &To) {
+  To.name = From.Name;
+  To.dataCentre = From.DataCentre;
+  To.region = From.Region;
+  To.incarnation = static_cast<std::int64_t>(From.Incarnation);
+  To.epoch = static_cast<std::int64_t>(From.Epoch);
+  write(From.Internal, To.internal);
+  write(From.Public, To.publicAddress);
+}
+
+member_identity read(const idl::Identity &From) {
+  member_identity To;
+  To.Name = readName(From.name);
+  To.DataCentre = readName(From.dataCentre);
+  To.Region = readName(From.region);
+  To.Incarnation = static_cast<std::uint64_t>(From.incarnation);
+  To.Epoch = static_cast<std::uint64_t>(From.epoch);
+  To.Internal = read(From.internal);
+  To.Public = read(From.publicAddress);
+  if (To.Name.empty() || To.DataCentre.empty() || To.Incarnation == 0)
+    throw malformed_message("row without a name or an incarnation");
+  return To;
+}
+
+void write(const member_report &From, idl::Report &To) {
+  To.sequence = static_cast<std::int64_t>(From.Sequence);
+  To.state = static_cast<std::int8_t>(From.State);
+  write(From.Config, To.config);
+  write(From.Load, To.load);
+  To.platformReachable = From.PlatformReachable;
+}
+
+member_report read(const idl::Report &From) {
+  if (From.state < 0 ||
+      From.state > static_cast<std::int8_t>(member_state::Dead))
+    throw malformed_message("unknown state of a member");
+  member_report To;
+  To.Sequence = static_cast<std::uint64_t>(From.sequence);
+  To.State = static_cast<member_state>(From.state);
+  To.Config = read(From.config);
+  To.Load = read(From.load);
+  To.PlatformReachable = From.platformReachable;
+  return To;
+}
+
+void write(const member_row &From, idl::Row &To) {
+  write(From.Identity, To.identity);
+  write(From.Report, To.report);
+}
+
+member_row read(const idl::Row &From) {
+  return {read(From.identity), read(From.report)};
+}
+
+void write(const data_centre_summary &From, idl::Summary &To) {
+  To.dataCentre = From.DataCentre;
+  To.rowsHash = static_cast<std::int64_t>(From.RowsHash);
+  To.speaker = static_cast<std::int64_t>(From.Speaker);
+  To.sequence = static_cast<std::int64_t>(From.Sequence);
+  To.lowestVersion = static_cast<std::int64_t>(From.LowestVersion);
+  write(From.Config, To.config);
+  To.alive = static_cast<std::int32_t>(From.Alive);
+  write(From.Load, To.load);
+  To.platformReachable = From.PlatformReachable;
+}
+
+data_centre_summary read(const idl::Summary &From) {
+  data_centre_summary To;
+  To.DataCentre = readName(From.dataCentre);
+  To.RowsHash = static_cast<std::uint64_t>(From.rowsHash);
+  To.Speaker = static_cast<std::uint64_t>(From.speaker);
+  To.Sequence = static_cast<std::uint64_t>(From.sequence);
+  To.LowestVersion = static_cast<std::uint64_t>(From.lowestVersion);
+  To.Config = read(From.config);
+  To.Alive = static_cast<std::uint32_t>(From.alive);
+  To.Load = read(From.load);
+  To.PlatformReachable = From.platformReachable;
+  return To;
+}
+
+template <class From, class To>
+void writeAll(const std::vector<From> &Items, std::vector<To> &Out) {
+  Out.resize(Items.size());
+  for (std::size_t I = 0; I < Items.size(); ++I)
+    write(Items[I], Out[I]);
+}
+
+std::vector<member_row> readAll(const std::vector<idl::Row> &Items) {
+  std::vector<member_row> Rows;
+  Rows.reserve(Items.size());
+  for (const idl::Row &Item : Items)
+    Rows.push_back(read(Item));
+  return Rows;
+}
+
+void writeKind(const heartbeat_message &Message, idl::Datagram &Body) {
+  idl::Heartbeat To;
+  To.incarnation = static_cast<std::int64_t>(Message.Incarnation);
+  write(Message.Report, To.report);
+  if (Message.Speaker)
+    To.__set_speaker(true);
+  if (!Message.Summaries.empty()) {
+    writeAll(Message.Summaries, To.summaries);
+    To.__isset.summaries = true;
+  }
+  if (!Message.SilentCentres.empty())
+    To.__set_silentCentres(Message.SilentCentres);
+  Body.__set_heartbeat(To);
+}
+
+void writeKind(const summary_message &Message, idl::Datagram &Body) {
+  idl::SummaryNews To;
+  write(Message.Summary, To.summary);
+  writeAll(Message.Changed, To.changed);
+  Body.__set_summary(To);
+}
+
+void writeKind(const rows_message &Message, idl::Datagram &Body) {
+  idl::Rows To;
+  writeAll(Message.Rows, To.rows);
+  To.relayed = Message.Relayed;
+  Body.__set_rows(To);
+}
+
+void writeKind(const rows_request &Message, idl::Datagram &Body) {
+  idl::RowsRequest To;
+  write(Message.Sender, To.sender);
+  To.dataCentre = Message.DataCentre;
+  Body.__set_rowsRequest(To);
+}
+
+} // namespace
+
+std::string readName(const std::string &From) {
+  if (From.size() > MaxNameBytes)
+    throw malformed_message("name too long");
+  return From;
+}
+
+void writeMember(const member_message &Message, idl::Datagram &Body) {
+  std::visit([&](const auto &Kind) { writeKind(Kind, Body); }, Message);
+}
+
+heartbeat_message readHeartbeat(const idl::Heartbeat &From) {
+  heartbeat_message To;
+  To.Incarnation = static_cast<std::uint64_t>(From.incarnation);
+  To.Report = read(From.report);
+  To.Speaker = From.__isset.speaker && From.speaker;
+  for (const idl::Summary &Summary : From.summaries)
+    To.Summaries.push_back(read(Summary));
+  for (const std::string &Name : From.silentCentres)
+    To.SilentCentres.push_back(readName(Name));
+  return To;
+}
+
+summary_message readSummaryNews(const idl::SummaryNews &From) {
+  return {read(From.summary), readAll(From.changed)};
+}
+
+rows_message readRows(const idl::Rows &From) {
+  return {readAll(From.rows), From.relayed};
+}
+
+rows_request readRowsRequest(const idl::RowsRequest &From) {
+  return {read(From.sender), readName(From.dataCentre)};
+}
+
+void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body) {
+  idl::QuarantineNotice To;
+  To.fingerprint = static_cast<std::int64_t>(Notice.Fingerprint);
+  To.remainingMs = Notice.Remaining.count();
+  To.deaths = static_cast<std::int32_t>(Notice.Deaths);
+  Body.__set_quarantine(To);
+}
+
+quarantine_notice readQuarantine(const idl::QuarantineNotice &From) {
+  quarantine_notice To;
+  To.Fingerprint = static_cast<std::uint64_t>(From.fingerprint);
+  To.Remaining =
+      std::chrono::milliseconds(readNumber<std::uint32_t>(From.remainingMs));
+  To.Deaths = readNumber<std::uint32_t>(From.deaths);
+  return To;
+}
+
+} // namespace magnoliaspread
