--- /dev/null
+++ b/packages/steering/include/magnoliaspread/blockcodec.h
@@ -0,0 +1,43 @@
+/// Encoded form of block chunks and deltas, as the platform's objects hold
+/// them: a header with a version and a count, packed rows in little-endian
+/// order and an xxHash64 of all before it.
+#ifndef MAGNOLIASPREAD_BLOCKCODEC_H
+#define MAGNOLIASPREAD_BLOCKCODEC_H
+
+#include <magnoliaspread/blocks.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace magnoliaspread {
+
+using byte_buffer = std::vector<std::uint8_t>;
+
+/// Largest encoded chunk or delta, in bytes; in base64 it is under 1 MB.
+inline constexpr std::size_t MaxEncodedBytes = 720 * 1024;
+
+/// A chunk with its place in the table.
+struct numbered_chunk {
+  std::uint64_t TableVersion = 0;
+  std::uint16_t Number = 0;
+  /// Chunks of the whole table.
+  std::uint16_t Count = 0;
+  block_chunk Chunk;
+};
+
+/// BadTable when the encoded form would pass MaxEncodedBytes.
+result<byte_buffer> encodeChunk(const numbered_chunk &Chunk);
+
+/// BadTable with the chunk's number and the row, for a wrong format, version,
+/// length, checksum or order.
+result<numbered_chunk> decodeChunk(std::span<const std::uint8_t> Bytes);
+
+/// BadTable when the encoded form would pass MaxEncodedBytes.
+result<byte_buffer> encodeDelta(const block_delta &Delta);
+result<block_delta> decodeDelta(std::span<const std::uint8_t> Bytes);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/steering/include/magnoliaspread/fairq.h
@@ -0,0 +1,127 @@
+/// Weighted fair queue by workspace in front of one service's target slots.
+///
+/// Start-time fair queueing over slot time: a workspace's virtual start time
+/// rises by the slot time that it used divided by its weight, and the lowest
+/// one is served next. Not thread-safe.
+#ifndef MAGNOLIASPREAD_FAIRQ_H
+#define MAGNOLIASPREAD_FAIRQ_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/handle.h>
+#include <magnoliaspread/indexheap.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace magnoliaspread {
+
+struct fairq_limits {
+  /// Workspaces that the queue knows; handles below this index are valid.
+  std::size_t Workspaces = 64;
+  /// Entries of all workspaces together.
+  std::size_t Total = 4096;
+  /// Entries of one workspace.
+  std::size_t PerWorkspace = 1024;
+};
+
+struct fairq_entry {
+  /// Chosen by the caller; unique among the entries that wait.
+  std::uint64_t Id = 0;
+  workspace_handle Workspace;
+  steady_time Deadline;
+};
+
+/// An entry that may take a slot now.
+struct fairq_grant {
+  fairq_entry Entry;
+  /// Slot time charged in advance; hand it back to settle().
+  std::chrono::nanoseconds Charged{};
+};
+
+/// Queue state; use the free functions below.
+struct fair_queue {
+  static constexpr std::uint32_t None = UINT32_MAX;
+
+  struct waiting_entry {
+    fairq_entry Entry;
+    std::uint32_t Previous = None;
+    std::uint32_t Next = None;
+  };
+
+  struct workspace_queue {
+    double Weight = 1;
+    /// Virtual start time of the head, or of the next entry when empty.
+    double Start = 0;
+    /// Mean slot time of the workspace's requests in seconds; 0 is unknown.
+    double MeanSeconds = 0;
+    std::uint32_t Head = None;
+    std::uint32_t Tail = None;
+    std::uint32_t Count = 0;
+  };
+
+  explicit fair_queue(const fairq_limits &Limits);
+
+  fairq_limits Limits;
+  std::vector<waiting_entry> Entries;
+  std::vector<std::uint32_t> Free;
+  std::vector<workspace_queue> Workspaces;
+  /// Workspaces with entries, by virtual start time.
+  index_heap<double> Active;
+  /// Entries by deadline.
+  index_heap<steady_time> Deadlines;
+  std::unordered_map<std::uint64_t, std::uint32_t> Places;
+  double VirtualTime = 0;
+  double ActiveWeight = 0;
+  double MeanSeconds = 0;
+  std::uint32_t Slots = 0;
+};
+
+/// Sets a workspace's share; weights at or below 0 count as the least share.
+void setWeight(fair_queue &Queue, workspace_handle Workspace, double Weight);
+
+/// Sets how many requests the service's usable targets run at a time.
+void setSlots(fair_queue &Queue, std::uint32_t Slots);
+
+/// Expected wait of a new entry of \p Workspace from measured slot times; zero
+/// while nothing was measured.
+std::chrono::nanoseconds expectedWait(const fair_queue &Queue,
+                                      workspace_handle Workspace);
+
+/// Adds an entry. Errors, all not run and with a time to come back:
+/// DeadlineExpired (already past), NoCapacity (no slots, or the expected wait
+/// passes the deadline), QueueFull, BadRequest (unknown workspace, or an id
+/// that waits already).
+status push(fair_queue &Queue, const fairq_entry &Entry, steady_time Now);
+
+/// Takes the next entry in fair order. Entries whose deadline has passed are
+/// appended to \p Expired first and are never granted.
+std::optional<fairq_grant> pop(fair_queue &Queue, steady_time Now,
+                               std::vector<fairq_entry> &Expired);
+
+/// Moves every entry whose deadline has passed to \p Expired.
+void expire(fair_queue &Queue, steady_time Now,
+            std::vector<fairq_entry> &Expired);
+
+/// When expire() has work next.
+std::optional<steady_time> nextDeadline(const fair_queue &Queue);
+
+/// Removes the entry \p Id; false when it doesn't wait.
+bool cancel(fair_queue &Queue, std::uint64_t Id);
+
+/// Corrects the advance charge of a granted entry by the slot time that it
+/// really used, and updates the measured means.
+void settle(fair_queue &Queue, const fairq_grant &Grant,
+            std::chrono::nanoseconds Used);
+
+/// Entries that wait.
+std::size_t waiting(const fair_queue &Queue);
+std::size_t waiting(const fair_queue &Queue, workspace_handle Workspace);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/steering/src/credit.cpp
@@ -0,0 +1,232 @@
+#include <magnoliaspread/credit.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+namespace {
+
+using asked_row = credit_grantor::asked_row;
+using granted_row = credit_grantor::granted_row;
+using held_row = credit_wallet::held_row;
+using sent_ask = credit_wallet::sent_ask;
+
+asked_row *findAsk(credit_grantor &Grantor, instance_handle Peer,
+                   service_handle Service) {
+  for (asked_row &Row : Grantor.Asked)
+    if (Row.Peer == Peer && Row.Ask.Service == Service)
+      return &Row;
+  return nullptr;
+}
+
+/// Slots that may be granted of \p Free ones.
+std::uint32_t grantable(const credit_grantor &Grantor, service_handle Service,
+                        std::uint32_t Free, steady_time Now) {
+  const std::uint32_t Reserved = reservedSlots(Grantor, Service, Now);
+  const std::uint32_t Kept = Free * Grantor.Policy.KeptPercent / 100;
+  return Free > Reserved + Kept ? Free - Reserved - Kept : 0;
+}
+
+/// Max-min fair division of \p Slots over the wishes, in their order.
+std::vector<std::uint32_t> divide(const std::vector<std::uint32_t> &Wishes,
+                                  std::uint32_t Slots) {
+  std::vector<std::uint32_t> Parts(Wishes.size(), 0);
+  std::vector<std::size_t> Open(Wishes.size());
+  for (std::size_t I = 0; I < Open.size(); ++I)
+    Open[I] = I;
+  while (Slots > 0 && !Open.empty()) {
+    const auto Count = static_cast<std::uint32_t>(Open.size());
+    const std::uint32_t Each = std::max(1U, Slots / Count);
+    for (const std::size_t I : Open) {
+      const std::uint32_t Part = std::min({Each, Wishes[I] - Parts[I], Slots});
+      Parts[I] += Part;
+      Slots -= Part;
+    }
+    std::erase_if(Open, [&](std::size_t I) { return Parts[I] == Wishes[I]; });
+  }
+  return Parts;
+}
+
+bool live(const held_row &Row, service_handle Service, steady_time Now) {
+  return Row.Service == Service && Row.Remaining > 0 && Now < Row.Until;
+}
+
+bool among(const std::vector<instance_handle> &Peers, instance_handle Peer) {
+  return std::find(Peers.begin(), Peers.end(), Peer) != Peers.end();
+}
+
+} // namespace
+
+credit_grantor::credit_grantor(const credit_policy &Policy,
+                               std::uint64_t FirstId)
+    : Policy(Policy), NextId(std::max<std::uint64_t>(FirstId, 1)) {}
+
+void noteAsk(credit_grantor &Grantor, instance_handle Peer,
+             const credit_ask &Ask, steady_time Now) {
+  if (asked_row *Row = findAsk(Grantor, Peer, Ask.Service)) {
+    if (Ask.Sequence > Row->Ask.Sequence)
+      *Row = {Peer, Ask, Now, false};
+    return;
+  }
+  if (Grantor.Asked.size() < Grantor.Policy.Capacity)
+    Grantor.Asked.push_back({Peer, Ask, Now, false});
+}
+
+std::vector<addressed_grant> grantCredits(credit_grantor &Grantor,
+                                          service_handle Service,
+                                          std::uint32_t Free, steady_time Now,
+                                          std::uint64_t Random) {
+  dropExpired(Grantor, Now);
+  std::vector<asked_row *> Rows;
+  for (asked_row &Row : Grantor.Asked)
+    if (Row.Ask.Service == Service && !Row.Answered && Row.Ask.Wanted > 0)
+      Rows.push_back(&Row);
+  if (Rows.empty())
+    return {};
+  const auto Turn = static_cast<std::ptrdiff_t>(Random % Rows.size());
+  std::rotate(Rows.begin(), Rows.begin() + Turn, Rows.end());
+  std::vector<std::uint32_t> Wishes;
+  for (const asked_row *Row : Rows)
+    Wishes.push_back(Row->Ask.Wanted);
+  const std::vector<std::uint32_t> Parts =
+      divide(Wishes, grantable(Grantor, Service, Free, Now));
+  std::vector<addressed_grant> Grants;
+  const credit_policy &Policy = Grantor.Policy;
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    if (Parts[I] == 0 || Grantor.Granted.size() >= Policy.Capacity)
+      continue;
+    const std::uint64_t Id = Grantor.NextId++;
+    const steady_time Until = Now + Policy.Lifetime + Policy.Grace;
+    Rows[I]->Answered = true;
+    Grantor.Granted.push_back({Rows[I]->Peer, Service, Id, Parts[I], Until});
+    Grants.push_back(
+        {Rows[I]->Peer,
+         {Service, Parts[I], Id, Rows[I]->Ask.Sequence, Policy.Lifetime}});
+  }
+  return Grants;
+}
+
+std::uint32_t reservedSlots(const credit_grantor &Grantor,
+                            service_handle Service, steady_time Now) {
+  std::uint32_t Reserved = 0;
+  for (const granted_row &Row : Grantor.Granted)
+    if (Row.Service == Service && Now < Row.Until)
+      Reserved += Row.Remaining;
+  return Reserved;
+}
+
+status admit(credit_grantor &Grantor, service_handle Service,
+             instance_handle Peer, std::uint64_t GrantId, std::uint32_t Free,
+             steady_time Now) {
+  if (Free == 0)
+    return error{error_kind::NoCapacity, "no free slot", {}};
+  for (granted_row &Row : Grantor.Granted) {
+    if (Row.Id != GrantId || Row.Peer != Peer || Row.Service != Service)
+      continue;
+    if (Row.Remaining == 0 || Now >= Row.Until)
+      break;
+    --Row.Remaining;
+    return {};
+  }
+  if (Free > reservedSlots(Grantor, Service, Now))
+    return {};
+  return error{error_kind::NoCapacity, "the free slots are reserved", {}};
+}
+
+void dropExpired(credit_grantor &Grantor, steady_time Now) {
+  std::erase_if(Grantor.Granted, [&](const granted_row &Row) {
+    return Row.Remaining == 0 || Now >= Row.Until;
+  });
+  std::erase_if(Grantor.Asked, [&](const asked_row &Row) {
+    return Now - Row.ArrivedAt >= Grantor.Policy.Lifetime;
+  });
+}
+
+void dropPeer(credit_grantor &Grantor, instance_handle Peer) {
+  std::erase_if(Grantor.Asked,
+                [&](const asked_row &Row) { return Row.Peer == Peer; });
+  std::erase_if(Grantor.Granted,
+                [&](const granted_row &Row) { return Row.Peer == Peer; });
+}
+
+credit_wallet::credit_wallet(const credit_policy &Policy,
+                             std::uint64_t FirstSequence)
+    : Policy(Policy), NextSequence(FirstSequence) {}
+
+credit_ask makeAsk(credit_wallet &Wallet, instance_handle Peer,
+                   service_handle Service, std::uint32_t Wanted,
+                   steady_time Now) {
+  const credit_ask Ask{Service, Wanted, Wallet.NextSequence++};
+  for (sent_ask &Row : Wallet.Sent) {
+    if (Row.Peer == Peer && Row.Ask.Service == Service) {
+      Row = {Peer, Ask, Now, false};
+      return Ask;
+    }
+  }
+  if (Wallet.Sent.size() < Wallet.Policy.Capacity)
+    Wallet.Sent.push_back({Peer, Ask, Now, false});
+  return Ask;
+}
+
+bool noteGrant(credit_wallet &Wallet, instance_handle Peer,
+               const credit_grant &Grant, steady_time Now) {
+  std::erase_if(Wallet.Held, [&](const held_row &Row) {
+    return Row.Remaining == 0 || Now >= Row.Until;
+  });
+  for (sent_ask &Row : Wallet.Sent) {
+    const bool Same = Row.Peer == Peer && Row.Ask.Service == Grant.Service &&
+                      Row.Ask.Sequence == Grant.Sequence;
+    if (!Same || Row.Answered)
+      continue;
+    const steady_time Until =
+        Row.AskedAt + std::min(Grant.Lifetime, Wallet.Policy.Lifetime);
+    if (Now >= Until || Wallet.Held.size() >= Wallet.Policy.Capacity)
+      return false;
+    Row.Answered = true;
+    const std::uint32_t Count = std::min(Grant.Count, Row.Ask.Wanted);
+    Wallet.Held.push_back({Peer, Grant.Service, Grant.Id, Count, Until});
+    return true;
+  }
+  return false;
+}
+
+std::uint32_t creditsAt(const credit_wallet &Wallet, instance_handle Peer,
+                        service_handle Service, steady_time Now) {
+  std::uint32_t Count = 0;
+  for (const held_row &Row : Wallet.Held)
+    if (Row.Peer == Peer && live(Row, Service, Now))
+      Count += Row.Remaining;
+  return Count;
+}
+
+result<credit> spendCredit(credit_wallet &Wallet,
+                           const std::vector<instance_handle> &Peers,
+                           service_handle Service, steady_time Now,
+                           std::uint64_t Random) {
+  std::uint64_t Sum = 0;
+  for (const held_row &Row : Wallet.Held)
+    if (live(Row, Service, Now) && among(Peers, Row.Peer))
+      Sum += Row.Remaining;
+  if (Sum == 0)
+    return error{error_kind::NoCapacity, "no credit from a peer", {}};
+  std::uint64_t Point = Random % Sum;
+  for (held_row &Row : Wallet.Held) {
+    if (!live(Row, Service, Now) || !among(Peers, Row.Peer))
+      continue;
+    if (Point < Row.Remaining) {
+      --Row.Remaining;
+      return credit{Row.Peer, Row.Id};
+    }
+    Point -= Row.Remaining;
+  }
+  return error{error_kind::Internal, "credits miscounted", {}};
+}
+
+void dropCredits(credit_wallet &Wallet, instance_handle Peer,
+                 service_handle Service) {
+  std::erase_if(Wallet.Held, [&](const held_row &Row) {
+    return Row.Peer == Peer && Row.Service == Service;
+  });
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/steering/src/limit.cpp
@@ -0,0 +1,66 @@
+#include <magnoliaspread/limit.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+namespace {
+
+limit_row &rowAt(limit_ledger &Ledger, std::size_t Row) {
+  if (Row >= Ledger.Rows.size())
+    Ledger.Rows.resize(Row + 1);
+  return Ledger.Rows[Row];
+}
+
+void applyRaise(limit_row &Row, steady_time Now) {
+  if (Row.RaisedPart > Row.Part && Now >= Row.RaisedAt)
+    Row.Part = Row.RaisedPart;
+}
+
+} // namespace
+
+std::uint32_t limitPart(std::uint32_t Limit, std::uint32_t Index,
+                        std::uint32_t Parts) {
+  if (Parts == 0 || Index >= Parts)
+    return 0;
+  const std::uint64_t Wide = Limit;
+  return static_cast<std::uint32_t>(Wide * (Index + 1) / Parts -
+                                    Wide * Index / Parts);
+}
+
+void setLimitPart(limit_ledger &Ledger, std::size_t Row, std::uint32_t Part,
+                  steady_time Now, steady_time UsableAt) {
+  limit_row &State = rowAt(Ledger, Row);
+  applyRaise(State, Now);
+  if (!State.Limited)
+    State.Part = 0;
+  State.Limited = true;
+  if (Part != State.RaisedPart)
+    State.RaisedAt = UsableAt;
+  State.RaisedPart = Part;
+  State.Part = std::min(State.Part, Part);
+}
+
+void clearLimit(limit_ledger &Ledger, std::size_t Row) {
+  limit_row &State = rowAt(Ledger, Row);
+  State.Limited = false;
+  State.Part = 0;
+  State.RaisedPart = 0;
+}
+
+status admitLimited(limit_ledger &Ledger, std::size_t Row, steady_time Now) {
+  limit_row &State = rowAt(Ledger, Row);
+  applyRaise(State, Now);
+  if (State.Limited && State.InFlight >= State.Part)
+    return error{error_kind::NoCapacity, "the region's limit is reached", {}};
+  ++State.InFlight;
+  return {};
+}
+
+void releaseLimited(limit_ledger &Ledger, std::size_t Row) {
+  limit_row &State = rowAt(Ledger, Row);
+  if (State.InFlight > 0)
+    --State.InFlight;
+}
+
+} // namespace magnoliaspread
