--- a/packages/steering/include/magnoliaspread/blockcodec.h
+++ b/packages/steering/include/magnoliaspread/blockcodec.h
@@ -16,7 +16,7 @@
 using byte_buffer = std::vector<std::uint8_t>;
 
 /// Largest encoded chunk or delta, in bytes; in base64 it is under 1 MB.
-inline constexpr std::size_t MaxEncodedBytes = 720 * 1024;
+inline constexpr std::size_t MaxEncodedBytes = std::size_t{720} * 1024;
 
 /// A chunk with its place in the table.
 struct numbered_chunk {
--- a/packages/steering/include/magnoliaspread/fairq.h
+++ b/packages/steering/include/magnoliaspread/fairq.h
@@ -59,6 +59,10 @@
     double Start = 0;
     /// Mean slot time of the workspace's requests in seconds; 0 is unknown.
     double MeanSeconds = 0;
+    /// Mean time between grants since entries began to wait, in seconds.
+    double GapSeconds = 0;
+    std::uint32_t Gaps = 0;
+    steady_time LastGrant;
     std::uint32_t Head = None;
     std::uint32_t Tail = None;
     std::uint32_t Count = 0;
@@ -87,8 +91,9 @@
 /// Sets how many requests the service's usable targets run at a time.
 void setSlots(fair_queue &Queue, std::uint32_t Slots);
 
-/// Expected wait of a new entry of \p Workspace from measured slot times; zero
-/// while nothing was measured.
+/// Expected wait of a new entry of \p Workspace, from measured slot times, the
+/// entries that wait and the pace at which the workspace is granted slots;
+/// zero while nothing was measured.
 std::chrono::nanoseconds expectedWait(const fair_queue &Queue,
                                       workspace_handle Workspace);
 
--- a/packages/steering/include/magnoliaspread/region.h
+++ b/packages/steering/include/magnoliaspread/region.h
@@ -142,12 +142,12 @@
   std::size_t High = Names.size();
   while (Low < High) {
     const std::size_t Middle = (Low + High) / 2;
-    if (Names[Middle] < Name)
+    if (Names[Middle].compare(Name) < 0)
       Low = Middle + 1;
     else
       High = Middle;
   }
-  if (Low == Names.size() || Names[Low] != Name)
+  if (Low == Names.size() || Names[Low].compare(Name) != 0)
     return {};
   return {static_cast<std::uint16_t>(Low)};
 }
--- a/packages/steering/src/credit.cpp
+++ b/packages/steering/src/credit.cpp
@@ -86,6 +86,7 @@
   const auto Turn = static_cast<std::ptrdiff_t>(Random % Rows.size());
   std::rotate(Rows.begin(), Rows.begin() + Turn, Rows.end());
   std::vector<std::uint32_t> Wishes;
+  Wishes.reserve(Rows.size());
   for (const asked_row *Row : Rows)
     Wishes.push_back(Row->Ask.Wanted);
   const std::vector<std::uint32_t> Parts =
--- a/packages/steering/src/fairq.cpp
+++ b/packages/steering/src/fairq.cpp
@@ -21,6 +21,8 @@
 constexpr double LargestLead = 64;
 /// Up to this many active workspaces the wait is summed over each.
 constexpr std::size_t ExactActive = 32;
+/// Grants after which the pace of a workspace counts.
+constexpr std::uint32_t LeastGaps = 4;
 constexpr milliseconds LeastRetryAfter{10};
 constexpr milliseconds LargestRetryAfter{60000};
 
@@ -73,7 +75,11 @@
                    std::uint32_t Ahead) {
   if (Queue.Slots == 0 || Queue.MeanSeconds <= 0)
     return 0;
-  return workBefore(Queue, Workspace, Ahead) / Queue.Slots;
+  const double Work = workBefore(Queue, Workspace, Ahead) / Queue.Slots;
+  // Entries of others that are still to come show only in the pace.
+  const fair_queue::workspace_queue &W = Queue.Workspaces[Workspace];
+  const double Paced = W.Gaps >= LeastGaps ? Ahead * W.GapSeconds : 0;
+  return std::max(Work, Paced);
 }
 
 /// Room that stays for other workspaces shrinks with the free places, so that
@@ -111,8 +117,11 @@
   return {};
 }
 
-void activate(fair_queue &Queue, std::uint32_t Workspace) {
+void activate(fair_queue &Queue, std::uint32_t Workspace, steady_time Now) {
   fair_queue::workspace_queue &W = Queue.Workspaces[Workspace];
+  W.Gaps = 0;
+  W.GapSeconds = 0;
+  W.LastGrant = Now;
   W.Start = std::max(W.Start, Queue.VirtualTime);
   Queue.Active.set(Workspace, W.Start);
   Queue.ActiveWeight += W.Weight;
@@ -148,6 +157,12 @@
   Mean = Mean > 0 ? Mean + (Sample - Mean) * MeanGain : Sample;
 }
 
+void noteGrant(fair_queue::workspace_queue &W, steady_time Now) {
+  addSample(W.GapSeconds, secondsOf(Now - W.LastGrant));
+  W.LastGrant = Now;
+  ++W.Gaps;
+}
+
 } // namespace
 
 fair_queue::fair_queue(const fairq_limits &Limits)
@@ -194,7 +209,7 @@
   Queue.Places.emplace(Entry.Id, Place);
   Queue.Deadlines.set(Place, Entry.Deadline);
   if (W.Count++ == 0)
-    activate(Queue, Entry.Workspace.Index);
+    activate(Queue, Entry.Workspace.Index, Now);
   return {};
 }
 
@@ -207,6 +222,7 @@
   fair_queue::workspace_queue &W = Queue.Workspaces[Workspace];
   const fairq_entry Entry = Queue.Entries[W.Head].Entry;
   const double Charge = chargeOf(Queue, W);
+  noteGrant(W, Now);
   Queue.VirtualTime = std::max(Queue.VirtualTime, W.Start);
   W.Start += Charge / W.Weight;
   unlink(Queue, W.Head);
--- a/packages/steering/src/region.cpp
+++ b/packages/steering/src/region.cpp
@@ -84,15 +84,15 @@
   const weight_rows &Former = Table.Origin.From;
   // A table that was never edited has no former weights.
   const bool Edited = Table.Origin.StartedAtMs != 0;
-  const auto makeFor = [&](std::string_view Workspace) {
+  const auto MakeFor = [&](std::string_view Workspace) {
     const weight_rows New = rowsFor(Table.Weights, Service, Workspace);
     const weight_rows Old = Edited ? rowsFor(Former, Service, Workspace) : New;
     return makeSet(Old, New, Names, Plan.Own);
   };
   const auto Shared = static_cast<std::uint16_t>(Plan.Sets.size());
-  Plan.Sets.push_back(makeFor(AnyName));
+  Plan.Sets.push_back(MakeFor(AnyName));
   for (const std::string &Workspace : Names.Workspaces) {
-    const weight_set Set = makeFor(Workspace);
+    const weight_set Set = MakeFor(Workspace);
     const bool SameRows =
         sharedRows(rowsFor(Table.Weights, Service, Workspace));
     if (sameSet(Plan.Sets[Shared], Set, SameRows)) {
--- a/packages/steering/src/target.cpp
+++ b/packages/steering/src/target.cpp
@@ -190,9 +190,7 @@
   const bool Returning = Row.Info.Drain == drain_state::Draining &&
                          Info.Drain == drain_state::Active;
   const bool Owned = Row.Owned;
-  if (!Row.Present) {
-    startSlowly(Row, 1, Now);
-  } else if (Returning) {
+  if (!Row.Present || Returning) {
     startSlowly(Row, 1, Now);
   } else if (Info.Slots > Row.Info.Slots) {
     startSlowly(Row, rampedSlots(Row, Table.Policy, Now), Now);
