--- a/packages/steering/include/magnoliaspread/shift.h
+++ b/packages/steering/include/magnoliaspread/shift.h
@@ -47,8 +47,8 @@
   double Credit = 0;
   std::uint64_t Decisions = 0;
   std::uint64_t Moved = 0;
-  /// Decisions left during which only forced moves are made, since a forced
-  /// one was refused.
+  /// Decisions left during which only forced moves are made, since one was
+  /// asked for.
   std::uint32_t ForcedOnly = 0;
 };
 
--- a/packages/steering/src/shift.cpp
+++ b/packages/steering/src/shift.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Decisions for which voluntary moves wait after a refused forced one.
+/// Decisions for which moves to new weights wait after a forced one.
 constexpr std::uint32_t ForcedOnlyDecisions = 64;
 /// Largest credit that is left after a decision, in moves.
 constexpr double LargestCredit = 1;
@@ -96,11 +96,10 @@
 bool tryMove(shift_budget &Budget, move_cause Cause) {
   if (Cause == move_cause::Weights && Budget.ForcedOnly > 0)
     return false;
-  if (Budget.Credit < 1 - CreditSlack) {
-    if (Cause == move_cause::Forced)
-      Budget.ForcedOnly = ForcedOnlyDecisions;
+  if (Cause == move_cause::Forced)
+    Budget.ForcedOnly = ForcedOnlyDecisions;
+  if (Budget.Credit < 1 - CreditSlack)
     return false;
-  }
   Budget.Credit = std::max(0.0, Budget.Credit - 1);
   ++Budget.Moved;
   return true;
--- /dev/null
+++ b/packages/steering/tests/credit.cpp
@@ -0,0 +1,145 @@
+#include "headroom.h"
+
+#include <magnoliaspread/credit.h>
+#include <magnoliaspread/story.h>
+
+using namespace magnoliaspread;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr steady_time Start{std::chrono::hours(1)};
+constexpr service_handle Service{0};
+constexpr instance_handle Sender{1};
+constexpr instance_handle Receiver{2};
+
+std::uint32_t granted(const std::vector<addressed_grant> &Grants) {
+  std::uint32_t Count = 0;
+  for (const addressed_grant &Grant : Grants)
+    Count += Grant.Grant.Count;
+  return Count;
+}
+
+} // namespace
+
+STORY(credit_grants) {
+  section("free slots are divided fairly among the peers that ask", [&] {
+    credit_grantor Grantor({}, 1);
+    noteAsk(Grantor, {1}, {Service, 2, 1}, Start);
+    noteAsk(Grantor, {2}, {Service, 100, 1}, Start);
+    noteAsk(Grantor, {3}, {Service, 100, 1}, Start);
+    const auto Grants = grantCredits(Grantor, Service, 24, Start, 0);
+    CPPUNIT_ASSERT_EQUAL(18U, granted(Grants));
+    for (const addressed_grant &Grant : Grants)
+      CPPUNIT_ASSERT_EQUAL(Grant.Peer.Index == 1 ? 2U : 8U, Grant.Grant.Count);
+  });
+  section("granted slots aren't granted twice", [&] {
+    credit_grantor Grantor({}, 1);
+    noteAsk(Grantor, {1}, {Service, 100, 1}, Start);
+    CPPUNIT_ASSERT_EQUAL(6U,
+                         granted(grantCredits(Grantor, Service, 8, Start, 0)));
+    noteAsk(Grantor, {2}, {Service, 100, 1}, Start);
+    CPPUNIT_ASSERT(grantCredits(Grantor, Service, 8, Start, 0).empty());
+  });
+  section("a lost grant's slots come back when it expires", [&] {
+    credit_grantor Grantor({}, 1);
+    noteAsk(Grantor, {1}, {Service, 100, 1}, Start);
+    grantCredits(Grantor, Service, 8, Start, 0);
+    const steady_time Later =
+        Start + Grantor.Policy.Lifetime + Grantor.Policy.Grace;
+    CPPUNIT_ASSERT_EQUAL(0U, reservedSlots(Grantor, Service, Later));
+  });
+}
+
+STORY(credit_spending) {
+  section("a grant is spent once, however often it arrives", [&] {
+    credit_wallet Wallet({}, 1);
+    const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
+    const credit_grant Grant{Service, 2, 9, Ask.Sequence, milliseconds(500)};
+    CPPUNIT_ASSERT(noteGrant(Wallet, Receiver, Grant, Start));
+    CPPUNIT_ASSERT(!noteGrant(Wallet, Receiver, Grant, Start));
+    CPPUNIT_ASSERT_EQUAL(2U, creditsAt(Wallet, Receiver, Service, Start));
+    CPPUNIT_ASSERT(!failed(spendCredit(Wallet, {Receiver}, Service, Start, 1)));
+    CPPUNIT_ASSERT(!failed(spendCredit(Wallet, {Receiver}, Service, Start, 2)));
+    const auto None = spendCredit(Wallet, {Receiver}, Service, Start, 3);
+    CPPUNIT_ASSERT(errorOf(None).Kind == error_kind::NoCapacity);
+  });
+  section("the sender's time runs from its ask", [&] {
+    credit_wallet Wallet({}, 1);
+    const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
+    const credit_grant Grant{Service, 2, 9, Ask.Sequence, milliseconds(500)};
+    const steady_time Late = Start + milliseconds(400);
+    CPPUNIT_ASSERT(noteGrant(Wallet, Receiver, Grant, Late));
+    CPPUNIT_ASSERT_EQUAL(
+        0U, creditsAt(Wallet, Receiver, Service, Start + milliseconds(500)));
+  });
+  section(
+      "a grant for another ask or more than was asked counts for less", [&] {
+        credit_wallet Wallet({}, 1);
+        const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
+        CPPUNIT_ASSERT(!noteGrant(
+            Wallet, Receiver,
+            {Service, 2, 9, Ask.Sequence + 1, milliseconds(500)}, Start));
+        CPPUNIT_ASSERT(noteGrant(
+            Wallet, Receiver,
+            {Service, 4000, 9, Ask.Sequence, milliseconds(500)}, Start));
+        CPPUNIT_ASSERT_EQUAL(3U, creditsAt(Wallet, Receiver, Service, Start));
+      });
+}
+
+STORY(credit_admission) {
+  credit_grantor Grantor({}, 7);
+  noteAsk(Grantor, Sender, {Service, 2, 1}, Start);
+  const auto Grants = grantCredits(Grantor, Service, 3, Start, 0);
+  CPPUNIT_ASSERT_EQUAL(2U, granted(Grants));
+  const std::uint64_t Id = Grants[0].Grant.Id;
+  const auto admitted = [&](instance_handle Peer, std::uint64_t Grant,
+                            std::uint32_t Free) {
+    return !failed(admit(Grantor, Service, Peer, Grant, Free, Start));
+  };
+  section("others get only the slots that aren't reserved", [&] {
+    CPPUNIT_ASSERT(admitted(Receiver, 0, 3));
+    CPPUNIT_ASSERT(!admitted(Receiver, 0, 2));
+    CPPUNIT_ASSERT(!admitted(Receiver, Id, 2));
+  });
+  section("each credit admits one request", [&] {
+    CPPUNIT_ASSERT(admitted(Sender, Id, 2));
+    CPPUNIT_ASSERT(admitted(Sender, Id, 1));
+    CPPUNIT_ASSERT(!admitted(Sender, Id, 0));
+  });
+}
+
+STORY(region_headroom) {
+  headroom_shape Shape;
+  Shape.Length = milliseconds(4000);
+  section("skewed load with a lost region stays within the slots", [&] {
+    Shape.LostRegion = 2;
+    Shape.Load = 0.6;
+    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+      const auto Credits = runHeadroom(Shape, headroom_policy::Credits, Seed);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Credits.Breaches);
+      CPPUNIT_ASSERT(Credits.Worst <= 1);
+      const auto Emptiest =
+          runHeadroom(Shape, headroom_policy::EmptiestRegion, Seed);
+      CPPUNIT_ASSERT(Emptiest.Worst > 1);
+      const auto Robin = runHeadroom(Shape, headroom_policy::RoundRobin, Seed);
+      CPPUNIT_ASSERT(Robin.Breaches > 0);
+    }
+  });
+  section("so it does with lost, late and repeated messages, lies and restarts",
+          [&] {
+            Shape.Loss = 0.1;
+            Shape.Repeat = 0.2;
+            Shape.Restart = 0.01;
+            Shape.Load = 1.3;
+            for (const double Lie : {0.0, 1.0, 8.0}) {
+              Shape.Lie = Lie;
+              for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+                const auto Result =
+                    runHeadroom(Shape, headroom_policy::Credits, Seed);
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Result.Breaches);
+              }
+            }
+          });
+}
--- /dev/null
+++ b/packages/steering/tests/headroom.h
@@ -0,0 +1,384 @@
+/// Senders and receivers of one service over several regions: steps of one
+/// millisecond, with delays, losses, repeats, lies and restarts.
+#ifndef MAGNOLIASPREAD_HEADROOM_H
+#define MAGNOLIASPREAD_HEADROOM_H
+
+#include <magnoliaspread/credit.h>
+#include <magnoliaspread/limit.h>
+#include <magnoliaspread/region.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+enum class headroom_policy { Credits, RoundRobin, EmptiestRegion };
+
+struct headroom_shape {
+  std::uint16_t Regions = 3;
+  std::uint16_t PlacesPerRegion = 2;
+  std::uint16_t InstancesPerPlace = 2;
+  /// Slots over all targets of the service; spread evenly over instances.
+  std::uint32_t Slots = 112;
+  /// Offered load over all slots.
+  double Load = 0.8;
+  /// Part of the load that arrives in the first region.
+  double Skew = 0.7;
+  std::chrono::milliseconds SlotTime{50};
+  std::chrono::milliseconds RegionDelay{35};
+  std::chrono::milliseconds ReportPeriod{1000};
+  std::chrono::milliseconds Length{10000};
+  /// A region whose instances stop at half time; no region when past the last.
+  std::uint16_t LostRegion = 99;
+  /// Faults, as probabilities of each message and millisecond.
+  double Loss = 0;
+  double Repeat = 0;
+  double Restart = 0;
+  /// Factor on the free capacity that the instances of region 1 report.
+  double Lie = 1;
+};
+
+struct headroom_result {
+  /// Largest requests in flight over slots of a region, at any moment.
+  double Worst = 0;
+  /// Moments at which an instance ran more requests than it had slots.
+  std::uint64_t Breaches = 0;
+  std::uint64_t Offered = 0;
+  std::uint64_t Served = 0;
+  std::uint64_t Refused = 0;
+  /// Refused at a peer after a hop.
+  std::uint64_t RefusedLate = 0;
+  std::uint64_t Messages = 0;
+
+  double servedPart() const {
+    return static_cast<double>(Served) / static_cast<double>(Offered);
+  }
+};
+
+struct headroom_instance {
+  std::uint16_t Region = 0;
+  std::uint32_t Slots = 0;
+  std::uint32_t InFlight = 0;
+  std::uint64_t Incarnation = 0;
+  bool Up = true;
+  credit_grantor Grantor;
+  credit_wallet Wallet;
+  region_state State;
+  /// Requests that found neither a slot here nor a credit, since the last ask.
+  std::uint32_t Wanted = 0;
+};
+
+class headroom_model {
+public:
+  headroom_model(const headroom_shape &Shape, headroom_policy Policy,
+                 std::uint64_t Seed);
+  headroom_result run();
+
+private:
+  using event = std::function<void()>;
+  static constexpr service_handle Service{0};
+  static constexpr workspace_handle NoWorkspace{};
+
+  bool chance(double Part) { return Uniform(Random) < Part; }
+  void at(std::chrono::milliseconds Delay, event Action);
+  void send(std::uint16_t From, std::uint16_t To, event Action);
+  std::uint32_t freeSlots(std::uint16_t Id) const;
+  void begin(std::uint16_t Id);
+  void restart(std::uint16_t Id);
+  void arrive(std::uint16_t Id);
+  void steer(std::uint16_t Id);
+  void forward(std::uint16_t Id, const credit &Credit);
+  void spread(std::uint16_t Id);
+  std::uint16_t simpleRegion();
+  std::uint16_t anyInstance(std::uint16_t Region);
+  void report();
+  void exchange();
+  void measure();
+
+  headroom_shape Shape;
+  headroom_policy Policy;
+  std::mt19937_64 Random;
+  std::uniform_real_distribution<double> Uniform{0, 1};
+  std::vector<headroom_instance> Instances;
+  std::vector<steering_peer> Peers;
+  region_plan Plan;
+  steering_names Names;
+  std::multimap<steady_time, event> Events;
+  std::vector<double> ReportedFree;
+  std::uint64_t Turn = 0;
+  steady_time Now{std::chrono::hours(1)};
+  headroom_result Result;
+};
+
+inline headroom_model::headroom_model(const headroom_shape &Shape,
+                                      headroom_policy Policy,
+                                      std::uint64_t Seed)
+    : Shape(Shape), Policy(Policy), Random(Seed), ReportedFree(Shape.Regions) {
+  config_table Table;
+  Table.Services.push_back({"s", "/s/"});
+  for (std::uint16_t R = 0; R < Shape.Regions; ++R) {
+    const std::string Region(1, static_cast<char>('a' + R));
+    Table.Regions.push_back({Region});
+    for (std::uint16_t P = 0; P < Shape.PlacesPerRegion; ++P)
+      Table.DataCentres.push_back({Region + std::to_string(P), Region});
+  }
+  Names = namesOf(Table);
+  const std::uint16_t Places = Shape.Regions * Shape.PlacesPerRegion;
+  const std::uint16_t Count = Places * Shape.InstancesPerPlace;
+  for (std::uint16_t Id = 0; Id < Count; ++Id) {
+    const std::uint16_t Place = Id / Shape.InstancesPerPlace;
+    const std::uint16_t Region = Place / Shape.PlacesPerRegion;
+    const std::uint32_t Slots = limitPart(Shape.Slots, Id, Count);
+    Instances.push_back({Region,
+                         Slots,
+                         0,
+                         1,
+                         true,
+                         credit_grantor({}, std::uint64_t{Id} << 48),
+                         credit_wallet({}, 1),
+                         {},
+                         0});
+    Peers.push_back({{Id}, {Place}, false});
+  }
+  for (headroom_instance &Instance : Instances) {
+    Plan = valueOf(makePlan(Table, Names, Names.Regions[Instance.Region]));
+    adoptPlan(Instance.State, Plan, {}, Names);
+  }
+}
+
+inline void headroom_model::at(std::chrono::milliseconds Delay, event Action) {
+  Events.emplace(Now + Delay, std::move(Action));
+}
+
+inline void headroom_model::send(std::uint16_t From, std::uint16_t To,
+                                 event Action) {
+  ++Result.Messages;
+  const bool Near = Instances[From].Region == Instances[To].Region;
+  const auto Delay = Near ? std::chrono::milliseconds(1) : Shape.RegionDelay;
+  const auto Deliver = [this, To, Action] {
+    if (Instances[To].Up)
+      Action();
+  };
+  if (!chance(Shape.Loss))
+    at(Delay, Deliver);
+  if (chance(Shape.Repeat))
+    at(Delay + std::chrono::milliseconds(Random() % 800), Deliver);
+}
+
+inline std::uint32_t headroom_model::freeSlots(std::uint16_t Id) const {
+  const headroom_instance &Instance = Instances[Id];
+  return Instance.Slots - std::min(Instance.Slots, Instance.InFlight);
+}
+
+inline void headroom_model::begin(std::uint16_t Id) {
+  ++Instances[Id].InFlight;
+  ++Result.Served;
+  std::exponential_distribution<double> Spread(1);
+  const double Milliseconds =
+      static_cast<double>(Shape.SlotTime.count()) * Spread(Random);
+  const std::uint64_t Incarnation = Instances[Id].Incarnation;
+  at(std::chrono::milliseconds(1 + static_cast<int>(Milliseconds)),
+     [this, Id, Incarnation] {
+       if (Instances[Id].Incarnation == Incarnation)
+         --Instances[Id].InFlight;
+     });
+}
+
+inline void headroom_model::restart(std::uint16_t Id) {
+  headroom_instance &Instance = Instances[Id];
+  ++Instance.Incarnation;
+  Instance.InFlight = 0;
+  const std::uint64_t First = Instance.Incarnation << 32;
+  Instance.Grantor = credit_grantor({}, (std::uint64_t{Id} << 48) + First);
+  Instance.Wallet = credit_wallet({}, First);
+}
+
+inline void headroom_model::arrive(std::uint16_t Id) {
+  ++Result.Offered;
+  if (Policy == headroom_policy::Credits)
+    steer(Id);
+  else
+    spread(Id);
+}
+
+inline void headroom_model::steer(std::uint16_t Id) {
+  headroom_instance &Instance = Instances[Id];
+  const auto Admitted =
+      admit(Instance.Grantor, Service, {Id}, 0, freeSlots(Id), Now);
+  const bool Here = !failed(Admitted);
+  std::vector<std::vector<instance_handle>> Peered(Shape.Regions);
+  region_mask Available;
+  for (std::uint16_t R = 0; R < Shape.Regions; ++R) {
+    Peered[R] = peersIn(Plan, Peers, {R});
+    for (const instance_handle Peer : Peered[R])
+      if (creditsAt(Instance.Wallet, Peer, Service, Now) > 0)
+        Available.set(R);
+  }
+  if (Here)
+    Available.set(Instance.Region);
+  Plan.Own = {Instance.Region};
+  Plan.Sets[0].Former = {};
+  Plan.Sets[0].Former.Share[Instance.Region] = 1;
+  Plan.Sets[0].Wanted = Plan.Sets[0].Former;
+  const auto Choice = chooseRegion(Plan, Instance.State,
+                                   {Service, NoWorkspace, Available}, Now, {});
+  if (failed(Choice)) {
+    ++Instance.Wanted;
+    ++Result.Refused;
+    return;
+  }
+  if (Here && valueOf(Choice).Region.Index == Instance.Region)
+    return begin(Id);
+  ++Instance.Wanted;
+  const auto Credit =
+      spendCredit(Instance.Wallet, Peered[valueOf(Choice).Region.Index],
+                  Service, Now, Random());
+  forward(Id, valueOf(Credit));
+}
+
+inline void headroom_model::forward(std::uint16_t Id, const credit &Credit) {
+  const std::uint16_t To = Credit.Peer.Index;
+  const bool Near = Instances[Id].Region == Instances[To].Region;
+  ++Result.Messages;
+  at(Near ? std::chrono::milliseconds(1) : Shape.RegionDelay,
+     [this, Id, To, Credit] {
+       headroom_instance &Receiver = Instances[To];
+       if (!Receiver.Up || failed(admit(Receiver.Grantor, Service, {Id},
+                                        Credit.GrantId, freeSlots(To), Now))) {
+         dropCredits(Instances[Id].Wallet, Credit.Peer, Service);
+         ++Result.Refused;
+         ++Result.RefusedLate;
+         return;
+       }
+       begin(To);
+     });
+}
+
+inline std::uint16_t headroom_model::simpleRegion() {
+  if (Policy == headroom_policy::RoundRobin)
+    return static_cast<std::uint16_t>(Turn++ % Shape.Regions);
+  const auto Most = std::max_element(ReportedFree.begin(), ReportedFree.end());
+  return static_cast<std::uint16_t>(Most - ReportedFree.begin());
+}
+
+inline std::uint16_t headroom_model::anyInstance(std::uint16_t Region) {
+  const std::uint16_t Count = Shape.PlacesPerRegion * Shape.InstancesPerPlace;
+  return static_cast<std::uint16_t>(Region * Count + Random() % Count);
+}
+
+/// Simple versions: the receiver runs whatever comes.
+inline void headroom_model::spread(std::uint16_t Id) {
+  const std::uint16_t Region = simpleRegion();
+  const std::uint16_t To = anyInstance(Region);
+  const bool Near = Instances[Id].Region == Region;
+  at(Near ? std::chrono::milliseconds(1) : Shape.RegionDelay, [this, To] {
+    if (Instances[To].Up)
+      begin(To);
+    else
+      ++Result.Refused;
+  });
+}
+
+inline void headroom_model::report() {
+  std::vector<double> Free(Shape.Regions, 0);
+  for (std::uint16_t Id = 0; Id < Instances.size(); ++Id)
+    if (Instances[Id].Up)
+      Free[Instances[Id].Region] += freeSlots(Id);
+  Free[1] *= Shape.Lie;
+  at(Shape.RegionDelay, [this, Free] { ReportedFree = Free; });
+}
+
+/// Asks by those that ran short, and grants.
+inline void headroom_model::exchange() {
+  for (std::uint16_t Id = 0; Id < Instances.size(); ++Id) {
+    headroom_instance &Instance = Instances[Id];
+    if (!Instance.Up)
+      continue;
+    const std::uint32_t Wanted = Instance.Wanted;
+    Instance.Wanted = 0;
+    for (std::uint16_t To = 0; Wanted > 0 && To < Instances.size(); ++To) {
+      if (To == Id)
+        continue;
+      const auto Each = static_cast<std::uint32_t>(1 + Wanted / 4);
+      const credit_ask Ask = makeAsk(Instance.Wallet, {To}, Service, Each, Now);
+      send(Id, To, [this, Id, To, Ask] {
+        noteAsk(Instances[To].Grantor, {Id}, Ask, Now);
+      });
+    }
+    std::uint32_t Free = freeSlots(Id);
+    if (Instance.Region == 1)
+      Free = static_cast<std::uint32_t>(Free * Shape.Lie);
+    for (const addressed_grant &Grant :
+         grantCredits(Instance.Grantor, Service, Free, Now, Random()))
+      send(Id, Grant.Peer.Index, [this, Id, Grant] {
+        noteGrant(Instances[Grant.Peer.Index].Wallet, {Id}, Grant.Grant, Now);
+      });
+  }
+}
+
+inline void headroom_model::measure() {
+  std::vector<double> Running(Shape.Regions, 0);
+  std::vector<double> Slots(Shape.Regions, 0);
+  for (const headroom_instance &Instance : Instances) {
+    Running[Instance.Region] += Instance.InFlight;
+    Slots[Instance.Region] += Instance.Slots;
+    Result.Breaches += Instance.InFlight > Instance.Slots ? 1 : 0;
+  }
+  for (std::uint16_t R = 0; R < Shape.Regions; ++R)
+    Result.Worst = std::max(Result.Worst, Running[R] / Slots[R]);
+}
+
+inline headroom_result headroom_model::run() {
+  const steady_time Start = Now;
+  const double PerMillisecond =
+      Shape.Load * Shape.Slots / static_cast<double>(Shape.SlotTime.count());
+  std::poisson_distribution<int> Count(PerMillisecond);
+  int Step = 0;
+  for (; Now < Start + Shape.Length; Now += std::chrono::milliseconds(1)) {
+    while (!Events.empty() && Events.begin()->first <= Now) {
+      const event Action = Events.begin()->second;
+      Events.erase(Events.begin());
+      Action();
+    }
+    if (Now - Start == Shape.Length / 2)
+      for (std::uint16_t Id = 0; Id < Instances.size(); ++Id)
+        if (Instances[Id].Region == Shape.LostRegion) {
+          restart(Id);
+          Instances[Id].Up = false;
+        }
+    if (chance(Shape.Restart))
+      restart(static_cast<std::uint16_t>(Random() % Instances.size()));
+    for (int I = Count(Random); I > 0; --I) {
+      const bool First = chance(Shape.Skew);
+      const auto Region = static_cast<std::uint16_t>(
+          First ? 0 : 1 + Random() % (Shape.Regions - 1U));
+      std::uint16_t Id = anyInstance(Region);
+      // Callers whose region is lost turn to another one.
+      while (!Instances[Id].Up)
+        Id = static_cast<std::uint16_t>(Random() % Instances.size());
+      arrive(Id);
+    }
+    if (Step % Shape.ReportPeriod.count() == 0)
+      report();
+    if (Policy == headroom_policy::Credits && Step % 50 == 0)
+      exchange();
+    ++Step;
+    measure();
+  }
+  return Result;
+}
+
+inline headroom_result runHeadroom(const headroom_shape &Shape,
+                                   headroom_policy Policy, std::uint64_t Seed) {
+  return headroom_model(Shape, Policy, Seed).run();
+}
+
+} // namespace magnoliaspread
+
+#endif
