--- a/packages/ctl/src/edit_session.cpp
+++ b/packages/ctl/src/edit_session.cpp
@@ -40,7 +40,7 @@
     fail(std::move(Failure));
     return;
   }
-  onTable(std::move(valueOf(Table)), PlatformTime);
+  onTable(valueOf(Table), PlatformTime);
 }
 
 void edit_session::onReadFailure(const error &Failure) {
@@ -50,7 +50,7 @@
     failUnknown();
 }
 
-void edit_session::onTable(config_table Latest, wall_time PlatformTime) {
+void edit_session::onTable(const config_table &Latest, wall_time PlatformTime) {
   if (isTraced(Latest))
     return;
   if (!Base && !plan(Latest))
@@ -90,10 +90,6 @@
     fail(errorOf(Rows));
     return false;
   }
-  if (valueOf(Rows).empty()) {
-    succeed(Latest.Version, false);
-    return false;
-  }
   Edit.Rows = std::move(valueOf(Rows));
   Base = Latest;
   return true;
@@ -106,6 +102,10 @@
     fail(errorOf(Next));
     return;
   }
+  if (diffTables(Latest, valueOf(Next)).empty()) {
+    succeed(Latest.Version, false);
+    return;
+  }
   NextValue = formatTable(valueOf(Next));
   NextVersion = valueOf(Next).Version;
   if (NextValue.size() > MaxObjectBytes) {
--- a/packages/ctl/src/edit_session_p.h
+++ b/packages/ctl/src/edit_session_p.h
@@ -60,7 +60,7 @@
   const result<edit_outcome> &outcome() const { return Outcome; }
 
 private:
-  void onTable(config_table Latest, wall_time PlatformTime);
+  void onTable(const config_table &Latest, wall_time PlatformTime);
   bool isTraced(const config_table &Latest);
   bool plan(const config_table &Latest);
   void prepareWrite(const config_table &Latest, wall_time PlatformTime);
--- a/packages/ctl/tests/race.cpp
+++ b/packages/ctl/tests/race.cpp
@@ -200,7 +200,8 @@
   if (!failed(Outcome)) {
     ++Report.Succeeded;
     Report.Merged += valueOf(Outcome).Writes > 1 ? 1 : 0;
-    Successes.insert(Id);
+    if (valueOf(Outcome).Changed)
+      Successes.insert(Id);
   } else {
     Failures[Id] = errorOf(Outcome).Kind;
     if (errorOf(Outcome).Kind == error_kind::VersionConflict)
--- a/packages/settings/src/table_edit.cpp
+++ b/packages/settings/src/table_edit.cpp
@@ -102,7 +102,9 @@
   Next.Edits.push_back({Edit.Id, Next.Version, AtMs});
   if (Next.Edits.size() > MaxEditRecords)
     Next.Edits.erase(Next.Edits.begin());
-  if (Next.Weights == Before.Weights && Next.Shifts == Before.Shifts)
+  bool Ramps = Next.Weights != Before.Weights || Next.Shifts != Before.Shifts;
+  // Nothing was in force before the first version.
+  if (!Ramps || Before.Version == 0)
     return;
   wall_time At{std::chrono::milliseconds(AtMs)};
   Next.Origin.From = Start.InForce ? Start.InForce(Before, At) : Before.Weights;
--- a/packages/settings/tests/table_edit.cpp
+++ b/packages/settings/tests/table_edit.cpp
@@ -110,6 +110,11 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(1'800'000'000'000),
                          Next.Origin.StartedAtMs);
   });
+  section("but not for the first table", [&] {
+    config_table First = applied({}, diffTables({}, Table));
+    CPPUNIT_ASSERT(First.Weights == Table.Weights);
+    CPPUNIT_ASSERT(First.Origin == shift_origin{});
+  });
   section("never at an earlier time than the last one", [&] {
     wall_time Early{std::chrono::milliseconds(5)};
     auto Next = applyEdit(Table, {"e-3", {weight("faro", "3")}}, {Early, {}});
