Report package: metrics, SLO windows and burn; magnoliactl report burn

Each instance samples its own counters into one sum a minute and shows the sums of 5 minutes and an hour at /slo, so that the report needs one request to each instance and no wait. Reading /metrics twice was ruled out: it needs the wait, and an instance replaced in between looks like lost requests.

Which ends of requests are bad is one function over the closed list of errors: a refusal that isn't for the request's own fault counts as within rate. Services get a latency target for it.

--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -34,6 +34,7 @@
   workspace_options Workspace;
   fleet_options Fleet;
   lookup_options Lookup;
+  burn_options Burn;
   std::int64_t TimeoutMs = 2000;
 };
 
@@ -281,6 +282,23 @@
       ->required();
 }
 
+void addReportCommands(CLI::App &App, cli_state &State) {
+  CLI::App *Group = addGroup(App, "report", "Report on the fleet's service");
+  CLI::App *Burn = addCommand(
+      *Group, State, "burn",
+      "Burn of the error budget by workspace and service over 5 minutes and an "
+      "hour",
+      [](cli_state &S) {
+        S.Burn.Fleet = S.Fleet;
+        S.Burn.Fleet.Timeout = std::chrono::milliseconds(S.TimeoutMs);
+        return reportBurn(S.Context, S.Burn);
+      });
+  addFleetOptions(*Burn, State);
+  Burn->add_option("--objective", State.Burn.ObjectivePercent,
+                   "Percent of the requests that have to be good")
+      ->check(CLI::Range(0.0, 99.9999));
+}
+
 void addCommands(CLI::App &App, cli_state &State) {
   App.require_subcommand(1);
   // Options of the program may follow its commands.
@@ -305,6 +323,7 @@
   addDrainCommands(App, State, "undrain", "Give work to a place again",
                    drain_state::Active);
   addFleetCommands(App, State);
+  addReportCommands(App, State);
   App.parse_complete_callback(
       [&State] { State.Context.Platform = *parseAddress(State.Platform); });
 }
--- a/packages/ctl/src/commands_p.h
+++ b/packages/ctl/src/commands_p.h
@@ -83,8 +83,15 @@
 exit_code setDrain(ctl_context &Context, row_kind Kind, const std::string &Name,
                    drain_state State);
 
+struct burn_options {
+  fleet_options Fleet;
+  /// Part of the requests that has to be good, in percent.
+  double ObjectivePercent = 99.9;
+};
+
 exit_code showStatus(ctl_context &Context, const fleet_options &Options);
 exit_code lookUp(ctl_context &Context, const lookup_options &Options);
+exit_code reportBurn(ctl_context &Context, const burn_options &Options);
 
 } // namespace magnoliaspread
 
--- /dev/null
+++ b/packages/report/include/magnoliaspread/slo.h
@@ -0,0 +1,128 @@
+/// Service-level objective: which requests count as good, and their sums over
+/// the latest minutes. Pure code; time is passed in.
+#ifndef MAGNOLIASPREAD_SLO_H
+#define MAGNOLIASPREAD_SLO_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliaspread {
+
+enum class slo_class : std::uint8_t {
+  Good,
+  /// Answered after the service's latency target.
+  Slow,
+  /// Failed, timed out or ended with an unknown outcome.
+  Failed,
+  /// Refused although the workspace was within its rate.
+  RefusedWithinRate,
+  /// Refused for the request's own fault, such as a rate or a key.
+  Refused,
+  /// The caller left before the answer.
+  Abandoned,
+  Count,
+};
+
+inline constexpr std::size_t SloClasses =
+    static_cast<std::size_t>(slo_class::Count);
+
+/// Name in metrics and reports.
+std::string_view nameOf(slo_class Class);
+
+/// How one request ended.
+struct request_end {
+  /// Empty when a target's answer was passed on whole.
+  std::optional<error_kind> Error;
+  /// Status of the answer.
+  unsigned Status = 200;
+  /// From the request's head to the answer's end.
+  std::chrono::microseconds Latency{};
+  /// The workspace is known to have been within its rate.
+  bool WithinRate = false;
+};
+
+/// An answer of a target counts as failed from status 500 up.
+slo_class classify(const request_end &End,
+                   std::chrono::milliseconds LatencyTarget);
+
+/// Requests by class.
+struct slo_counts {
+  std::array<std::uint64_t, SloClasses> By{};
+
+  std::uint64_t &of(slo_class Class) {
+    return By[static_cast<std::size_t>(Class)];
+  }
+  std::uint64_t of(slo_class Class) const {
+    return By[static_cast<std::size_t>(Class)];
+  }
+  /// Slow, failed and refused within rate.
+  std::uint64_t bad() const;
+  /// Good and bad ones.
+  std::uint64_t total() const;
+
+  slo_counts &operator+=(const slo_counts &Other);
+  bool operator==(const slo_counts &) const = default;
+};
+
+/// Requests of one workspace to one service.
+struct slo_row {
+  std::string Workspace;
+  std::string Service;
+  slo_counts Counts;
+
+  bool operator==(const slo_row &) const = default;
+};
+
+inline constexpr std::chrono::minutes ShortWindow{5};
+inline constexpr std::chrono::minutes LongWindow{60};
+
+/// Keeps sums of the latest hour from samples of counters that only rise.
+class slo_window {
+public:
+  explicit slo_window(steady_time Start);
+
+  /// Takes the counters since the start; call every second or so. Rows keep
+  /// their places from call to call, new ones come at the end. Keeps one sample
+  /// a minute besides the latest.
+  void add(steady_time Now, std::vector<slo_row> Sums);
+
+  struct sums {
+    /// Time that the rows cover; shorter after a start, and up to a minute
+    /// longer than what was asked for.
+    std::chrono::seconds Covered{};
+    std::vector<slo_row> Rows;
+  };
+
+  /// Requests of the last \p Length before the latest sample; at most
+  /// LongWindow.
+  sums over(std::chrono::seconds Length) const;
+
+private:
+  struct sample {
+    steady_time At;
+    /// By row.
+    std::vector<slo_counts> Counts;
+  };
+
+  /// The start and one sample a minute, oldest first.
+  std::deque<sample> Samples;
+  steady_time LatestAt;
+  std::vector<slo_row> Latest;
+};
+
+/// The admin port's /slo page: the sums over both windows as JSON.
+std::string formatSlo(const slo_window &Window);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/report/src/metrics.cpp
@@ -0,0 +1,175 @@
+#include <magnoliaspread/metrics.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace magnoliaspread {
+namespace {
+
+constexpr std::size_t ErrorKinds = static_cast<std::size_t>(error_kind::Count);
+constexpr const char *OtherName = "other";
+constexpr const char *OpenName = "open";
+
+using seconds_double = std::chrono::duration<double>;
+
+const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+    0.5,   1,     2,     5,    10,   30,   60,  300};
+
+/// Counters of one workspace and service.
+struct meter {
+  std::string Workspace;
+  std::string Service;
+  std::array<std::atomic<std::uint64_t>, SloClasses> Sums{};
+  std::array<prometheus::Counter *, SloClasses> Requests{};
+  prometheus::Histogram *Latency = nullptr;
+  std::atomic<std::int64_t> LatencyTargetMs{0};
+};
+
+prometheus::Gauge &addGauge(prometheus::Registry &Registry, const char *Name,
+                            const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add(
+      {});
+}
+
+} // namespace
+
+struct instance_metrics::state {
+  state();
+  std::unique_ptr<meter> makeMeter(std::string Workspace, std::string Service);
+
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Histogram> &Latency;
+  std::array<prometheus::Counter *, ErrorKinds> Errors{};
+  prometheus::Gauge &InFlight;
+  prometheus::Gauge &QueueLength;
+  prometheus::Gauge &Connections;
+  prometheus::Gauge &ConfigVersion;
+  prometheus::Gauge &ConfigStaleness;
+  prometheus::Gauge &PlatformReachable;
+  prometheus::Gauge &Draining;
+
+  /// Guards Ids and the growth of Meters.
+  mutable std::mutex Lock;
+  std::map<std::pair<std::string, std::string>, std::uint32_t> Ids;
+  /// Never reallocated, so that known ids are read without the lock.
+  std::vector<std::unique_ptr<meter>> Meters;
+};
+
+instance_metrics::state::state()
+    : Requests(prometheus::BuildCounter()
+                   .Name("magnoliaspread_requests_total")
+                   .Help("Requests by workspace, service and outcome")
+                   .Register(Registry)),
+      Latency(prometheus::BuildHistogram()
+                  .Name("magnoliaspread_request_seconds")
+                  .Help("Time to the whole answer of a target")
+                  .Register(Registry)),
+      InFlight(addGauge(Registry, "magnoliaspread_in_flight",
+                        "Requests without a whole answer")),
+      QueueLength(addGauge(Registry, "magnoliaspread_queue_length",
+                           "Requests that wait for a target")),
+      Connections(addGauge(Registry, "magnoliaspread_connections",
+                           "Open connections of callers and peers")),
+      ConfigVersion(addGauge(Registry, "magnoliaspread_config_version",
+                             "Version of the table in force")),
+      ConfigStaleness(addGauge(Registry,
+                               "magnoliaspread_config_staleness_seconds",
+                               "Time since the table was known to be the "
+                               "latest")),
+      PlatformReachable(addGauge(Registry, "magnoliaspread_platform_reachable",
+                                 "1 while the platform answers")),
+      Draining(addGauge(Registry, "magnoliaspread_drain_seconds",
+                        "Time since the drain began")) {
+  auto &Family = prometheus::BuildCounter()
+                     .Name("magnoliaspread_errors_total")
+                     .Help("Requests answered by the instance itself")
+                     .Register(Registry);
+  for (std::size_t I = 0; I < ErrorKinds; ++I) {
+    std::string Name(answerOf(static_cast<error_kind>(I)).Name);
+    Errors[I] = &Family.Add({{"kind", Name}});
+  }
+  Meters.reserve(MaxMeters);
+  Meters.push_back(makeMeter(OtherName, OtherName));
+}
+
+std::unique_ptr<meter> instance_metrics::state::makeMeter(std::string Workspace,
+                                                          std::string Service) {
+  auto Meter = std::make_unique<meter>();
+  Meter->Workspace = std::move(Workspace);
+  Meter->Service = std::move(Service);
+  prometheus::Labels Labels{{"workspace", Meter->Workspace},
+                            {"service", Meter->Service}};
+  Meter->Latency = &Latency.Add(Labels, LatencyBuckets);
+  for (std::size_t I = 0; I < SloClasses; ++I) {
+    Labels["outcome"] = std::string(nameOf(static_cast<slo_class>(I)));
+    Meter->Requests[I] = &Requests.Add(Labels);
+  }
+  return Meter;
+}
+
+instance_metrics::instance_metrics() : State(std::make_unique<state>()) {}
+
+instance_metrics::~instance_metrics() = default;
+
+meter_id instance_metrics::meterOf(std::string_view Workspace,
+                                   std::string_view Service,
+                                   std::chrono::milliseconds LatencyTarget) {
+  std::string Name(Workspace.empty() ? OpenName : Workspace);
+  std::lock_guard<std::mutex> Guard(State->Lock);
+  auto [Found, Fresh] = State->Ids.try_emplace({Name, std::string(Service)}, 0);
+  if (Fresh && State->Meters.size() < MaxMeters) {
+    Found->second = static_cast<std::uint32_t>(State->Meters.size());
+    State->Meters.push_back(State->makeMeter(Name, std::string(Service)));
+  }
+  State->Meters[Found->second]->LatencyTargetMs = LatencyTarget.count();
+  return {Found->second};
+}
+
+void instance_metrics::count(meter_id Id, const request_end &End) {
+  meter &Meter = *State->Meters[Id.Index];
+  std::chrono::milliseconds Target(Meter.LatencyTargetMs.load());
+  auto Class = static_cast<std::size_t>(classify(End, Target));
+  Meter.Sums[Class].fetch_add(1, std::memory_order_relaxed);
+  Meter.Requests[Class]->Increment();
+  if (End.Error)
+    State->Errors[static_cast<std::size_t>(*End.Error)]->Increment();
+  else
+    Meter.Latency->Observe(seconds_double(End.Latency).count());
+}
+
+void instance_metrics::setGauges(const instance_gauges &Gauges) {
+  State->InFlight.Set(static_cast<double>(Gauges.InFlight));
+  State->QueueLength.Set(static_cast<double>(Gauges.QueueLength));
+  State->Connections.Set(static_cast<double>(Gauges.Connections));
+  State->ConfigVersion.Set(static_cast<double>(Gauges.ConfigVersion));
+  State->ConfigStaleness.Set(seconds_double(Gauges.ConfigStaleness).count());
+  State->PlatformReachable.Set(Gauges.PlatformReachable ? 1 : 0);
+  State->Draining.Set(seconds_double(Gauges.Draining).count());
+}
+
+std::vector<slo_row> instance_metrics::sums() const {
+  std::lock_guard<std::mutex> Guard(State->Lock);
+  std::vector<slo_row> Rows;
+  for (const auto &Meter : State->Meters) {
+    slo_row &Row = Rows.emplace_back();
+    Row.Workspace = Meter->Workspace;
+    Row.Service = Meter->Service;
+    for (std::size_t I = 0; I < SloClasses; ++I)
+      Row.Counts.By[I] = Meter->Sums[I].load(std::memory_order_relaxed);
+  }
+  return Rows;
+}
+
+std::string instance_metrics::exposition() const {
+  return prometheus::TextSerializer().Serialize(State->Registry.Collect());
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/report/tests/metrics.cpp
@@ -0,0 +1,85 @@
+#include <magnoliaspread/metrics.h>
+
+#include <magnoliaspread/story.h>
+
+#include <thread>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+void expectLine(const instance_metrics &Metrics, const std::string &Line) {
+  std::string Text = Metrics.exposition();
+  CPPUNIT_ASSERT_MESSAGE(Line, Text.find(Line + "\n") != std::string::npos);
+}
+
+} // namespace
+
+STORY(an_instance_counts_its_requests) {
+  instance_metrics Metrics;
+  meter_id Aero = Metrics.meterOf("aero", "calendar", 100ms);
+  section("under the ids of workspace and service", [&] {
+    CPPUNIT_ASSERT(Aero == Metrics.meterOf("aero", "calendar", 100ms));
+    CPPUNIT_ASSERT(!(Aero == Metrics.meterOf("", "pages", 100ms)));
+  });
+  section("by outcome, error kind and latency", [&] {
+    Metrics.count(Aero, {{}, 200, 50ms, false});
+    Metrics.count(Aero, {{}, 200, 150ms, false});
+    Metrics.count(Aero, {error_kind::RateLimited, 429, 0us, false});
+    expectLine(Metrics, "magnoliaspread_requests_total{outcome=\"good\","
+                        "service=\"calendar\",workspace=\"aero\"} 1");
+    expectLine(Metrics, "magnoliaspread_requests_total{outcome=\"slow\","
+                        "service=\"calendar\",workspace=\"aero\"} 1");
+    expectLine(Metrics, "magnoliaspread_errors_total{kind=\"rate_limited\"} 1");
+    expectLine(Metrics, "magnoliaspread_request_seconds_count{service="
+                        "\"calendar\",workspace=\"aero\"} 2");
+  });
+  section("with a latency target that an edit can move", [&] {
+    Metrics.meterOf("aero", "calendar", 200ms);
+    Metrics.count(Aero, {{}, 200, 150ms, false});
+    expectLine(Metrics, "magnoliaspread_requests_total{outcome=\"good\","
+                        "service=\"calendar\",workspace=\"aero\"} 2");
+  });
+  section("and its state", [&] {
+    Metrics.setGauges({3, 2, 9, 17, 1500ms, true, 0ms});
+    expectLine(Metrics, "magnoliaspread_config_version 17");
+    expectLine(Metrics, "magnoliaspread_config_staleness_seconds 1.5");
+    expectLine(Metrics, "magnoliaspread_platform_reachable 1");
+    expectLine(Metrics, "magnoliaspread_in_flight 3");
+  });
+}
+
+STORY(threads_count_without_losing_any) {
+  constexpr int Threads = 4;
+  constexpr int Each = 20000;
+  instance_metrics Metrics;
+  meter_id Meter = Metrics.meterOf("aero", "calendar", 100ms);
+  std::vector<std::thread> Running;
+  for (int I = 0; I < Threads; ++I)
+    Running.emplace_back([&, I] {
+      for (int Count = 0; Count < Each; ++Count) {
+        Metrics.count(Meter, {{}, 200, 1ms, false});
+        if (Count % 1000 == 0)
+          Metrics.meterOf("w" + std::to_string(I * Each + Count), "s", 1ms);
+      }
+    });
+  for (std::thread &Thread : Running)
+    Thread.join();
+  for (const slo_row &R : Metrics.sums())
+    if (R.Workspace == "aero")
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(Threads * Each),
+                           R.Counts.of(slo_class::Good));
+  expectLine(Metrics, "magnoliaspread_requests_total{outcome=\"good\","
+                      "service=\"calendar\",workspace=\"aero\"} 80000");
+}
+
+STORY(too_many_pairs_share_one_meter) {
+  instance_metrics Metrics;
+  meter_id Last;
+  for (std::size_t I = 0; I < MaxMeters + 5; ++I)
+    Last = Metrics.meterOf("w" + std::to_string(I), "s", 1ms);
+  CPPUNIT_ASSERT(Last == meter_id{});
+  Metrics.count(Last, {{}, 200, 1ms, false});
+  CPPUNIT_ASSERT_EQUAL(MaxMeters, Metrics.sums().size());
+}
--- a/packages/settings/include/magnoliaspread/table.h
+++ b/packages/settings/include/magnoliaspread/table.h
@@ -59,6 +59,9 @@
   std::chrono::milliseconds Deadline{30000};
   /// Longest pause between two pieces of a body.
   std::chrono::milliseconds ProgressTimeout{5000};
+  /// Time to a whole answer within which a request counts as good for the
+  /// service-level objective.
+  std::chrono::milliseconds LatencyTarget{1000};
 
   bool operator==(const service_row &) const = default;
 };
