--- a/packages/ctl/tests/cli.cpp
+++ b/packages/ctl/tests/cli.cpp
@@ -1,104 +1,13 @@
-#include "cli_p.h"
-#include "page_server.h"
-
-#include <magnoliaspread/memory_store.h>
-#include <magnoliaspread/table.h>
-
-#include <magnoliaspread/story.h>
+#include "cli_bench.h"
 
 #include <boost/json.hpp>
-#include <cstdio>
-#include <deque>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
-#include <unistd.h>
 
 using namespace magnoliaspread;
 
 namespace {
 
-/// A link to a platform in memory.
-class memory_link final : public platform_link {
-public:
-  memory_link(memory_platform &Platform, const fake_clock &Clock)
-      : Store(Platform, Clock, [this](std::function<void()> Run) {
-          Posted.push_back(std::move(Run));
-        }) {}
-
-  object_store &store() override { return Store; }
-
-  bool step() override {
-    if (Posted.empty())
-      return false;
-    std::function<void()> Run = std::move(Posted.front());
-    Posted.pop_front();
-    Run();
-    return true;
-  }
-
-private:
-  std::deque<std::function<void()>> Posted;
-  memory_store Store;
-};
-
-/// Runs commands against a platform in memory and a scratch folder.
-struct bench {
-  bench() {
-    std::string Name = "magnoliactl-test-" + std::to_string(getpid());
-    Folder = std::filesystem::temp_directory_path() / Name;
-    std::filesystem::create_directories(Folder);
-  }
-  ~bench() { std::filesystem::remove_all(Folder); }
-
-  exit_code run(const std::vector<std::string> &Arguments) {
-    Out.str("");
-    Err.str("");
-    return runCli(Arguments, Out, Err, [this](const endpoint_address &) {
-      return std::make_unique<memory_link>(Platform, Clock);
-    });
-  }
-
-  void expect(exit_code Code, const std::vector<std::string> &Arguments) {
-    exit_code Got = run(Arguments);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(Arguments.front() + ": " + Err.str(),
-                                 static_cast<int>(Code), static_cast<int>(Got));
-  }
-
-  config_table table() {
-    expect(exit_code::Ok, {"table", "show", "--json"});
-    auto Table = parseTable(Out.str());
-    CPPUNIT_ASSERT(!failed(Table));
-    return valueOf(Table);
-  }
-
-  std::string path(const std::string &Name) const {
-    return (Folder / Name).string();
-  }
-
-  std::string write(const std::string &Name, const std::string &Text) const {
-    std::ofstream(path(Name)) << Text;
-    return path(Name);
-  }
-
-  std::string read(const std::string &Name) const {
-    std::ifstream File(path(Name));
-    return {std::istreambuf_iterator<char>(File), {}};
-  }
-
-  fake_clock Clock;
-  memory_platform Platform{Clock};
-  std::filesystem::path Folder;
-  std::ostringstream Out;
-  std::ostringstream Err;
-};
-
 const std::string Example = EXAMPLES_DIR "/ventania/table.json";
 
-bool contains(const std::string &Text, const std::string &Piece) {
-  return Text.find(Piece) != Text.npos;
-}
-
 std::string replaced(std::string Text, const std::string &From,
                      const std::string &To) {
   std::size_t At = Text.find(From);
@@ -321,69 +230,3 @@
                                       "--instance", "127.0.0.1:1"});
   });
 }
-
-STORY(instances_are_asked_over_http) {
-  const std::string Slo =
-      R"({"windows":[{"seconds":300,"covered_seconds":300,"rows":[
-{"workspace":"aero","service":"calendar","good":90,"slow":0,"failed":10,
-"refused_within_rate":0,"refused":5,"abandoned":0}]},
-{"seconds":3600,"covered_seconds":3600,"rows":[
-{"workspace":"aero","service":"calendar","good":90,"slow":0,"failed":10,
-"refused_within_rate":0,"refused":5,"abandoned":0}]}]})";
-  page_server First(
-      {{"/status", R"({"name":"a","config_version":7})"},
-       {"/slo", Slo},
-       {"/v1/lookup?service=calendar&client=10.0.0.1", R"({"instances":[]})"}});
-  page_server Second(
-      {{"/status", R"({"name":"b","config_version":7})"}, {"/slo", Slo}});
-  page_server Broken({{"/status", "silent"}, {"/slo", "{}"}});
-  bench Bench;
-  section("all answer", [&] {
-    Bench.expect(exit_code::Ok, {"status", "--instances",
-                                 First.address() + "," + Second.address()});
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "name=b config_version=7"));
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "instances=2 answered=2"));
-  });
-  section("one stays silent", [&] {
-    Bench.expect(exit_code::Refused,
-                 {"status", "--json", "--timeout-ms", "200", "--instances",
-                  First.address() + "," + Broken.address()});
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "\"answered\":1"));
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "peer_unreachable"));
-  });
-  section("the platform lists them", [&] {
-    std::string Port = First.address().substr(First.address().find(':') + 1);
-    Bench.Platform.Objects.put(
-        {"instances/a",
-         R"({"admin":{"address":"127.0.0.1","port":)" + Port + "}}",
-         {}});
-    Bench.expect(exit_code::Ok, {"status"});
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "instances=1 answered=1"));
-  });
-  section("the burn of all is summed up", [&] {
-    Bench.expect(exit_code::Ok, {"--json", "report", "burn", "--instances",
-                                 First.address() + "," + Second.address()});
-    auto Json = boost::json::parse(Bench.Out.str());
-    const auto &Row = Json.at("rows").at(0);
-    CPPUNIT_ASSERT(Row.at("alert").as_bool());
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, Row.at("burn_1h").to_number<double>(),
-                                 1e-6);
-    CPPUNIT_ASSERT_EQUAL(
-        std::int64_t(20),
-        Row.at("counts_1h").at("failed").to_number<std::int64_t>());
-  });
-  section("and says so when one is missing", [&] {
-    Bench.expect(exit_code::Refused,
-                 {"report", "burn", "--instances",
-                  First.address() + "," + Broken.address()});
-    CPPUNIT_ASSERT(contains(Bench.Err.str(), Broken.address()));
-    CPPUNIT_ASSERT(contains(Bench.Out.str(), "instances=1"));
-  });
-  section("a look-up passes on the answer", [&] {
-    Bench.expect(exit_code::Ok, {"look-up", "--service", "calendar", "--client",
-                                 "10.0.0.1", "--instance", First.address()});
-    CPPUNIT_ASSERT_EQUAL(std::string("{\"instances\":[]}\n"), Bench.Out.str());
-    Bench.expect(exit_code::Refused, {"look-up", "--service", "a b",
-                                      "--instance", First.address()});
-  });
-}
--- a/packages/ctl/tests/edit_session.cpp
+++ b/packages/ctl/tests/edit_session.cpp
@@ -113,6 +113,11 @@
     CPPUNIT_ASSERT(errorOf(Session.outcome()).Kind ==
                    error_kind::OutcomeUnknown);
   });
+}
+
+STORY(an_edit_is_checked_against_what_was_read) {
+  config_table Empty;
+  Empty.Version = 4;
   section("an operator repeats it without doubling it", [&] {
     config_table Done = Empty;
     Done.Edits = {{"e1", 4, 0}};
--- a/packages/report/tests/metrics.cpp
+++ b/packages/report/tests/metrics.cpp
@@ -56,6 +56,7 @@
   instance_metrics Metrics;
   meter_id Meter = Metrics.meterOf("aero", "calendar", 100ms);
   std::vector<std::thread> Running;
+  Running.reserve(Threads);
   for (int I = 0; I < Threads; ++I)
     Running.emplace_back([&, I] {
       for (int Count = 0; Count < Each; ++Count) {
--- a/packages/settings/src/schema_p.h
+++ b/packages/settings/src/schema_p.h
@@ -61,9 +61,9 @@
   Visit(numberField("progress_timeout_ms", presence::Optional, 1,
                     MaxMilliseconds),
         R.ProgressTimeout);
-  Visit(numberField("latency_target_ms", presence::Optional, 1,
-                    MaxMilliseconds),
-        R.LatencyTarget);
+  Visit(
+      numberField("latency_target_ms", presence::Optional, 1, MaxMilliseconds),
+      R.LatencyTarget);
 }
 
 template <class Visitor, row_of<target_row> Row>
