--- a/packages/settings/src/rows_p.h
+++ b/packages/settings/src/rows_p.h
@@ -7,6 +7,7 @@
 #include <magnoliaspread/table_edit.h>
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <vector>
 
@@ -110,10 +111,35 @@
   return Text;
 }
 
-/// The row with that key, or the end.
-template <class Rows> auto findRow(Rows &In, const std::string &Key) {
+/// Points at the key fields of a row, which are all strings.
+struct key_visitor {
+  static constexpr std::size_t MaxKeyFields = 3;
+
+  std::array<const std::string *, MaxKeyFields> Keys{};
+  std::size_t Count = 0;
+
+  template <class T> void operator()(const field_spec &Field, const T &Value) {
+    if constexpr (std::is_same_v<T, std::string>)
+      if (Field.Presence == presence::Key)
+        Keys[Count++] = &Value;
+  }
+};
+
+template <class Row> bool sameKey(const Row &A, const Row &B) {
+  key_visitor KeysOfA;
+  key_visitor KeysOfB;
+  visitFields(KeysOfA, A);
+  visitFields(KeysOfB, B);
+  for (std::size_t I = 0; I < KeysOfA.Count; ++I)
+    if (*KeysOfA.Keys[I] != *KeysOfB.Keys[I])
+      return false;
+  return true;
+}
+
+/// The row with the key of \p Named, or the end.
+template <class Rows, class Row> auto findRow(Rows &In, const Row &Named) {
   return std::find_if(In.begin(), In.end(),
-                      [&](const auto &R) { return rowKey(R) == Key; });
+                      [&](const Row &R) { return sameKey(R, Named); });
 }
 
 } // namespace magnoliaspread
--- a/packages/settings/src/table_edit.cpp
+++ b/packages/settings/src/table_edit.cpp
@@ -27,36 +27,28 @@
           {}};
 }
 
-/// The key of the row that \p Edit names, or the fault of its fields.
-template <class Row>
-std::string editedKey(const row_edit &Edit, std::string &Fault) {
-  Row Named;
-  Fault = setFields(Named, Edit.Fields);
-  return rowKey(Named);
-}
-
 template <class Row>
 status removeRow(std::vector<Row> &Rows, const row_edit &Edit,
-                 const std::string &Key) {
-  auto Found = findRow(Rows, Key);
+                 const Row &Named) {
+  auto Found = findRow(Rows, Named);
   if (Found == Rows.end())
-    return missingRow(Edit.Kind, Key);
+    return missingRow(Edit.Kind, rowKey(Named));
   Rows.erase(Found);
   return {};
 }
 
 template <class Row>
-status setRow(std::vector<Row> &Rows, const row_edit &Edit,
-              const std::string &Key) {
-  auto Found = findRow(Rows, Key);
+status setRow(std::vector<Row> &Rows, const row_edit &Edit, const Row &Named) {
+  auto Found = findRow(Rows, Named);
   if (Found == Rows.end()) {
     std::string Missing = missingField<Row>(Edit.Fields);
     if (!Missing.empty())
-      return badRow(Edit.Kind, Missing + "; there is no row " + Key);
-    Found = Rows.insert(Rows.end(), Row{});
-  } else if (Edit.Action == edit_action::Create) {
-    return badRow(Edit.Kind, "row " + Key + " exists already");
+      return badRow(Edit.Kind, Missing + "; there is no row " + rowKey(Named));
+    Rows.push_back(Named);
+    return {};
   }
+  if (Edit.Action == edit_action::Create)
+    return badRow(Edit.Kind, "row " + rowKey(Named) + " exists already");
   setFields(*Found, Edit.Fields);
   return {};
 }
@@ -64,14 +56,14 @@
 status applyRow(config_table &Table, const row_edit &Edit) {
   status Result;
   visitKind(Table, Edit.Kind, [&](auto &Rows) {
-    std::string Fault;
-    std::string Key = editedKey<row_type<decltype(Rows)>>(Edit, Fault);
+    row_type<decltype(Rows)> Named;
+    std::string Fault = setFields(Named, Edit.Fields);
     if (!Fault.empty())
       Result = badRow(Edit.Kind, Fault);
     else if (Edit.Action == edit_action::Remove)
-      Result = removeRow(Rows, Edit, Key);
+      Result = removeRow(Rows, Edit, Named);
     else
-      Result = setRow(Rows, Edit, Key);
+      Result = setRow(Rows, Edit, Named);
   });
   return Result;
 }
@@ -111,12 +103,14 @@
   Next.Origin.StartedAtMs = AtMs;
 }
 
-/// The text of a row, or empty when the table doesn't have it.
-std::string textIn(const config_table &Table, row_kind Kind,
-                   const std::string &Key) {
+/// The text of the row that \p Edit names, or empty when the table doesn't
+/// have it.
+std::string textIn(const config_table &Table, const row_edit &Edit) {
   std::string Text;
-  visitKind(Table, Kind, [&](const auto &Rows) {
-    auto Found = findRow(Rows, Key);
+  visitKind(Table, Edit.Kind, [&](const auto &Rows) {
+    row_type<decltype(Rows)> Named;
+    setFields(Named, Edit.Fields);
+    auto Found = findRow(Rows, Named);
     if (Found != Rows.end())
       Text = rowText(*Found);
   });
@@ -131,8 +125,9 @@
   std::string Key;
   const config_table Empty;
   visitKind(Empty, Edit.Kind, [&](const auto &Rows) {
-    std::string Fault;
-    Key = editedKey<row_type<decltype(Rows)>>(Edit, Fault);
+    row_type<decltype(Rows)> Named;
+    setFields(Named, Edit.Fields);
+    Key = rowKey(Named);
   });
   return Key;
 }
@@ -236,15 +231,14 @@
   if (failed(Applied))
     return Applied;
   for (const row_edit &Row : Edit.Rows) {
-    std::string Key = keyOf(Row);
-    std::string Before = textIn(Base, Row.Kind, Key);
-    std::string Now = textIn(Latest, Row.Kind, Key);
-    std::string Mine = textIn(Wanted, Row.Kind, Key);
+    std::string Before = textIn(Base, Row);
+    std::string Now = textIn(Latest, Row);
+    std::string Mine = textIn(Wanted, Row);
     bool Done = Row.Action == edit_action::Set && Now == Mine;
     if (Now == Before || Done)
       continue;
     return error{error_kind::VersionConflict,
-                 std::string(nameOf(Row.Kind)) + " row " + Key +
+                 std::string(nameOf(Row.Kind)) + " row " + keyOf(Row) +
                      " was changed meanwhile: was {" + orAbsent(Before) +
                      "}, is now {" + orAbsent(Now) + "}, this edit wants {" +
                      orAbsent(Mine) + "}",
