Prove the whole path with separate processes

Daemons, stand-in platform and targets on loopback. Found on the way: a path with dot segments could leave an open route's prefix, so such paths are refused as bad requests.

--- a/packages/traffic/src/admit.cpp
+++ b/packages/traffic/src/admit.cpp
@@ -25,6 +25,24 @@
          std::all_of(Id.begin(), Id.end(), isIdCharacter);
 }
 
+/// True when \p Target has a "." or ".." segment, plain or percent-encoded,
+/// with which a target could read it as another path than the route's.
+bool hasDotSegment(std::string_view Target) {
+  std::string Path;
+  for (std::size_t I = 0; I < Target.size() && Target[I] != '?'; ++I) {
+    const std::string_view Rest = Target.substr(I, 3);
+    const bool Dot = Rest == "%2e" || Rest == "%2E";
+    const bool Slash = Rest == "%2f" || Rest == "%2F" || Rest == "%5c" ||
+                       Rest == "%5C" || Rest[0] == '\\';
+    Path += Dot ? '.' : Slash ? '/' : Target[I];
+    if (Dot || (Slash && Rest[0] == '%'))
+      I += 2;
+  }
+  Path += '/';
+  return Path.find("/../") != std::string::npos ||
+         Path.find("/./") != std::string::npos;
+}
+
 error fail(error_kind Kind, std::string Detail) {
   return {Kind, std::move(Detail), {}};
 }
@@ -102,6 +120,8 @@
   Request.Id = isValidId(Head.RequestId)
                    ? std::string(Head.RequestId) + "." + std::string(FreshId)
                    : std::string(FreshId);
+  if (hasDotSegment(Head.Target))
+    return fail(error_kind::BadRequest, "the path has a . or .. segment");
   Request.Service = routeOf(Index, Head.Target);
   if (!Request.Service.valid())
     return fail(error_kind::UnknownRoute, "no service has this path");
--- /dev/null
+++ b/tests/e2e/client.h
@@ -0,0 +1,53 @@
+/// A caller of the tests: one HTTP exchange at a time, blocking.
+#ifndef MAGNOLIASPREAD_E2E_CLIENT_H
+#define MAGNOLIASPREAD_E2E_CLIENT_H
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace magnoliaspread {
+
+struct http_call {
+  std::string Method = "GET";
+  std::string Target = "/";
+  std::map<std::string, std::string> Fields{};
+  std::string Body{};
+  std::chrono::milliseconds Timeout{10000};
+};
+
+struct http_answer {
+  /// 0 when no whole answer came.
+  unsigned Status = 0;
+  std::map<std::string, std::string> Fields;
+  std::string Body;
+
+  boost::json::value json() const;
+};
+
+/// Opens a connection to 127.0.0.1, makes the exchange and closes it.
+http_answer call(std::uint16_t Port, const http_call &Call);
+
+/// Sends raw bytes and returns all that comes back until the end.
+std::string exchangeRaw(std::uint16_t Port, const std::string &Bytes);
+
+/// One connection kept open over several exchanges.
+class open_connection {
+public:
+  explicit open_connection(std::uint16_t Port);
+  ~open_connection();
+  open_connection(const open_connection &) = delete;
+  open_connection &operator=(const open_connection &) = delete;
+
+  http_answer call(const http_call &Call);
+
+private:
+  struct state;
+  state *State;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- a/tests/standins/target/main.cpp
+++ b/tests/standins/target/main.cpp
@@ -109,11 +109,27 @@
   return Text.str();
 }
 
+/// Rows that share a port stand for one machine: their slots add up.
+std::vector<target_row> joinByPort(const std::vector<target_row> &Rows) {
+  std::vector<target_row> Joined;
+  for (const target_row &Row : Rows) {
+    const auto Same =
+        std::find_if(Joined.begin(), Joined.end(), [&](const target_row &Known) {
+          return Known.Port == Row.Port && Known.Address == Row.Address;
+        });
+    if (Same == Joined.end())
+      Joined.push_back(Row);
+    else
+      Same->Slots += Row.Slots;
+  }
+  return Joined;
+}
+
 int runTargets(const config_table &Table, const endpoint_options &Options,
                std::uint16_t AdminPort) {
   program Program;
   Program.Options = Options;
-  for (const target_row &Row : Table.Targets) {
+  for (const target_row &Row : joinByPort(Table.Targets)) {
     auto Endpoint = std::make_unique<endpoint>(Program.Context, Row,
                                                Program.Options, Program.Record);
     Endpoint->listen();
