coordination: leased quota shares and a token bank, first version

Fleet-wide limits need no agreement if tokens are conserved: each share of a limit is minted by one lease holder, and holders lend tokens by messages.

--- /dev/null
+++ b/packages/coordination/include/magnoliaspread/quotamsg.h
@@ -0,0 +1,85 @@
+/// Messages by which instances lend tokens to each other.
+#ifndef MAGNOLIASPREAD_QUOTAMSG_H
+#define MAGNOLIASPREAD_QUOTAMSG_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// Stable over versions of the configuration and over processes.
+using limit_id = std::uint32_t;
+
+/// Thousandths of a token: a request, or a byte of a link.
+using milli_tokens = std::int64_t;
+
+inline constexpr milli_tokens MilliPerToken = 1000;
+
+/// The limit on a workspace's requests.
+limit_id workspaceLimit(std::string_view Workspace);
+
+/// The limit on the bytes from one region to another.
+limit_id linkLimit(std::string_view From, std::string_view To);
+
+struct ask_row {
+  limit_id Limit = 0;
+  /// Tokens asked for.
+  milli_tokens Want = 0;
+  /// Unspent tokens of this lender that the borrower still has.
+  milli_tokens Held = 0;
+  /// Unspent tokens given back since the borrower started.
+  milli_tokens Returned = 0;
+
+  bool operator==(const ask_row &) const = default;
+};
+
+/// Asks for tokens and reports on those lent before. A limit without a row
+/// has no token of this lender left. Closes every earlier ask: a grant that
+/// answers one of those and arrives later is dropped.
+struct token_ask {
+  /// Of the borrower.
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+  /// Newest ask whose grant was accepted.
+  std::uint64_t Accepted = 0;
+  std::vector<ask_row> Rows;
+
+  bool operator==(const token_ask &) const = default;
+};
+
+struct grant_row {
+  limit_id Limit = 0;
+  milli_tokens Tokens = 0;
+  /// What the lender could lend besides.
+  milli_tokens Left = 0;
+  /// Tokens per second that the lender mints beyond its own demand.
+  milli_tokens SparePerSecond = 0;
+
+  bool operator==(const grant_row &) const = default;
+};
+
+/// Answers one ask. The tokens expire TokenLife after the ask was sent.
+struct token_grant {
+  /// Of the borrower, from its ask.
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Sequence = 0;
+  /// The configuration that the lender has in force.
+  std::uint64_t ConfigVersion = 0;
+  /// Shares that the lender mints.
+  std::uint32_t Shares = 0;
+  std::vector<grant_row> Rows;
+
+  bool operator==(const token_grant &) const = default;
+};
+
+struct outgoing_ask {
+  /// Name of the instance that is asked.
+  std::string To;
+  token_ask Ask;
+};
+
+} // namespace magnoliaspread
+
+#endif
