--- a/packages/coordination/include/magnoliaspread/purse.h
+++ b/packages/coordination/include/magnoliaspread/purse.h
@@ -12,10 +12,6 @@
 
 namespace magnoliaspread {
 
-/// Whether a request asks for its tokens for the first time; only first
-/// attempts count as demand.
-enum class spend_attempt : std::uint8_t { First, Again };
-
 /// Tokens that may be spent until they expire.
 struct purse_offer {
   milli_tokens Borrowed = 0;
@@ -30,16 +26,23 @@
   milli_tokens SpentOwn = 0;
   /// Sum over first attempts.
   milli_tokens Wanted = 0;
-  /// Sum over attempts that got nothing.
-  milli_tokens Refused = 0;
+  /// Sum over first attempts that got nothing.
+  milli_tokens Missed = 0;
+  /// Sum over callers that wait for tokens now.
+  milli_tokens Waiting = 0;
 };
 
 class purse {
 public:
-  /// Spends \p Tokens of \p Limit, all or none. A caller that waits tries
-  /// again once each control tick with spend_attempt::Again.
-  bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now,
-             spend_attempt Attempt = spend_attempt::First);
+  /// First attempt to spend \p Tokens of \p Limit, all or none. Counts as
+  /// demand.
+  bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now);
+
+  /// Another attempt of a caller that waits; not counted as demand again.
+  bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now);
+
+  /// Adds to what waiting callers need, or with a negative number takes away.
+  void addWaiting(limit_id Limit, milli_tokens Tokens);
 
   /// Takes back what is left of \p Limit. For the token bank.
   purse_report collect(limit_id Limit);
@@ -53,6 +56,8 @@
     purse_report Report;
   };
 
+  static bool take(purse_slot &Slot, milli_tokens Tokens, steady_time Now);
+
   std::mutex Mutex;
   std::unordered_map<limit_id, purse_slot> Slots;
 };
--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -32,7 +32,7 @@
 /// An instance that may be asked for tokens.
 struct quota_peer {
   std::string Name;
-  /// In the same data centre.
+  /// In the same data centre or region: asked before others.
   bool Near = false;
 };
 
@@ -117,7 +117,8 @@
     /// Seconds from an ask to its grant.
     double LeadTime = 0.04;
     milli_tokens Wanted = 0;
-    milli_tokens Refused = 0;
+    milli_tokens Missed = 0;
+    milli_tokens Waiting = 0;
     milli_tokens Granted = 0;
     milli_tokens Backlog = 0;
     /// The purse may hold tokens.
--- a/packages/coordination/src/bank.cpp
+++ b/packages/coordination/src/bank.cpp
@@ -135,7 +135,8 @@
       std::max(0.0, Limit.Level - static_cast<double>(Report.SpentOwn));
   spendPots(Limit, Report.SpentBorrowed);
   Limit.Wanted += Report.Wanted;
-  Limit.Refused += Report.Refused;
+  Limit.Missed += Report.Missed;
+  Limit.Waiting = Report.Waiting;
 }
 
 void quota_bank::spendPots(limit_state &Limit, milli_tokens Tokens) {
--- a/packages/coordination/src/purse.cpp
+++ b/packages/coordination/src/purse.cpp
@@ -1,32 +1,49 @@
 #include <magnoliaspread/purse.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace magnoliaspread {
 
-bool purse::spend(limit_id Limit, milli_tokens Tokens, steady_time Now,
-                  spend_attempt Attempt) {
+bool purse::spend(limit_id Limit, milli_tokens Tokens, steady_time Now) {
   const std::lock_guard Lock(Mutex);
   const auto Found = Slots.find(Limit);
   if (Found == Slots.end())
     return false;
-  purse_offer &Offer = Found->second.Offer;
-  purse_report &Report = Found->second.Report;
-  if (Attempt == spend_attempt::First)
-    Report.Wanted += Tokens;
+  purse_slot &Slot = Found->second;
+  Slot.Report.Wanted += Tokens;
+  if (take(Slot, Tokens, Now))
+    return true;
+  Slot.Report.Missed += Tokens;
+  return false;
+}
+
+bool purse::retry(limit_id Limit, milli_tokens Tokens, steady_time Now) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Slots.find(Limit);
+  return Found != Slots.end() && take(Found->second, Tokens, Now);
+}
+
+void purse::addWaiting(limit_id Limit, milli_tokens Tokens) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Slots.find(Limit);
+  if (Found == Slots.end())
+    return;
+  milli_tokens &Waiting = Found->second.Report.Waiting;
+  Waiting = std::max<milli_tokens>(0, Waiting + Tokens);
+}
+
+bool purse::take(purse_slot &Slot, milli_tokens Tokens, steady_time Now) {
+  purse_offer &Offer = Slot.Offer;
   const milli_tokens Borrowed =
       Now < Offer.BorrowedExpires ? Offer.Borrowed : 0;
   const milli_tokens Own = Now < Offer.OwnExpires ? Offer.Own : 0;
-  if (Borrowed + Own < Tokens) {
-    Report.Refused += Tokens;
+  if (Borrowed + Own < Tokens)
     return false;
-  }
   const milli_tokens FromBorrowed = std::min(Borrowed, Tokens);
   Offer.Borrowed -= FromBorrowed;
-  Report.SpentBorrowed += FromBorrowed;
+  Slot.Report.SpentBorrowed += FromBorrowed;
   Offer.Own -= Tokens - FromBorrowed;
-  Report.SpentOwn += Tokens - FromBorrowed;
+  Slot.Report.SpentOwn += Tokens - FromBorrowed;
   return true;
 }
 
@@ -35,8 +52,12 @@
   const auto Found = Slots.find(Limit);
   if (Found == Slots.end())
     return {};
-  Found->second.Offer = {};
-  return std::exchange(Found->second.Report, {});
+  purse_slot &Slot = Found->second;
+  Slot.Offer = {};
+  const purse_report Report = Slot.Report;
+  Slot.Report = {};
+  Slot.Report.Waiting = Report.Waiting;
+  return Report;
 }
 
 void purse::offer(limit_id Limit, const purse_offer &Offer) {
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -27,6 +27,8 @@
 constexpr double GiveBackPart = 1.5;
 constexpr double LeastDemand = 0.01;
 constexpr std::size_t MaxAsksPerLimit = 12;
+/// After this a peer may have tokens that it hadn't when it answered.
+constexpr milliseconds ViewLife{1000};
 constexpr milliseconds ReportPause{150};
 constexpr milliseconds LeastTimeout{60};
 constexpr milliseconds MostTimeout{1500};
@@ -105,11 +107,11 @@
   Limit.Inflow += (Granted - Limit.Inflow) * Weight;
   if (Limit.Demand < LeastDemand)
     Limit.Demand = 0;
-  Limit.Backlog =
-      std::min(Limit.Refused, static_cast<milli_tokens>(Limit.Burst));
+  Limit.Backlog = std::min(std::max(Limit.Missed, Limit.Waiting),
+                           static_cast<milli_tokens>(Limit.Burst));
   Limit.Wanted = 0;
   Limit.Granted = 0;
-  Limit.Refused = 0;
+  Limit.Missed = 0;
 }
 
 double quota_bank::horizon(const limit_state &Limit) {
@@ -211,7 +213,9 @@
   if (Peer.Views.size() <= Limit || !Peer.Views[Limit].Known)
     return std::min(Remaining, Part);
   const peer_view &View = Peer.Views[Limit];
-  const double Age = std::min(1.0, seconds(Now - View.SeenAt));
+  if (Now >= View.SeenAt + ViewLife)
+    return std::min(Remaining, Part);
+  const double Age = seconds(Now - View.SeenAt);
   return static_cast<double>(View.Left) +
          static_cast<double>(View.SparePerSecond) * Age;
 }
