--- a/packages/coordination/include/magnoliaspread/confsync.h
+++ b/packages/coordination/include/magnoliaspread/confsync.h
@@ -51,6 +51,13 @@
   config_stamp Config;
 };
 
+class membership;
+
+/// The live mates and the speakers of other data centres, with what they
+/// reported; for config_sync::setHolders().
+std::vector<config_holder> configHolders(const membership &Members,
+                                         steady_time Now);
+
 /// Fetch the whole configuration from this peer, which has at least Config.
 struct config_fetch {
   std::string Peer;
--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnoliaspread {
@@ -123,6 +124,10 @@
   /// has to stop.
   bool superseded() const { return Superseded; }
 
+  /// Incarnations that have certainly ended since the last call: their address
+  /// refused a connection, or a later incarnation answers there.
+  std::vector<std::uint64_t> takeEnded() { return std::exchange(Ended, {}); }
+
   /// False for a while after a pause of this process, when its view of others
   /// is old.
   bool settled(steady_time Now) const { return Now >= SettledAt; }
@@ -180,6 +185,7 @@
   bool mergeRemote(steady_time Now, member_entry &Entry, const member_row &Row);
   bool addRow(steady_time Now, const member_row &Row, bool FromItself);
   void meetOwnName(steady_time Now, const member_row &Row);
+  void noteEnded(std::uint64_t Incarnation);
   void markDead(steady_time Now, member_entry &Entry);
   void checkHash(steady_time Now, peer_centre &Centre, bool Direct);
 
@@ -244,6 +250,7 @@
   std::uint64_t HeartbeatCount = 0;
   std::size_t RelayCursor = 0;
   std::size_t SeedCursor = 0;
+  std::vector<std::uint64_t> Ended;
   bool HurryWanted = false;
   bool Superseded = false;
 };
--- a/packages/coordination/include/magnoliaspread/membertable.h
+++ b/packages/coordination/include/magnoliaspread/membertable.h
@@ -65,7 +65,9 @@
   const std::vector<member_entry> &entries() const { return Entries; }
 
 private:
-  instance_handle freeSlot(steady_time Now);
+  instance_handle freeSlot();
+  /// Invalid when every row is live.
+  instance_handle oldestDead() const;
 
   std::vector<member_entry> Entries;
   std::vector<instance_handle> Free;
--- /dev/null
+++ b/packages/coordination/src/confholders.cpp
@@ -0,0 +1,22 @@
+#include <magnoliaspread/confsync.h>
+#include <magnoliaspread/member.h>
+
+namespace magnoliaspread {
+
+std::vector<config_holder> configHolders(const membership &Members,
+                                         steady_time Now) {
+  std::vector<config_holder> Holders;
+  for (const member_row &Mate : Members.matesAlive())
+    Holders.push_back(
+        {Mate.Identity.Name, Mate.Identity.Internal, true, Mate.Report.Config});
+  for (const data_centre_view &View : Members.dataCentres(Now)) {
+    const std::optional<member_row> Speaker =
+        Members.findIncarnation(View.Summary.Speaker);
+    if (Speaker && Speaker->Report.State != member_state::Dead)
+      Holders.push_back({Speaker->Identity.Name, Speaker->Identity.Internal,
+                         false, View.Summary.Config});
+  }
+  return Holders;
+}
+
+} // namespace magnoliaspread
--- a/packages/coordination/src/member.cpp
+++ b/packages/coordination/src/member.cpp
@@ -2,6 +2,8 @@
 
 #include "member_p.h"
 
+#include <magnoliaspread/config.h>
+
 #include <algorithm>
 
 namespace magnoliaspread {
@@ -117,7 +119,10 @@
   if (!Handle.valid())
     return;
   member_entry &Entry = Table.at(Handle);
-  if (Entry.live() && Entry.Row.Identity.Incarnation == Incarnation)
+  if (Entry.Row.Identity.Incarnation != Incarnation)
+    return;
+  noteEnded(Incarnation);
+  if (Entry.live())
     markDead(Now, Entry);
 }
 
@@ -265,6 +270,8 @@
   member_entry &Entry = Table.at(Handle);
   switch (compareRows(Entry.Row, Row)) {
   case row_order::Replaces:
+    if (Entry.Row.Identity.Internal == Row.Identity.Internal)
+      noteEnded(Entry.Row.Identity.Incarnation);
     Table.remove(Handle);
     return addRow(Now, Row, FromItself);
   case row_order::Newer:
@@ -364,6 +371,11 @@
     appendSummaries(From, Out);
 }
 
+void membership::noteEnded(std::uint64_t Incarnation) {
+  if (Ended.size() < MaxInstances)
+    Ended.push_back(Incarnation);
+}
+
 void membership::markDead(steady_time Now, member_entry &Entry) {
   Entry.Row.Report.State = member_state::Dead;
   Entry.Row.Report.Sequence += DeathSequenceMargin;
--- a/packages/coordination/src/membertable.cpp
+++ b/packages/coordination/src/membertable.cpp
@@ -38,20 +38,23 @@
   return XXH64(Identity.Name.data(), Identity.Name.size(), Salt);
 }
 
-instance_handle member_table::freeSlot(steady_time /*Now*/) {
+instance_handle member_table::oldestDead() const {
+  const member_entry *Oldest = nullptr;
+  for (const member_entry &Entry : Entries)
+    if (!Entry.live() &&
+        (Oldest == nullptr || Entry.ChangedAt < Oldest->ChangedAt))
+      Oldest = &Entry;
+  return Oldest == nullptr ? instance_handle{}
+                           : byName(Oldest->Row.Identity.Name);
+}
+
+instance_handle member_table::freeSlot() {
   if (Free.empty() && Entries.size() < MaxInstances) {
     Entries.emplace_back();
     return {static_cast<std::uint16_t>(Entries.size() - 1)};
   }
   if (Free.empty()) {
-    instance_handle Oldest;
-    for (std::uint16_t I = 0; I < Entries.size(); ++I) {
-      const member_entry &Entry = Entries[I];
-      if (Entry.live())
-        continue;
-      if (!Oldest.valid() || Entry.ChangedAt < at(Oldest).ChangedAt)
-        Oldest = {I};
-    }
+    const instance_handle Oldest = oldestDead();
     if (!Oldest.valid())
       return {};
     remove(Oldest);
@@ -62,7 +65,7 @@
 }
 
 instance_handle member_table::add(const member_row &Row, steady_time Now) {
-  const instance_handle Handle = freeSlot(Now);
+  const instance_handle Handle = freeSlot();
   if (!Handle.valid())
     return {};
   at(Handle) = {Row, Now, Now, true};
--- /dev/null
+++ b/packages/coordination/tests/confsyncfaults.cpp
@@ -0,0 +1,162 @@
+/// Properties of the spread of configurations under seeded faults.
+#include "fleet.h"
+
+#include <magnoliaspread/story.h>
+
+#include <map>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds[] = {1, 2, 3, 4, 5, 6};
+constexpr std::chrono::seconds InForceEverywhere{7};
+
+std::string seedText(std::uint64_t Seed) {
+  return "seed " + std::to_string(Seed);
+}
+
+/// Fails when a process falls back to a lower version.
+class revert_check {
+public:
+  explicit revert_check(const fleet &Fleet) : Fleet(Fleet) {}
+
+  void operator()() {
+    for (const fleet_node &Node : Fleet.Nodes) {
+      if (!Node.Up)
+        continue;
+      const std::uint64_t Version = Node.Config->inForce().Version;
+      std::uint64_t &Highest = Seen[Node.Identity.Incarnation];
+      CPPUNIT_ASSERT_MESSAGE(Node.Name + " reverted", Version >= Highest);
+      Highest = Version;
+    }
+  }
+
+private:
+  const fleet &Fleet;
+  std::map<std::uint64_t, std::uint64_t> Seen;
+};
+
+void startCalm(fleet &Fleet) {
+  Fleet.startAll();
+  Fleet.runUntil(30s, [&] {
+    return Fleet.viewsAgree() &&
+           Fleet.everyoneHolds(Fleet.Platform.Current.Version);
+  });
+}
+
+} // namespace
+
+STORY(config_reaches_everyone) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(4, 5, Seed);
+      Fleet.Faults = {0.05, 0.05, 1ms, 150ms};
+      startCalm(Fleet);
+      revert_check Check(Fleet);
+      Fleet.Check = [&] { Check(); };
+      section("through the platform's watches", [&] {
+        Fleet.Platform.Current = {2, 2};
+        CPPUNIT_ASSERT(Fleet.runUntil(InForceEverywhere,
+                                      [&] { return Fleet.everyoneHolds(2); }));
+      });
+      section("through peers alone, into data centres without the platform",
+              [&] {
+                for (fleet_node &Node : Fleet.Nodes)
+                  Node.PlatformBlocked = Node.Centre != 0;
+                Fleet.Platform.Current = {3, 3};
+                CPPUNIT_ASSERT(Fleet.runUntil(
+                    InForceEverywhere, [&] { return Fleet.everyoneHolds(3); }));
+              });
+      section("with a single instance that reaches the platform", [&] {
+        for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+          Fleet.Nodes[I].PlatformBlocked = I != 0;
+        Fleet.Platform.Current = {4, 4};
+        CPPUNIT_ASSERT(
+            Fleet.runUntil(90s, [&] { return Fleet.everyoneHolds(4); }));
+      });
+    });
+}
+
+STORY(config_never_reverts) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(3, 4, Seed);
+      Fleet.Faults = {0.1, 0.1, 1ms, 300ms};
+      revert_check Check(Fleet);
+      Fleet.Check = [&] { Check(); };
+      startCalm(Fleet);
+      for (std::uint64_t Version = 2; Version < 30; ++Version) {
+        const bool Restored = Fleet.Random() % 4 == 0;
+        const std::uint64_t Shown = Restored ? Version / 2 : Version;
+        Fleet.Platform.Current = {Shown, static_cast<std::uint32_t>(Shown)};
+        Fleet.Platform.Up = Fleet.Random() % 3 != 0;
+        const std::size_t Index = Fleet.Random() % Fleet.Nodes.size();
+        if (Fleet.Random() % 2 == 0)
+          Fleet.start(Index, {Index % 4, 4 + Index % 4, 8 + Index % 4});
+        Fleet.run(std::chrono::milliseconds(Fleet.Random() % 3000));
+      }
+    });
+}
+
+STORY(start_while_the_platform_is_down) {
+  fleet Fleet(2, 4, 21);
+  Fleet.Faults = {0.05, 0.05, 1ms, 50ms};
+  startCalm(Fleet);
+  Fleet.Platform.Current = {9, 9};
+  Fleet.run(InForceEverywhere);
+  Fleet.Platform.Up = false;
+  Fleet.Platform.Current = {2, 2};
+  const std::size_t Fresh = Fleet.addNode(0);
+  Fleet.start(Fresh, {0, 1, 2, 3});
+  section("a new instance gets the configuration from peers", [&] {
+    CPPUNIT_ASSERT(Fleet.runUntil(5s, [&] { return Fleet.everyoneHolds(9); }));
+  });
+  section("and keeps it when the platform returns with an older one", [&] {
+    Fleet.Platform.Up = true;
+    Fleet.run(150s);
+    CPPUNIT_ASSERT(Fleet.everyoneHolds(9));
+  });
+}
+
+STORY(lowest_version_of_the_fleet) {
+  fleet Fleet(3, 4, 22);
+  startCalm(Fleet);
+  const auto Since = [&](std::size_t Index, std::uint64_t Version) {
+    return Fleet.Nodes[Index].Members->everywhereSince(Version);
+  };
+  const auto KnownEverywhere = [&](std::uint64_t Version) {
+    for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+      if (Fleet.active(I) && !Since(I, Version))
+        return false;
+    return true;
+  };
+  section("is known everywhere soon after it is true", [&] {
+    Fleet.Platform.Current = {2, 2};
+    Fleet.Check = [&] {
+      for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+        CPPUNIT_ASSERT(!Since(I, 2) || Fleet.everyoneHolds(2));
+    };
+    CPPUNIT_ASSERT(Fleet.runUntil(30s, [&] { return KnownEverywhere(2); }));
+  });
+  Fleet.Check = nullptr;
+  section("waits for a data centre that is cut off", [&] {
+    Fleet.Blocked = [&](std::size_t A, std::size_t B) {
+      return (Fleet.Nodes[A].Centre == 2) != (Fleet.Nodes[B].Centre == 2);
+    };
+    for (std::size_t I = 8; I < 12; ++I)
+      Fleet.Nodes[I].PlatformBlocked = true;
+    Fleet.run(2s);
+    Fleet.Platform.Current = {3, 3};
+    Fleet.run(120s);
+    CPPUNIT_ASSERT(!Since(0, 3));
+    CPPUNIT_ASSERT(!Since(8, 3));
+  });
+  section("until the table no longer names it", [&] {
+    for (std::size_t I = 0; I < 8; ++I)
+      Fleet.Nodes[I].Members->retainDataCentres({"dc0", "dc1"});
+    Fleet.run(1s);
+    CPPUNIT_ASSERT(Since(0, 3));
+  });
+}
--- /dev/null
+++ b/packages/coordination/tests/memberfaults.cpp
@@ -0,0 +1,210 @@
+/// Properties of membership under seeded faults.
+#include "fleet.h"
+
+#include <magnoliaspread/story.h>
+
+#include <algorithm>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds[] = {1, 2, 3, 4, 5, 6};
+
+std::string seedText(std::uint64_t Seed) {
+  return "seed " + std::to_string(Seed);
+}
+
+std::vector<std::size_t> everyone(const fleet &Fleet) {
+  std::vector<std::size_t> All;
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I)
+    All.push_back(I);
+  return All;
+}
+
+network_faults roughNetwork() { return {0.1, 0.1, 1ms, 400ms}; }
+
+/// No instance names one of its data centre that stopped longer ago than
+/// \p Limit.
+void checkStoppedUnnamed(const fleet &Fleet, std::chrono::milliseconds Limit) {
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I) {
+    if (!Fleet.active(I))
+      continue;
+    const std::set<std::string> Named = Fleet.named(I, Fleet.Nodes[I].Centre);
+    for (const fleet_node &Node : Fleet.Nodes)
+      if (!Node.Up && Fleet.Now - Node.StoppedAt > Limit)
+        CPPUNIT_ASSERT_MESSAGE(Node.Name + " named by " + Fleet.Nodes[I].Name,
+                               !Named.contains(Node.Name));
+  }
+}
+
+/// One random fault or repair.
+void disturb(fleet &Fleet) {
+  const std::size_t Index = Fleet.Random() % Fleet.Nodes.size();
+  fleet_node &Node = Fleet.Nodes[Index];
+  switch (Fleet.Random() % 4) {
+  case 0:
+    if (Node.Up)
+      Fleet.kill(Index);
+    return;
+  case 1:
+    Fleet.start(Index, everyone(Fleet));
+    return;
+  case 2:
+    if (Fleet.active(Index))
+      Fleet.leave(Index);
+    return;
+  case 3:
+    if (Node.Up)
+      Node.Frozen = !Node.Frozen;
+    return;
+  default:
+    return;
+  }
+}
+
+} // namespace
+
+STORY(members_meet) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(3, 5, Seed);
+      Fleet.Faults = roughNetwork();
+      Fleet.startAll();
+      CPPUNIT_ASSERT(Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); }));
+    });
+}
+
+STORY(members_stop) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(3, 5, Seed);
+      Fleet.Faults = {0.05, 0.1, 1ms, 400ms};
+      Fleet.startAll();
+      Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); });
+      section("a killed one is named by no mate after seven seconds", [&] {
+        Fleet.kill(1);
+        Fleet.Check = [&] { checkStoppedUnnamed(Fleet, 7s); };
+        Fleet.run(20s);
+      });
+      section("and nowhere else after a few more", [&] {
+        Fleet.kill(2);
+        CPPUNIT_ASSERT(Fleet.runUntil(15s, [&] { return Fleet.viewsAgree(); }));
+      });
+      section("a leaving one is named nowhere within seconds", [&] {
+        Fleet.leave(3);
+        CPPUNIT_ASSERT(Fleet.runUntil(5s, [&] { return Fleet.viewsAgree(); }));
+      });
+    });
+}
+
+STORY(members_under_faults) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(3, 5, Seed);
+      Fleet.Faults = roughNetwork();
+      Fleet.startAll();
+      Fleet.run(10s);
+      for (int I = 0; I < 40; ++I) {
+        disturb(Fleet);
+        Fleet.run(std::chrono::milliseconds(Fleet.Random() % 2000));
+      }
+      Fleet.Faults = {};
+      for (fleet_node &Node : Fleet.Nodes)
+        Node.Frozen = false;
+      CPPUNIT_ASSERT_MESSAGE(seedText(Seed), Fleet.runUntil(90s, [&] {
+        return Fleet.viewsAgree();
+      }));
+    });
+}
+
+STORY(members_in_partitions) {
+  for (const std::uint64_t Seed : Seeds)
+    section(seedText(Seed), [&] {
+      fleet Fleet(3, 5, Seed);
+      Fleet.Faults = {0.02, 0.02, 1ms, 100ms};
+      Fleet.startAll();
+      Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); });
+      const auto CutOff = [&](std::size_t A, std::size_t B) {
+        return (Fleet.Nodes[A].Centre == 2) != (Fleet.Nodes[B].Centre == 2);
+      };
+      section("a data centre cut off keeps its own view", [&] {
+        Fleet.Blocked = CutOff;
+        Fleet.run(30s);
+        for (std::size_t I = 10; I < 15; ++I) {
+          CPPUNIT_ASSERT(Fleet.named(I, 2) == Fleet.serving(2));
+          CPPUNIT_ASSERT(Fleet.named(I, 0).empty());
+        }
+        CPPUNIT_ASSERT(Fleet.named(0, 2).empty());
+        CPPUNIT_ASSERT(Fleet.named(0, 1) == Fleet.serving(1));
+      });
+      section("and finds the others again", [&] {
+        Fleet.kill(11);
+        Fleet.kill(1);
+        Fleet.run(20s);
+        Fleet.Blocked = nullptr;
+        CPPUNIT_ASSERT(Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); }));
+      });
+      section("a cut inside a data centre heals too", [&] {
+        Fleet.Blocked = [](std::size_t A, std::size_t B) {
+          return (A < 2) != (B < 2);
+        };
+        Fleet.run(20s);
+        Fleet.Blocked = nullptr;
+        CPPUNIT_ASSERT(Fleet.runUntil(60s, [&] { return Fleet.viewsAgree(); }));
+      });
+    });
+}
+
+STORY(members_without_the_platform_list) {
+  fleet Fleet(2, 4, 11);
+  Fleet.Faults = {0.05, 0.05, 1ms, 50ms};
+  Fleet.startAll();
+  Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); });
+  section("one known address of the data centre is enough", [&] {
+    const std::size_t Fresh = Fleet.addNode(1);
+    Fleet.start(Fresh, {4, 5});
+    CPPUNIT_ASSERT(Fleet.runUntil(15s, [&] { return Fleet.viewsAgree(); }));
+  });
+}
+
+STORY(clock_stepped_back_at_restart) {
+  fleet Fleet(1, 4, 12);
+  Fleet.startAll();
+  Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); });
+  Fleet.kill(2);
+  Fleet.EpochSkew -= 5000;
+  Fleet.start(2, everyone(Fleet));
+  CPPUNIT_ASSERT(Fleet.runUntil(15s, [&] { return Fleet.viewsAgree(); }));
+  const std::uint64_t Incarnation = Fleet.Nodes[2].Identity.Incarnation;
+  for (const std::size_t I : {0, 1, 3}) {
+    const auto Row = Fleet.Nodes[I].Members->findIncarnation(Incarnation);
+    CPPUNIT_ASSERT(Row.has_value());
+  }
+}
+
+STORY(speakers_of_a_data_centre) {
+  fleet Fleet(3, 6, 13);
+  Fleet.startAll();
+  Fleet.runUntil(30s, [&] { return Fleet.viewsAgree(); });
+  const auto CountSpeakers = [&] {
+    std::vector<std::size_t> Counts(3);
+    for (const fleet_node &Node : Fleet.Nodes)
+      if (Node.Up && Node.Members->isSpeaker())
+        ++Counts[Node.Centre];
+    return Counts;
+  };
+  section("are two in a calm fleet", [&] {
+    CPPUNIT_ASSERT(CountSpeakers() == std::vector<std::size_t>(3, 2));
+  });
+  section("and two again after one died", [&] {
+    for (std::size_t I = 0; I < 6; ++I)
+      if (Fleet.Nodes[I].Members->isSpeaker()) {
+        Fleet.kill(I);
+        break;
+      }
+    Fleet.run(10s);
+    CPPUNIT_ASSERT(CountSpeakers() == std::vector<std::size_t>(3, 2));
+  });
+}
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -142,7 +142,7 @@
 }
 
 result<std::string> datagram_codec::encode(const control_message &Message) {
-  const result<std::string> Body = encodeBody(Message);
+  result<std::string> Body = encodeBody(Message);
   if (failed(Body))
     return Body;
   const std::size_t Bytes =
