--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -20,7 +20,8 @@
 constexpr std::size_t RowFixedBytes = 64;
 constexpr std::size_t SummariesPerDatagram = 8;
 constexpr std::size_t MaxUrgentSummaries = 4;
-constexpr std::size_t MaxSilentNamed = 16;
+/// Bytes of the names of silent data centres in a heartbeat.
+constexpr std::size_t SilentNamesBudgetBytes = 400;
 /// Heartbeats between two attempts to reach mates given up for dead.
 constexpr std::uint64_t ProbeEvery = 5;
 constexpr std::size_t MaxProbes = 8;
@@ -126,9 +127,15 @@
 
 std::vector<std::string> membership::silentCentres(steady_time Now) const {
   std::vector<std::string> Names;
-  for (const peer_centre &Centre : Centres)
-    if (Names.size() < MaxSilentNamed && isSilent(Now, Centre))
-      Names.push_back(Centre.Name);
+  std::size_t Bytes = 0;
+  for (const peer_centre &Centre : Centres) {
+    if (!isSilent(Now, Centre))
+      continue;
+    Bytes += Centre.Name.size() + 1;
+    if (Bytes > SilentNamesBudgetBytes)
+      break;
+    Names.push_back(Centre.Name);
+  }
   return Names;
 }
 
--- /dev/null
+++ b/packages/wire/tests/datagram.cpp
@@ -0,0 +1,280 @@
+#include <magnoliaspread/datagram.h>
+#include <magnoliaspread/story.h>
+
+#include <algorithm>
+#include <limits>
+#include <random>
+#include <sodium.h>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+fleet_key keyOf(unsigned char Fill) {
+  fleet_key Key;
+  Key.fill(Fill);
+  return Key;
+}
+
+member_row sampleRow(std::size_t NameBytes = 8) {
+  member_row Row;
+  Row.Identity.Name = std::string(NameBytes, 'n');
+  Row.Identity.DataCentre = std::string(NameBytes, 'd');
+  Row.Identity.Region = std::string(NameBytes, 'r');
+  Row.Identity.Incarnation = std::numeric_limits<std::uint64_t>::max();
+  Row.Identity.Epoch = 1800000000;
+  Row.Identity.Internal = {"10.1.2.3", 7000};
+  Row.Identity.Public = {"fe80::1", 65535};
+  Row.Report.Sequence = 1ull << 40;
+  Row.Report.State = member_state::Leaving;
+  Row.Report.Config = {77, 0xfedcba98};
+  Row.Report.Load = {4000000000u, 3};
+  Row.Report.PlatformReachable = true;
+  return Row;
+}
+
+data_centre_summary sampleSummary() {
+  data_centre_summary Summary;
+  Summary.DataCentre = "dc1";
+  Summary.RowsHash = 0x8000000000000001ull;
+  Summary.Speaker = 42;
+  Summary.Sequence = 7;
+  Summary.LowestVersion = 76;
+  Summary.Config = {77, 1};
+  Summary.Alive = 20;
+  Summary.Load = {100, 5};
+  Summary.PlatformReachable = true;
+  return Summary;
+}
+
+std::vector<control_message> samples() {
+  const member_row Row = sampleRow();
+  return {
+      member_message(heartbeat_message{42, Row.Report, false, {}, {}}),
+      member_message(heartbeat_message{
+          42, Row.Report, true, {sampleSummary(), {}}, {"dc7", "dc8"}}),
+      member_message(summary_message{sampleSummary(), {Row, Row}}),
+      member_message(rows_message{{Row, Row, Row}, true}),
+      member_message(rows_request{Row, "dc3"}),
+      quarantine_notice{0xffffffffffffffffull, 90000ms, 3},
+  };
+}
+
+template <class T>
+bool isError(const std::variant<T, error> &Result, error_kind Kind) {
+  return failed(Result) && errorOf(Result).Kind == Kind;
+}
+
+std::string encoded(datagram_codec &Codec, const control_message &Message) {
+  const result<std::string> Datagram = Codec.encode(Message);
+  CPPUNIT_ASSERT(!failed(Datagram));
+  return valueOf(Datagram);
+}
+
+/// Flips, cuts, repeats or inserts bytes.
+std::string mutated(std::string Bytes, std::mt19937_64 &Random) {
+  const int Edits = 1 + static_cast<int>(Random() % 4);
+  for (int I = 0; I < Edits && !Bytes.empty(); ++I) {
+    const std::size_t At = Random() % Bytes.size();
+    switch (Random() % 5) {
+    case 0:
+      Bytes[At] = static_cast<char>(Bytes[At] ^ (1 << (Random() % 8)));
+      break;
+    case 1:
+      Bytes.resize(At);
+      break;
+    case 2:
+      Bytes[At] = static_cast<char>(Random());
+      break;
+    case 3:
+      Bytes.insert(At, 1 + Random() % 8, static_cast<char>(Random()));
+      break;
+    default:
+      Bytes.insert(At, Bytes.substr(At, Random() % 32));
+      break;
+    }
+  }
+  return Bytes;
+}
+
+} // namespace
+
+STORY(datagram_round_trip) {
+  datagram_codec Sender(keyOf(1), 1001);
+  datagram_codec Receiver(keyOf(1), 1002);
+  std::uint64_t Sequence = 0;
+  for (const control_message &Message : samples()) {
+    const auto Received = Receiver.decode(encoded(Sender, Message));
+    CPPUNIT_ASSERT(!failed(Received));
+    CPPUNIT_ASSERT(valueOf(Received).Message == Message);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1001}, valueOf(Received).Sender);
+    CPPUNIT_ASSERT_EQUAL(++Sequence, valueOf(Received).Sequence);
+  }
+}
+
+STORY(datagram_authentication) {
+  datagram_codec Sender(keyOf(1), 1001);
+  datagram_codec Receiver(keyOf(1), 1002);
+  const std::string Datagram = encoded(Sender, samples().front());
+  section("another fleet's key is a forgery", [&] {
+    datagram_codec Other(keyOf(2), 1003);
+    CPPUNIT_ASSERT(isError(Receiver.decode(encoded(Other, samples().front())),
+                           error_kind::ForgedDatagram));
+  });
+  section("so is any changed byte after the magic", [&] {
+    for (std::size_t I = 2; I < Datagram.size(); ++I) {
+      std::string Changed = Datagram;
+      Changed[I] = static_cast<char>(Changed[I] ^ 1);
+      CPPUNIT_ASSERT(
+          isError(Receiver.decode(Changed), error_kind::ForgedDatagram));
+    }
+  });
+  section("a forgery doesn't spoil the window",
+          [&] { CPPUNIT_ASSERT(!failed(Receiver.decode(Datagram))); });
+  section("a second copy is refused", [&] {
+    CPPUNIT_ASSERT(isError(Receiver.decode(Datagram), error_kind::BadDatagram));
+  });
+  section("and so is a process's own datagram", [&] {
+    const std::string Own = encoded(Receiver, samples().front());
+    CPPUNIT_ASSERT(isError(Receiver.decode(Own), error_kind::BadDatagram));
+  });
+}
+
+STORY(replay_window) {
+  replay_filter Filter;
+  section("accepts each sequence once, in any order inside the window", [&] {
+    CPPUNIT_ASSERT(Filter.accept(1, 300));
+    CPPUNIT_ASSERT(Filter.accept(1, 298));
+    CPPUNIT_ASSERT(Filter.accept(1, 299));
+    CPPUNIT_ASSERT(!Filter.accept(1, 298));
+    CPPUNIT_ASSERT(!Filter.accept(1, 300));
+  });
+  section("refuses what lies behind the window", [&] {
+    CPPUNIT_ASSERT(Filter.accept(1, 300 - ReplayWindow + 1));
+    CPPUNIT_ASSERT(!Filter.accept(1, 300 - ReplayWindow));
+    CPPUNIT_ASSERT(Filter.accept(1, 5000));
+    CPPUNIT_ASSERT(!Filter.accept(1, 300));
+  });
+  section("keeps senders apart",
+          [&] { CPPUNIT_ASSERT(Filter.accept(2, 300)); });
+  section("stays bounded, and keeps the senders that are in use", [&] {
+    for (std::uint64_t I = 10; I < 10 + 2 * MaxReplaySenders; ++I) {
+      Filter.accept(I, 1);
+      CPPUNIT_ASSERT(!Filter.accept(1, 5000));
+    }
+  });
+}
+
+STORY(replay_window_against_a_plain_set) {
+  std::mt19937_64 Random(5);
+  replay_filter Filter;
+  std::vector<bool> Seen(20000);
+  std::uint64_t Highest = 0;
+  for (int I = 0; I < 50000; ++I) {
+    const std::uint64_t Base = static_cast<std::uint64_t>(I) * 15000 / 50000;
+    const std::uint64_t Sequence = Base + Random() % 400;
+    const bool InWindow = Sequence + ReplayWindow > Highest;
+    const bool Expected = InWindow && !Seen[Sequence];
+    CPPUNIT_ASSERT_EQUAL(Expected, Filter.accept(9, Sequence));
+    Seen[Sequence] = true;
+    Highest = std::max(Highest, Sequence);
+  }
+}
+
+STORY(datagram_limits) {
+  datagram_codec Sender(keyOf(1), 1001);
+  section("a message beyond the largest datagram isn't encoded", [&] {
+    const rows_message Many{std::vector<member_row>(30, sampleRow()), true};
+    CPPUNIT_ASSERT(
+        isError(Sender.encode(member_message(Many)), error_kind::BadDatagram));
+  });
+  section("sizes outside the frame's are refused", [&] {
+    datagram_codec Receiver(keyOf(1), 1002);
+    for (const std::size_t Bytes : {0, 1, 34, 1201, 65535})
+      CPPUNIT_ASSERT(isError(Receiver.decode(std::string(Bytes, 'M')),
+                             error_kind::BadDatagram));
+  });
+  section("an empty body has no kind", [&] {
+    CPPUNIT_ASSERT(
+        isError(decodeBody(std::string(1, '\0')), error_kind::BadDatagram));
+    CPPUNIT_ASSERT(isError(decodeBody(""), error_kind::BadDatagram));
+  });
+  section("names beyond their length are refused", [&] {
+    const auto Body = encodeBody(
+        member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}));
+    CPPUNIT_ASSERT(isError(decodeBody(valueOf(Body)), error_kind::BadDatagram));
+  });
+  section("a list that claims more rows than fit is refused", [&] {
+    // Datagram.rows.rows: a list of two thousand million structures.
+    const std::string Body("\x3c\x19\xfc\xff\xff\xff\xff\x07", 8);
+    CPPUNIT_ASSERT(isError(decodeBody(Body), error_kind::BadDatagram));
+  });
+}
+
+STORY(fleet_secret) {
+  CPPUNIT_ASSERT(!failed(parseFleetKey(std::string(64, 'a'))));
+  for (const char *Bad : {"", "aa", "zz"})
+    CPPUNIT_ASSERT(isError(parseFleetKey(Bad), error_kind::BadSettings));
+  CPPUNIT_ASSERT(
+      isError(parseFleetKey(std::string(66, 'a')), error_kind::BadSettings));
+}
+
+STORY(fuzzed_bodies) {
+  constexpr int Rounds = 60000;
+  std::mt19937_64 Random(20261204);
+  std::vector<std::string> Bodies;
+  for (const control_message &Message : samples())
+    Bodies.push_back(valueOf(encodeBody(Message)));
+  section("mutated bodies are read or refused", [&] {
+    int Refused = 0;
+    for (int I = 0; I < Rounds; ++I) {
+      const std::string &Base = Bodies[Random() % Bodies.size()];
+      const auto Read = decodeBody(mutated(Base, Random));
+      CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
+      Refused += failed(Read) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(Refused > Rounds / 10);
+  });
+  section("what is read can be written and read again", [&] {
+    for (int I = 0; I < Rounds / 4; ++I) {
+      const std::string &Base = Bodies[Random() % Bodies.size()];
+      const auto Read = decodeBody(mutated(Base, Random));
+      if (failed(Read))
+        continue;
+      const auto Again = decodeBody(valueOf(encodeBody(valueOf(Read))));
+      CPPUNIT_ASSERT(!failed(Again));
+      CPPUNIT_ASSERT(valueOf(Again) == valueOf(Read));
+    }
+  });
+  section("random bytes are refused or read", [&] {
+    for (int I = 0; I < Rounds; ++I) {
+      std::string Bytes(Random() % 200, '\0');
+      std::generate(Bytes.begin(), Bytes.end(),
+                    [&] { return static_cast<char>(Random()); });
+      const auto Read = decodeBody(Bytes);
+      CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
+    }
+  });
+  section("every truncation is refused", [&] {
+    for (const std::string &Body : Bodies)
+      for (std::size_t Size = 0; Size < Body.size(); ++Size)
+        CPPUNIT_ASSERT(
+            isError(decodeBody(Body.substr(0, Size)), error_kind::BadDatagram));
+  });
+}
+
+STORY(fuzzed_frames) {
+  std::mt19937_64 Random(20261205);
+  datagram_codec Sender(keyOf(1), 1001);
+  datagram_codec Receiver(keyOf(1), 1002);
+  for (int I = 0; I < 20000; ++I) {
+    const std::string Good = encoded(Sender, samples()[Random() % 6]);
+    const std::string Bad = mutated(Good, Random);
+    if (Bad == Good)
+      continue;
+    const auto Read = Receiver.decode(Bad);
+    CPPUNIT_ASSERT(isError(Read, error_kind::BadDatagram) ||
+                   isError(Read, error_kind::ForgedDatagram));
+  }
+}
--- /dev/null
+++ b/packages/wire/tests/sizes.cpp
@@ -0,0 +1,86 @@
+/// Every message that membership sends fits a datagram, also with the longest
+/// names.
+#include <magnoliaspread/datagram.h>
+#include <magnoliaspread/member.h>
+#include <magnoliaspread/story.h>
+
+#include <random>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string padded(std::string Text) {
+  Text.resize(MaxNameBytes, 'x');
+  return Text;
+}
+
+const std::string LongAddress = "1111:2222:3333:4444:5555:6666:255.255.255.255";
+
+member_row longRow(std::size_t Centre, std::size_t Index) {
+  member_row Row;
+  const std::string Suffix =
+      std::to_string(Centre) + "." + std::to_string(Index);
+  Row.Identity.Name = padded("instance" + Suffix + ".");
+  Row.Identity.DataCentre = padded("centre" + std::to_string(Centre) + ".");
+  Row.Identity.Region = padded("region");
+  Row.Identity.Incarnation = ~std::uint64_t{0} - Centre * 100 - Index;
+  Row.Identity.Epoch = 1ull << 62;
+  Row.Identity.Internal = {LongAddress, 65535};
+  Row.Identity.Public = {LongAddress, 65535};
+  Row.Report.Sequence = 1ull << 61;
+  Row.Report.Config = {1ull << 62, 0xffffffff};
+  Row.Report.Load = {0xffffffff, 0x7fffffff};
+  return Row;
+}
+
+void checkSizes(const outbox &Out) {
+  for (const outgoing_message &Item : Out) {
+    datagram_codec Codec(fleet_key{}, 1);
+    const auto Datagram = Codec.encode(Item.Message);
+    CPPUNIT_ASSERT_MESSAGE(failed(Datagram) ? errorOf(Datagram).Detail : "",
+                           !failed(Datagram));
+  }
+}
+
+data_centre_summary longSummary(std::size_t Centre) {
+  data_centre_summary Summary;
+  Summary.DataCentre = longRow(Centre, 0).Identity.DataCentre;
+  Summary.RowsHash = ~std::uint64_t{0} >> 1;
+  Summary.Speaker = longRow(Centre, 0).Identity.Incarnation;
+  Summary.Sequence = 1ull << 62;
+  Summary.LowestVersion = 1ull << 62;
+  Summary.Config = {1ull << 62, 0x7fffffff};
+  Summary.Load = {0xffffffff, 0xffffffff};
+  return Summary;
+}
+
+} // namespace
+
+STORY(membership_datagrams) {
+  steady_time Now{1h};
+  membership Members(longRow(0, 0).Identity, 1, Now);
+  const endpoint_address From{"10.9.9.9", 7000};
+  for (std::size_t Mate = 1; Mate < 10; ++Mate)
+    checkSizes(Members.receive(Now, longRow(0, Mate).Identity.Internal,
+                               rows_message{{longRow(0, Mate)}, true}));
+  for (std::size_t Centre = 1; Centre < 27; ++Centre)
+    for (std::size_t I = 0; I < 5; ++I)
+      checkSizes(Members.receive(
+          Now, From,
+          summary_message{longSummary(Centre), {longRow(Centre, I)}}));
+  section("sent when due", [&] {
+    for (auto Time = 0ms; Time < 40s; Time += 250ms)
+      checkSizes(Members.tick(Now + Time));
+    checkSizes(Members.leave(Now + 40s));
+    checkSizes(Members.tick(Now + 41s));
+  });
+  section("and as answers", [&] {
+    const member_row Mate = longRow(0, 1);
+    for (std::size_t Centre = 0; Centre < 27; ++Centre)
+      checkSizes(Members.receive(
+          Now + 41s, From,
+          rows_request{Mate, longRow(Centre, 0).Identity.DataCentre}));
+  });
+}
