--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -188,6 +188,7 @@
   // bank.cpp: accounts of minted, lent and borrowed tokens.
   void settle(limit_state &Limit);
   void refill(limit_state &Limit, steady_time Now);
+  void mint(limit_state &Limit, steady_time To, steady_time Now);
   void offer(limit_state &Limit, steady_time Now);
   void lower(limit_state &Limit, const limit_row &Row);
   void expirePots(limit_state &Limit, steady_time Now);
@@ -197,7 +198,8 @@
   void credit(limit_state &Limit, lent_row &Row, milli_tokens Tokens);
   void closeGrants(borrower_state &Borrower, const token_ask &Ask,
                    steady_time Now);
-  void applyReport(borrower_state &Borrower, const token_ask &Ask);
+  void applyReport(borrower_state &Borrower, const token_ask &Ask,
+                   steady_time Now);
   static lent_row &account(borrower_state &Borrower, std::uint16_t Limit,
                            const ask_row &Asked);
   milli_tokens lend(lent_row &Row, milli_tokens Want, steady_time Now);
--- a/packages/coordination/src/bank.cpp
+++ b/packages/coordination/src/bank.cpp
@@ -73,8 +73,8 @@
   // A limit that is gone stays with nothing to mint, since its lent tokens
   // still count if it comes back.
   for (limit_state &Limit : Limits) {
-    settle(Limit);
     refill(Limit, Now);
+    settle(Limit);
     const auto Found = Rows.find(Limit.Id);
     lower(Limit,
           Found == Rows.end() ? limit_row{Limit.Id, 0, 0} : Found->second);
@@ -121,13 +121,16 @@
     return true;
   });
   for (limit_state &Limit : Limits) {
-    settle(Limit);
     refill(Limit, Now);
+    settle(Limit);
     offer(Limit, Now);
   }
   Shares = NewShares;
 }
 
+// Tokens count as unspent until they are settled, so a bucket is refilled
+// before its spent or lent tokens are taken off: else it would be refilled for
+// a time during which it was full.
 void quota_bank::settle(limit_state &Limit) {
   const purse_report Report = Purse.collect(Limit.Id);
   Limit.Offered = false;
@@ -165,20 +168,32 @@
 }
 
 void quota_bank::refill(limit_state &Limit, steady_time Now) {
+  // A share that began to mint since the last refill adds no room before.
+  for (;;) {
+    steady_time Next = Now;
+    for (const minted_share &Share : Shares)
+      if (Share.MintsFrom > Limit.RefilledAt && Now < Share.Fence)
+        Next = std::min(Next, Share.MintsFrom);
+    mint(Limit, Next, Now);
+    if (Next == Now)
+      return;
+  }
+}
+
+void quota_bank::mint(limit_state &Limit, steady_time To, steady_time Now) {
   Limit.Capacity = 0;
   Limit.MintRate = 0;
   for (const minted_share &Share : Shares) {
-    if (Now < Share.MintsFrom || Now >= Share.Fence)
+    if (Limit.RefilledAt < Share.MintsFrom || Now >= Share.Fence)
       continue;
     const double Part = Share.FractionPpm / PpmPerUnit;
-    const steady_time From = std::max(Limit.RefilledAt, Share.MintsFrom);
     Limit.Capacity += Limit.Burst * Part;
     Limit.MintRate += Limit.Rate * Part;
-    Limit.Level += Limit.Rate * Part * seconds(Now - From);
   }
+  Limit.Level += Limit.MintRate * seconds(To - Limit.RefilledAt);
   const double Room = Limit.Capacity - static_cast<double>(Limit.Lent);
   Limit.Level = std::max(0.0, std::min(Limit.Level, Room));
-  Limit.RefilledAt = Now;
+  Limit.RefilledAt = To;
 }
 
 void quota_bank::offer(limit_state &Limit, steady_time Now) {
@@ -219,8 +234,9 @@
 }
 
 void quota_bank::expireRow(lent_row &Row, steady_time Now) {
-  if (Now < Row.Expires)
+  if (Now < Row.Expires || Row.Outstanding == 0)
     return;
+  refill(Limits[Row.Limit], Now);
   Limits[Row.Limit].Lent -= Row.Outstanding;
   Row.Outstanding = 0;
   Row.Newest = 0;
@@ -254,9 +270,11 @@
   }
 }
 
-void quota_bank::applyReport(borrower_state &Borrower, const token_ask &Ask) {
+void quota_bank::applyReport(borrower_state &Borrower, const token_ask &Ask,
+                             steady_time Now) {
   for (lent_row &Row : Borrower.Rows) {
     limit_state &Limit = Limits[Row.Limit];
+    refill(Limit, Now);
     const auto Reported = std::find_if(
         Ask.Rows.begin(), Ask.Rows.end(),
         [&](const ask_row &Each) { return Each.Limit == Limit.Id; });
@@ -306,7 +324,7 @@
     return std::nullopt;
   }
   closeGrants(Borrower, Ask, Now);
-  applyReport(Borrower, Ask);
+  applyReport(Borrower, Ask, Now);
   Borrower.Sequence = Ask.Sequence;
   Borrower.SeenAt = Now;
   token_grant Grant;
@@ -319,8 +337,8 @@
     if (Asked.Want <= 0 || Found == LimitIndex.end())
       continue;
     limit_state &Limit = Limits[Found->second];
-    settle(Limit);
     refill(Limit, Now);
+    settle(Limit);
     const milli_tokens Granted =
         lend(account(Borrower, Found->second, Asked), Asked.Want, Now);
     offer(Limit, Now);
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -81,10 +81,10 @@
   timeOut(Now);
   expireLent(Now);
   for (limit_state &Limit : Limits) {
+    refill(Limit, Now);
     settle(Limit);
     expirePots(Limit, Now);
     updateDemand(Limit, Span);
-    refill(Limit, Now);
     giveBack(Limit, Now);
   }
   orderAll(true, Now);
