Steer by weights, credits and fair queues on the traffic thread

Replaces taking targets in turn: a request passes the token gate of its workspace, gets a region by weights and shift cap, and waits in fair order for a slot of an own target or a credit of a peer instance.

--- a/packages/traffic/include/magnoliaspread/fleetauth.h
+++ b/packages/traffic/include/magnoliaspread/fleetauth.h
@@ -25,6 +25,10 @@
   std::chrono::milliseconds TimeLeft{};
   bool AtMostOnce = false;
   std::string IdempotencyKey;
+  /// Name of the sending instance.
+  std::string From;
+  /// Headroom credit that the request is sent with; 0 is none.
+  std::uint64_t CreditGrant = 0;
   /// When it was sent, milliseconds since the epoch.
   std::int64_t SentAtMs = 0;
 };
--- a/packages/traffic/include/magnoliaspread/traffic.h
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -5,6 +5,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/purse.h>
 #include <magnoliaspread/settings.h>
 #include <magnoliaspread/view.h>
 
@@ -21,8 +22,9 @@
 
 class traffic_threads {
 public:
+  /// \p Tokens outlives the threads.
   traffic_threads(const instance_settings &Settings, const clock &Clock,
-                  fleet_secret Secret, frame_handler OnFrame);
+                  fleet_secret Secret, purse &Tokens, frame_handler OnFrame);
   ~traffic_threads();
   traffic_threads(const traffic_threads &) = delete;
   traffic_threads &operator=(const traffic_threads &) = delete;
@@ -34,6 +36,9 @@
   /// Hands a view to every thread.
   void publish(const traffic_view_ptr &View);
 
+  /// Hands a peer's message to the threads.
+  void deliver(const peer_credit_message &Message);
+
   /// Ends the threads; connections still open are cut.
   void stop();
 
--- a/packages/traffic/include/magnoliaspread/view.h
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -4,6 +4,8 @@
 #ifndef MAGNOLIASPREAD_VIEW_H
 #define MAGNOLIASPREAD_VIEW_H
 
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/creditmsg.h>
 #include <magnoliaspread/index.h>
 #include <magnoliaspread/settings.h>
 
@@ -24,10 +26,26 @@
   endpoint_address Internal;
 };
 
+/// Wait for a token of a workspace's limit that is used up here.
+struct token_wait {
+  std::string Workspace;
+  std::chrono::milliseconds Wait{};
+};
+
 struct traffic_view {
   /// Null until a first configuration is in force.
   config_index_ptr Config;
+  /// Named by look-ups, in order of preference.
   std::vector<instance_view> Instances;
+  /// Instances that requests may be forwarded to, without this one.
+  std::vector<instance_view> Peers;
+  /// By row of Config->Table.Targets: this instance sends to the target.
+  std::vector<bool> Owned;
+  /// Limits that run short, from the token bank.
+  std::vector<token_wait> TokenWaits;
+  /// Lower bound on the platform's time at MadeAt.
+  wall_time PlatformTime;
+  steady_time MadeAt;
   /// This instance is shutting down: look-ups no longer name it.
   bool Leaving = false;
 };
@@ -41,6 +59,12 @@
   std::size_t InFlight = 0;
   /// Connections from callers and peers that are open.
   std::size_t Connections = 0;
+  /// Requests that wait for a place.
+  std::size_t Waiting = 0;
+  /// Free slots of the targets that this instance owns.
+  std::uint32_t FreeSlots = 0;
+  /// To be sent to peers.
+  std::vector<peer_credit_message> Credits;
 };
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/dispatch_p.h
+++ b/packages/traffic/src/dispatch_p.h
@@ -8,6 +8,7 @@
 #include <magnoliaspread/admit.h>
 #include <magnoliaspread/view.h>
 
+#include <optional>
 #include <string>
 
 namespace magnoliaspread {
@@ -16,12 +17,30 @@
   upstream_kind Kind = upstream_kind::Target;
   std::string Name;
   endpoint_address Address;
+  /// Credit of the peer that the request is sent with; 0 is none.
+  std::uint64_t CreditGrant = 0;
+  /// Names the place in its lane; 0 when it came from none.
+  std::uint64_t Ticket = 0;
+  /// The dispatcher's own handles.
+  service_handle Service;
+  region_handle Region;
+  target_handle Target;
+  instance_handle Peer;
+  steady_time Since;
+};
+
+/// A request that a peer instance has sent on.
+struct forwarded_origin {
+  std::string Peer;
+  std::uint64_t CreditGrant = 0;
 };
 
 struct placement_request {
   const admitted_request *Request = nullptr;
-  /// Came from a peer instance: is not forwarded again.
-  bool Forwarded = false;
+  /// The configuration that the request's handles belong to.
+  config_index_ptr Config;
+  /// Set when a peer instance sent it: it is not forwarded again.
+  std::optional<forwarded_origin> Forwarded;
   /// Number of attempts already made.
   unsigned Attempt = 0;
 };
@@ -41,6 +60,15 @@
   virtual asio::awaitable<result<placement>>
   place(const placement_request &Request) = 0;
 
+  /// Runs what is due; called once each control tick.
+  virtual void tick() = 0;
+
+  /// Adds the dispatcher's part to a frame.
+  virtual void fillFrame(traffic_frame &Frame) = 0;
+
+  /// Takes in a message of a peer.
+  virtual void receive(const peer_credit_message &Message) = 0;
+
   /// Gives the place back.
   virtual void finished(const placement &Place,
                         const relay_outcome &Outcome) = 0;
--- a/packages/traffic/src/fleetauth.cpp
+++ b/packages/traffic/src/fleetauth.cpp
@@ -27,6 +27,8 @@
   appendField(Text, std::to_string(Head.TimeLeft.count()));
   appendField(Text, Head.AtMostOnce ? "once" : "");
   appendField(Text, Head.IdempotencyKey);
+  appendField(Text, Head.From);
+  appendField(Text, std::to_string(Head.CreditGrant));
   appendField(Text, std::to_string(Head.SentAtMs));
   return Text;
 }
--- a/packages/traffic/src/heads.cpp
+++ b/packages/traffic/src/heads.cpp
@@ -20,7 +20,7 @@
                                                      "Expect",
                                                      "HTTP2-Settings",
                                                      "Proxy-Authorization"};
-constexpr std::array<std::string_view, 11> FleetFields{
+constexpr std::array<std::string_view, 13> FleetFields{
     "Authorization",   "X-Api-Key",         "X-Workspace",
     "X-Request-Id",    "X-Deadline-Ms",     "X-Repeatable",
     "X-Ticket",        "X-Fleet-Workspace", "X-Fleet-Signature",
@@ -62,6 +62,12 @@
   return Value;
 }
 
+std::uint64_t toUnsigned(std::string_view Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
 std::int64_t toMilliseconds(wall_time Wall) {
   return duration_cast<milliseconds>(Wall.time_since_epoch()).count();
 }
@@ -76,6 +82,8 @@
   Forwarded.TimeLeft = milliseconds(toInteger(Head["X-Deadline-Ms"]));
   Forwarded.AtMostOnce = Head["X-Repeatable"] == "no";
   Forwarded.IdempotencyKey = Head["Idempotency-Key"];
+  Forwarded.From = Head["X-Fleet-From"];
+  Forwarded.CreditGrant = toUnsigned(Head["X-Fleet-Credit"]);
   Forwarded.SentAtMs = toInteger(Head["X-Fleet-Sent-Ms"]);
   return Forwarded;
 }
@@ -109,18 +117,26 @@
 request_header peerHead(const request_header &Head,
                         const admitted_request &Request,
                         const config_index &Index, steady_time Now,
-                        wall_time Wall, const fleet_secret &Secret) {
+                        const peer_signer &Signer, std::uint64_t CreditGrant) {
   request_header Copy = copyEndToEnd(Head);
   setCommonFields(Copy, Request, Now);
   Copy.set("X-Fleet-Workspace", workspaceName(Request, Index));
   Copy.set("X-Fleet-Service", Index.Table.Services[Request.Service.Index].Name);
-  Copy.set("X-Fleet-Sent-Ms", std::to_string(toMilliseconds(Wall)));
+  Copy.set("X-Fleet-From", Signer.From);
+  Copy.set("X-Fleet-Credit", std::to_string(CreditGrant));
+  Copy.set("X-Fleet-Sent-Ms", std::to_string(toMilliseconds(Signer.Wall)));
   if (Request.AtMostOnce)
     Copy.set("X-Repeatable", "no");
-  Copy.set("X-Fleet-Signature", signForwarded(Secret, readForwarded(Copy)));
+  Copy.set("X-Fleet-Signature",
+           signForwarded(Signer.Secret, readForwarded(Copy)));
   return Copy;
 }
 
+forwarded_origin originOf(const request_header &Head) {
+  const forwarded_head Forwarded = readForwarded(Head);
+  return {Forwarded.From, Forwarded.CreditGrant};
+}
+
 status verifyPeer(const request_header &Head, const fleet_secret &Secret,
                   wall_time Wall) {
   return verifyForwarded(Secret, readForwarded(Head), Head["X-Fleet-Signature"],
--- a/packages/traffic/src/heads_p.h
+++ b/packages/traffic/src/heads_p.h
@@ -2,6 +2,7 @@
 #ifndef MAGNOLIASPREAD_HEADS_P_H
 #define MAGNOLIASPREAD_HEADS_P_H
 
+#include "dispatch_p.h"
 #include "net_p.h"
 
 #include <magnoliaspread/admit.h>
@@ -20,11 +21,22 @@
                           const admitted_request &Request,
                           const config_index &Index, steady_time Now);
 
+/// What signs a head for a peer instance.
+struct peer_signer {
+  /// Name of this instance.
+  std::string_view From;
+  const fleet_secret &Secret;
+  wall_time Wall;
+};
+
 /// The head for a peer instance, signed.
 request_header peerHead(const request_header &Head,
                         const admitted_request &Request,
                         const config_index &Index, steady_time Now,
-                        wall_time Wall, const fleet_secret &Secret);
+                        const peer_signer &Signer, std::uint64_t CreditGrant);
+
+/// Who sent a verified head from a peer instance.
+forwarded_origin originOf(const request_header &Head);
 
 /// PeerRejected when the head was not signed by one of the fleet's processes.
 status verifyPeer(const request_header &Head, const fleet_secret &Secret,
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -18,6 +18,22 @@
 /// How long a target that stopped reading may take to say why.
 constexpr milliseconds LastWordTimeout{1000};
 
+std::optional<std::uint32_t> numberOf(std::string_view Text) {
+  std::uint32_t Count = 0;
+  const auto [End, Problem] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Count);
+  if (Problem != std::errc())
+    return std::nullopt;
+  return Count;
+}
+
+std::optional<milliseconds> retryAfterOf(const http::fields &Head) {
+  const auto Count = numberOf(Head["X-Retry-After-Ms"]);
+  if (!Count)
+    return std::nullopt;
+  return milliseconds(*Count);
+}
+
 using answer_parser = http::response_parser<http::buffer_body>;
 
 error makeError(error_kind Kind, std::string Detail) {
@@ -175,6 +191,7 @@
 bool exchange::checkAnswer() {
   const auto &Head = Answer->get();
   Outcome.Status = Head.result_int();
+  Outcome.LoadRunning = numberOf(Head["X-Load-Running"]);
   const auto Id = Head["X-Request-Id"];
   if (!Id.empty() && Id != Request.Id) {
     fail(error_kind::TargetFailed, "the answer belongs to another request");
@@ -188,16 +205,6 @@
   return true;
 }
 
-std::optional<milliseconds> retryAfterOf(const http::fields &Head) {
-  const auto Text = Head["X-Retry-After-Ms"];
-  std::int64_t Count = 0;
-  const auto [End, Problem] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Count);
-  if (Problem != std::errc() || Count < 0)
-    return std::nullopt;
-  return milliseconds(Count);
-}
-
 /// Takes in a refusal so that the connection can be used again.
 asio::awaitable<void> exchange::readRefusal() {
   const auto &Head = Answer->get();
--- a/packages/traffic/src/relay_p.h
+++ b/packages/traffic/src/relay_p.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -88,6 +89,8 @@
   /// The connection broke before any answer.
   bool Died = false;
   unsigned Status = 0;
+  /// Requests in flight that the target reported with its answer.
+  std::optional<std::uint32_t> LoadRunning;
   std::uint64_t BytesUp = 0;
   std::uint64_t BytesDown = 0;
 };
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -231,10 +231,12 @@
   const request_header &Head = Parser->get().base();
   const steady_time Now = State.Clock.now();
   relay_request Relay;
-  Relay.Head = Place.Kind == upstream_kind::Target
-                   ? targetHead(Head, Request, Index, Now)
-                   : peerHead(Head, Request, Index, Now, State.Clock.wall(),
-                              State.Secret);
+  Relay.Head =
+      Place.Kind == upstream_kind::Target
+          ? targetHead(Head, Request, Index, Now)
+          : peerHead(Head, Request, Index, Now,
+                     {State.Settings.Name, State.Secret, State.Clock.wall()},
+                     Place.CreditGrant);
   Relay.Id = Request.Id;
   Relay.To = Place.Kind;
   Relay.Deadline = Request.Deadline;
@@ -284,9 +286,12 @@
 asio::awaitable<bool> session::steer(const admitted_request &Request) {
   caller_side Caller(Socket, Buffer, *Parser);
   Caller.ContinueOwed = Parser->get()[http::field::expect] == "100-continue";
+  std::optional<forwarded_origin> Origin;
+  if (Port == entry_port::Internal)
+    Origin = originOf(Parser->get().base());
   relay_outcome Outcome;
   for (unsigned Attempts = 1;; ++Attempts) {
-    const placement_request Wanted{&Request, Port == entry_port::Internal,
+    const placement_request Wanted{&Request, View->Config, Origin,
                                    Attempts - 1};
     const result<placement> Place = co_await State.Dispatcher.place(Wanted);
     if (failed(Place)) {
--- /dev/null
+++ b/packages/traffic/src/steerer.cpp
@@ -0,0 +1,473 @@
+#include "steerer_p.h"
+
+#include <magnoliaspread/log.h>
+#include <magnoliaspread/ownership.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Pause between two asks for credits to the same peer.
+constexpr milliseconds AskPause{50};
+/// Peers of a region that are asked for credits at a time.
+constexpr std::size_t MaxAskPeers = 4;
+
+fairq_limits laneLimits() {
+  fairq_limits Limits;
+  // The last place is for requests without a workspace.
+  Limits.Workspaces = MaxWorkspaces + 1;
+  return Limits;
+}
+
+std::uint64_t firstSequence(const clock &Clock) {
+  const auto Seconds =
+      duration_cast<std::chrono::seconds>(Clock.wall().time_since_epoch());
+  return static_cast<std::uint64_t>(Seconds.count()) << 24U;
+}
+
+error noCapacity(const char *Detail) {
+  return {error_kind::NoCapacity, Detail, {}};
+}
+
+} // namespace
+
+steerer::steerer(asio::io_context &Context, const clock &Clock,
+                 const instance_settings &Settings, purse &Purse,
+                 std::uint64_t Seed)
+    : Context(Context), Clock(Clock), Settings(Settings),
+      Tokens(Context, Clock, Purse), Random(Seed),
+      View(std::make_shared<traffic_view>()), Targets(MaxTargets),
+      TargetRows(MaxTargets), Peers(MaxInstances),
+      Wallet(credit_policy{}, firstSequence(Clock)),
+      Grantor(credit_policy{}, Seed) {}
+
+void steerer::publish(traffic_view_ptr NewView) {
+  const bool NewConfig = NewView->Config != Config;
+  View = std::move(NewView);
+  Config = View->Config;
+  if (Config == nullptr)
+    return;
+  if (NewConfig) {
+    adoptNames();
+    adoptWeights();
+  }
+  adoptTargets();
+  adoptPeers();
+  Tokens.publish(*View);
+}
+
+/// Builds the steering plan of a new configuration.
+void steerer::adoptNames() {
+  steering_names Names = namesOf(Config->Table);
+  result<region_plan> Fresh = makePlan(Config->Table, Names, Settings.Region);
+  if (failed(Fresh)) {
+    logEvent(log_level::Error, "plan_refused",
+             {{"detail", errorOf(Fresh).Detail}});
+    return;
+  }
+  adoptPlan(Regions, valueOf(Fresh), PlanNames, Names);
+  Plan = std::move(valueOf(Fresh));
+  PlanNames = std::move(Names);
+  for (const service_row &Row : Config->Table.Services) {
+    const service_handle Service = ServiceNames.intern(Row.Name);
+    if (!Service.valid())
+      continue;
+    if (Services.size() <= Service.Index)
+      Services.resize(Service.Index + 1U);
+    service_state &State = Services[Service.Index];
+    State.Name = Row.Name;
+    State.Planned = handleOf<service_handle>(PlanNames.Services, Row.Name);
+    if (State.Lanes.size() < MaxRegions)
+      State.Lanes.resize(MaxRegions);
+  }
+}
+
+void steerer::adoptWeights() {
+  for (const workspace_row &Row : Config->Table.Workspaces) {
+    const workspace_handle Workspace = WorkspaceNames.intern(Row.Name);
+    if (!Workspace.valid())
+      continue;
+    for (service_state &Service : Services)
+      for (const auto &Lane : Service.Lanes)
+        if (Lane != nullptr)
+          setWeight(Lane->queue(), Workspace, Row.Weight);
+  }
+}
+
+void steerer::adoptTargets() {
+  const steady_time Now = Clock.now();
+  std::vector<bool> Named(MaxTargets, false);
+  for (std::size_t I = 0; I < Config->Table.Targets.size(); ++I) {
+    const target_row &Row = Config->Table.Targets[I];
+    if (Row.DataCentre != Settings.DataCentre)
+      continue;
+    const target_handle Target = TargetNames.intern(Row.Name);
+    if (!Target.valid())
+      continue;
+    Named[Target.Index] = true;
+    TargetRows[Target.Index] = Row;
+    const target_info Info{ServiceNames.find(Row.Service), Row.Slots,
+                           Row.State};
+    setTarget(Targets, Target, Info, Now);
+    setOwned(Targets, Target, I < View->Owned.size() && View->Owned[I], Now);
+  }
+  for (std::size_t I = 0; I < Targets.Rows.size(); ++I)
+    if (Targets.Rows[I].Present && !Named[I])
+      removeTarget(Targets, target_handle{static_cast<std::uint16_t>(I)});
+}
+
+void steerer::adoptPeers() {
+  for (peer_state &Peer : Peers)
+    Peer.Present = false;
+  for (const instance_view &Row : View->Peers) {
+    const instance_handle Handle = PeerNames.intern(Row.Name);
+    if (!Handle.valid())
+      continue;
+    peer_state &Peer = Peers[Handle.Index];
+    Peer.View = Row;
+    Peer.Region = handleOf<region_handle>(PlanNames.Regions, Row.Region);
+    Peer.Present = Peer.Region.valid();
+  }
+}
+
+namespace {
+
+const std::string &serviceName(const placement_request &Request) {
+  const service_handle Service = Request.Request->Service;
+  return Request.Config->Table.Services[Service.Index].Name;
+}
+
+/// Empty for a request without a workspace.
+std::string workspaceName(const placement_request &Request) {
+  const workspace_handle Workspace = Request.Request->Workspace;
+  return Workspace.valid()
+             ? Request.Config->Table.Workspaces[Workspace.Index].Name
+             : std::string();
+}
+
+} // namespace
+
+service_handle steerer::serviceOf(const placement_request &Request) const {
+  return ServiceNames.find(serviceName(Request));
+}
+
+workspace_handle steerer::workspaceOf(const placement_request &Request) const {
+  const std::string Name = workspaceName(Request);
+  return Name.empty()
+             ? workspace_handle{static_cast<std::uint16_t>(MaxWorkspaces)}
+             : WorkspaceNames.find(Name);
+}
+
+wall_time steerer::platformNow(steady_time Now) const {
+  if (View->PlatformTime == wall_time())
+    return {};
+  return View->PlatformTime +
+         duration_cast<wall_time::duration>(Now - View->MadeAt);
+}
+
+std::vector<instance_handle> steerer::peersOf(region_handle Region) const {
+  std::vector<instance_handle> Found;
+  for (const instance_view &Row : View->Peers) {
+    const instance_handle Handle = PeerNames.find(Row.Name);
+    if (Handle.valid() && Peers[Handle.Index].Present &&
+        Peers[Handle.Index].Region == Region)
+      Found.push_back(Handle);
+  }
+  return Found;
+}
+
+/// Regions where the service may find a place: with targets in use here, or
+/// with a live peer.
+region_mask steerer::availableRegions(service_handle Service,
+                                      steady_time Now) const {
+  region_mask Mask;
+  for (const instance_view &Row : View->Peers) {
+    const instance_handle Handle = PeerNames.find(Row.Name);
+    if (Handle.valid() && Peers[Handle.Index].Present)
+      Mask.set(Peers[Handle.Index].Region.Index);
+  }
+  if (countSlots(Targets, Service, Now).Usable > 0)
+    Mask.set(Plan.Own.Index);
+  return Mask;
+}
+
+lane &steerer::laneOf(service_handle Service, region_handle Region) {
+  std::unique_ptr<lane> &Lane = Services[Service.Index].Lanes[Region.Index];
+  if (Lane == nullptr) {
+    Lane = std::make_unique<lane>(Context, Clock, laneLimits());
+    for (const workspace_row &Row : Config->Table.Workspaces)
+      setWeight(Lane->queue(), WorkspaceNames.find(Row.Name), Row.Weight);
+  }
+  return *Lane;
+}
+
+result<region_handle> steerer::decideRegion(const placement_request &Request) {
+  const steady_time Now = Clock.now();
+  region_request Wanted;
+  Wanted.Service =
+      handleOf<service_handle>(PlanNames.Services, serviceName(Request));
+  Wanted.Workspace =
+      handleOf<workspace_handle>(PlanNames.Workspaces, workspaceName(Request));
+  Wanted.Available = availableRegions(serviceOf(Request), Now);
+  const result<region_decision> Decided =
+      chooseRegion(Plan, Regions, Wanted, Now, platformNow(Now));
+  if (failed(Decided))
+    return errorOf(Decided);
+  return valueOf(Decided).Region;
+}
+
+asio::awaitable<result<placement>>
+steerer::place(const placement_request &Request) {
+  const service_handle Service = serviceOf(Request);
+  if (!Service.valid() || !Plan.Own.valid())
+    co_return noCapacity("the service has no plan here");
+  if (Request.Forwarded)
+    co_return placeForwarded(Request, Service);
+  const steady_time Deadline = Request.Request->Deadline;
+  const std::string Workspace = workspaceName(Request);
+  if (!Workspace.empty() && Request.Attempt == 0) {
+    const status Passed = co_await Tokens.pass(Workspace, Deadline);
+    if (failed(Passed))
+      co_return errorOf(Passed);
+  }
+  const result<region_handle> Region = decideRegion(Request);
+  if (failed(Region))
+    co_return errorOf(Region);
+  updateSlots(Service, Clock.now());
+  const region_handle Chosen = valueOf(Region);
+  const fairq_entry Entry{++NextTicket, workspaceOf(Request), Deadline};
+  co_return co_await laneOf(Service, Chosen).wait(Entry, [=, this] {
+    return findPlace(Service, Chosen);
+  });
+}
+
+/// A forwarded request takes a slot here or is refused; it never waits, since
+/// its sender queues it.
+result<placement> steerer::placeForwarded(const placement_request &Request,
+                                          service_handle Service) {
+  const steady_time Now = Clock.now();
+  const instance_handle Peer = PeerNames.intern(Request.Forwarded->Peer);
+  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
+  const status Admitted =
+      admit(Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
+  if (failed(Admitted))
+    return errorOf(Admitted);
+  const result<target_handle> Target = pick(Targets, Service, Now, Random());
+  if (failed(Target))
+    return errorOf(Target);
+  return useTarget(Service, valueOf(Target), Now);
+}
+
+placement steerer::useTarget(service_handle Service, target_handle Target,
+                             steady_time Now) {
+  started(Targets, Target, Now);
+  const target_row &Row = TargetRows[Target.Index];
+  placement Place;
+  Place.Name = Row.Name;
+  Place.Address = {Row.Address, Row.Port};
+  Place.Service = Service;
+  Place.Region = Plan.Own;
+  Place.Target = Target;
+  Place.Since = Now;
+  return Place;
+}
+
+std::optional<placement> steerer::findTarget(service_handle Service,
+                                             steady_time Now) {
+  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
+  if (Free <= reservedSlots(Grantor, Service, Now))
+    return std::nullopt;
+  const result<target_handle> Target = pick(Targets, Service, Now, Random());
+  if (failed(Target))
+    return std::nullopt;
+  return useTarget(Service, valueOf(Target), Now);
+}
+
+std::optional<placement> steerer::findPeer(service_handle Service,
+                                           region_handle Region,
+                                           steady_time Now) {
+  const result<credit> Spent =
+      spendCredit(Wallet, peersOf(Region), Service, Now, Random());
+  if (failed(Spent))
+    return std::nullopt;
+  const instance_view &Peer = Peers[valueOf(Spent).Peer.Index].View;
+  placement Place;
+  Place.Kind = upstream_kind::Peer;
+  Place.Name = Peer.Name;
+  Place.Address = Peer.Internal;
+  Place.CreditGrant = valueOf(Spent).GrantId;
+  Place.Service = Service;
+  Place.Region = Region;
+  Place.Peer = valueOf(Spent).Peer;
+  Place.Since = Now;
+  return Place;
+}
+
+std::optional<placement> steerer::findPlace(service_handle Service,
+                                            region_handle Region) {
+  const steady_time Now = Clock.now();
+  if (Region == Plan.Own) {
+    std::optional<placement> Target = findTarget(Service, Now);
+    if (Target)
+      return Target;
+  }
+  return findPeer(Service, Region, Now);
+}
+
+/// Tells the queues how many requests run at a time, for their estimates.
+void steerer::updateSlots(service_handle Service, steady_time Now) {
+  const std::uint32_t Own = countSlots(Targets, Service, Now).Usable;
+  for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
+    const region_handle Region{I};
+    const auto Peers = static_cast<std::uint32_t>(peersOf(Region).size());
+    const std::uint32_t Slots = Region == Plan.Own ? Own + Peers : Peers;
+    setSlots(laneOf(Service, Region).queue(), Slots);
+  }
+}
+
+void steerer::pumpService(service_handle Service) {
+  for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
+    const region_handle Region{I};
+    const auto &Lane = Services[Service.Index].Lanes[I];
+    if (Lane == nullptr || Lane->waitingCount() == 0)
+      continue;
+    Lane->pump([&] { return findPlace(Service, Region); });
+    if (Lane->waitingCount() > 0)
+      askForCredits(Service, Region);
+  }
+}
+
+void steerer::askForCredits(service_handle Service, region_handle Region) {
+  const steady_time Now = Clock.now();
+  std::vector<instance_handle> Candidates = peersOf(Region);
+  std::shuffle(Candidates.begin(), Candidates.end(), Random);
+  if (Candidates.size() > MaxAskPeers)
+    Candidates.resize(MaxAskPeers);
+  const auto Wanted = static_cast<std::uint32_t>(
+      Services[Service.Index].Lanes[Region.Index]->waitingCount());
+  for (const instance_handle Peer : Candidates) {
+    const auto Asked =
+        std::find_if(Asks.begin(), Asks.end(), [&](const ask_time &Ask) {
+          return Ask.Peer == Peer && Ask.Service == Service;
+        });
+    if (Asked != Asks.end() && Now - Asked->At < AskPause)
+      continue;
+    if (Asked == Asks.end())
+      Asks.push_back({Peer, Service, Now});
+    else
+      Asked->At = Now;
+    const credit_ask Ask = makeAsk(Wallet, Peer, Service, Wanted, Now);
+    Outgoing.push_back(
+        {PeerNames.name(Peer),
+         credit_ask_message{stableId(Services[Service.Index].Name), Ask.Wanted,
+                            Ask.Sequence}});
+  }
+}
+
+void steerer::grantCreditsOf(service_handle Service, steady_time Now) {
+  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
+  for (const addressed_grant &Row :
+       grantCredits(Grantor, Service, Free, Now, Random()))
+    Outgoing.push_back(
+        {PeerNames.name(Row.Peer),
+         credit_grant_message{stableId(Services[Service.Index].Name),
+                              Row.Grant.Count, Row.Grant.Id, Row.Grant.Sequence,
+                              Row.Grant.Lifetime}});
+}
+
+void steerer::tick() {
+  if (Config == nullptr)
+    return;
+  const steady_time Now = Clock.now();
+  Tokens.tick();
+  dropExpired(Grantor, Now);
+  for (std::uint16_t I = 0; I < Services.size(); ++I) {
+    const service_handle Service{I};
+    updateSlots(Service, Now);
+    pumpService(Service);
+    grantCreditsOf(Service, Now);
+  }
+}
+
+void steerer::fillFrame(traffic_frame &Frame) {
+  const steady_time Now = Clock.now();
+  for (std::uint16_t I = 0; I < Services.size(); ++I) {
+    Frame.FreeSlots += countSlots(Targets, service_handle{I}, Now).Free;
+    for (const auto &Lane : Services[I].Lanes)
+      if (Lane != nullptr)
+        Frame.Waiting += Lane->waitingCount();
+  }
+  Frame.Credits = std::exchange(Outgoing, {});
+}
+
+void steerer::receive(const peer_credit_message &Message) {
+  const instance_handle Peer = PeerNames.intern(Message.Peer);
+  if (!Peer.valid())
+    return;
+  const steady_time Now = Clock.now();
+  const auto ServiceOf = [&](std::uint64_t Id) {
+    for (std::uint16_t I = 0; I < Services.size(); ++I)
+      if (stableId(Services[I].Name) == Id)
+        return service_handle{I};
+    return service_handle{};
+  };
+  if (const auto *Ask = std::get_if<credit_ask_message>(&Message.Message)) {
+    const service_handle Service = ServiceOf(Ask->Service);
+    if (Service.valid())
+      noteAsk(Grantor, Peer, {Service, Ask->Wanted, Ask->Sequence}, Now);
+    return;
+  }
+  const auto &Grant = std::get<credit_grant_message>(Message.Message);
+  const service_handle Service = ServiceOf(Grant.Service);
+  if (!Service.valid())
+    return;
+  const bool Useful = noteGrant(
+      Wallet, Peer,
+      {Service, Grant.Count, Grant.Id, Grant.Sequence, Grant.Lifetime}, Now);
+  if (Useful && Grant.Count > 0)
+    pumpService(Service);
+}
+
+/// Tells the target's row how its request ended.
+void steerer::endTarget(const placement &Place, const relay_outcome &Outcome,
+                        steady_time Now) {
+  if (Outcome.LoadRunning)
+    reportLoad(Targets, Place.Target, *Outcome.LoadRunning, Now);
+  if (Outcome.Answered)
+    return magnoliaspread::finished(Targets, Place.Target, Now);
+  switch (Outcome.Error.Kind) {
+  case error_kind::TargetShed:
+    return shed(Targets, Place.Target, Now,
+                Outcome.Error.RetryAfter.value_or(milliseconds(0)));
+  case error_kind::CallerGone:
+  case error_kind::RequestStalled:
+  case error_kind::DeadlineExpired:
+    return abandoned(Targets, Place.Target, Now);
+  default:
+    return requestFailed(Targets, Place.Target, Now);
+  }
+}
+
+void steerer::endPeer(const placement &Place, const relay_outcome &Outcome) {
+  if (!Outcome.Answered && Outcome.Error.Kind != error_kind::CallerGone)
+    dropCredits(Wallet, Place.Peer, Place.Service);
+}
+
+void steerer::finished(const placement &Place, const relay_outcome &Outcome) {
+  const steady_time Now = Clock.now();
+  if (Place.Kind == upstream_kind::Target)
+    endTarget(Place, Outcome, Now);
+  else
+    endPeer(Place, Outcome);
+  if (Place.Ticket != 0)
+    laneOf(Place.Service, Place.Region)
+        .settlePlace(Place.Ticket, Now - Place.Since);
+  pumpService(Place.Service);
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/steerer_p.h
@@ -0,0 +1,124 @@
+/// Steers requests: token of the workspace's limit, region by weights and
+/// shift cap, then a slot of an own target or a credit of a peer instance, in
+/// fair order of the workspaces.
+#ifndef MAGNOLIASPREAD_STEERER_P_H
+#define MAGNOLIASPREAD_STEERER_P_H
+
+#include "dispatch_p.h"
+#include "lane_p.h"
+#include "names_p.h"
+#include "tokens_p.h"
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/config.h>
+#include <magnoliaspread/credit.h>
+#include <magnoliaspread/purse.h>
+#include <magnoliaspread/region.h>
+#include <magnoliaspread/settings.h>
+#include <magnoliaspread/target.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace magnoliaspread {
+
+class steerer final : public dispatcher {
+public:
+  steerer(asio::io_context &Context, const clock &Clock,
+          const instance_settings &Settings, purse &Purse, std::uint64_t Seed);
+
+  void publish(traffic_view_ptr NewView) override;
+  asio::awaitable<result<placement>>
+  place(const placement_request &Request) override;
+  void tick() override;
+  void fillFrame(traffic_frame &Frame) override;
+  void receive(const peer_credit_message &Message) override;
+  void finished(const placement &Place, const relay_outcome &Outcome) override;
+
+private:
+  /// Handles by the names of the configuration in force; see stable_names.
+  struct service_state {
+    std::string Name;
+    /// In the steering plan of the configuration in force.
+    service_handle Planned;
+    /// By region of the plan.
+    std::vector<std::unique_ptr<lane>> Lanes;
+  };
+
+  struct peer_state {
+    instance_view View;
+    /// Region of the plan; invalid when it has none.
+    region_handle Region;
+    bool Present = false;
+  };
+
+  struct ask_time {
+    instance_handle Peer;
+    service_handle Service;
+    steady_time At;
+  };
+
+  void adoptNames();
+  void adoptTargets();
+  void adoptPeers();
+  void adoptWeights();
+
+  result<region_handle> decideRegion(const placement_request &Request);
+  result<placement> placeForwarded(const placement_request &Request,
+                                   service_handle Service);
+  region_mask availableRegions(service_handle Service, steady_time Now) const;
+  lane &laneOf(service_handle Service, region_handle Region);
+  std::optional<placement> findPlace(service_handle Service,
+                                     region_handle Region);
+  std::optional<placement> findTarget(service_handle Service, steady_time Now);
+  std::optional<placement> findPeer(service_handle Service,
+                                    region_handle Region, steady_time Now);
+  placement useTarget(service_handle Service, target_handle Target,
+                      steady_time Now);
+  void pumpService(service_handle Service);
+  void askForCredits(service_handle Service, region_handle Region);
+  void grantCreditsOf(service_handle Service, steady_time Now);
+  void endTarget(const placement &Place, const relay_outcome &Outcome,
+                 steady_time Now);
+  void endPeer(const placement &Place, const relay_outcome &Outcome);
+  std::vector<instance_handle> peersOf(region_handle Region) const;
+  void updateSlots(service_handle Service, steady_time Now);
+  service_handle serviceOf(const placement_request &Request) const;
+  workspace_handle workspaceOf(const placement_request &Request) const;
+  wall_time platformNow(steady_time Now) const;
+
+  asio::io_context &Context;
+  const clock &Clock;
+  const instance_settings &Settings;
+  token_gate Tokens;
+  std::mt19937_64 Random;
+  traffic_view_ptr View;
+  config_index_ptr Config;
+
+  stable_names<target_handle> TargetNames{MaxTargets};
+  stable_names<service_handle> ServiceNames{MaxServices};
+  stable_names<workspace_handle> WorkspaceNames{MaxWorkspaces};
+  stable_names<instance_handle> PeerNames{MaxInstances};
+
+  target_table Targets;
+  /// Row of the table by target handle.
+  std::vector<target_row> TargetRows;
+  std::vector<service_state> Services;
+  std::vector<peer_state> Peers;
+
+  steering_names PlanNames;
+  region_plan Plan;
+  region_state Regions;
+
+  credit_wallet Wallet;
+  credit_grantor Grantor;
+  std::vector<ask_time> Asks;
+  std::vector<peer_credit_message> Outgoing;
+
+  std::uint64_t NextTicket = 0;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/tokens_p.h
@@ -0,0 +1,65 @@
+/// Lets requests pass that have a token of their workspace's limit; others
+/// wait their turn for a short time.
+#ifndef MAGNOLIASPREAD_TOKENS_P_H
+#define MAGNOLIASPREAD_TOKENS_P_H
+
+#include "names_p.h"
+#include "net_p.h"
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/purse.h>
+#include <magnoliaspread/view.h>
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace magnoliaspread {
+
+/// Longest time that a request waits for a token before it is refused.
+inline constexpr std::chrono::milliseconds MaxTokenWait{300};
+
+class token_gate {
+public:
+  token_gate(asio::io_context &Context, const clock &Clock, purse &Purse)
+      : Context(Context), Clock(Clock), Purse(Purse) {}
+
+  /// Takes one token. RateLimited, not run, with a time to come back: at once
+  /// when none can be expected in time, otherwise after the wait.
+  asio::awaitable<status> pass(std::string Workspace, steady_time Deadline);
+
+  /// Takes the waits that the token bank expects into account.
+  void publish(const traffic_view &View);
+
+  /// Lets waiting requests try again.
+  void tick();
+
+private:
+  struct waiter {
+    explicit waiter(asio::io_context &Context) : Signal(Context) {}
+    asio::steady_timer Signal;
+    bool Passed = false;
+  };
+
+  struct line {
+    limit_id Limit = 0;
+    std::chrono::milliseconds ExpectedWait{};
+    std::deque<std::shared_ptr<waiter>> Waiters;
+  };
+
+  asio::awaitable<bool> wait(line &Line, steady_time End);
+  static void passFirst(line &Line);
+  error refusal(const line &Line) const;
+  line &lineOf(const std::string &Workspace);
+
+  asio::io_context &Context;
+  const clock &Clock;
+  purse &Purse;
+  name_map<line> Lines;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -2,8 +2,8 @@
 
 #include "net_p.h"
 #include "pool_p.h"
-#include "roundrobin_p.h"
 #include "session_p.h"
+#include "steerer_p.h"
 
 #include <magnoliaspread/log.h>
 
@@ -76,12 +76,14 @@
   asio::awaitable<void> sweepPool();
   asio::awaitable<void> sendFrames();
   void run();
+  /// Closes idle connections to targets that take no new work.
+  void dropDrained();
 
   std::uint32_t Number;
   const frame_handler &OnFrame;
   asio::io_context Context{1};
   upstream_pool Pool;
-  round_robin_dispatcher Dispatcher;
+  steerer Dispatcher;
   thread_state State;
   tcp::acceptor Public;
   tcp::acceptor Internal;
@@ -92,6 +94,7 @@
   const instance_settings &Settings;
   const clock &Clock;
   fleet_secret Secret;
+  purse &Tokens;
   frame_handler OnFrame;
   std::vector<std::unique_ptr<thread>> Threads;
 };
@@ -129,10 +132,24 @@
   for (;;) {
     Timer.expires_after(State.Settings.ControlTick);
     co_await Timer.async_wait(Awaited);
-    OnFrame({Number, State.InFlight, State.Connections});
+    Dispatcher.tick();
+    traffic_frame Frame;
+    Frame.Thread = Number;
+    Frame.InFlight = State.InFlight;
+    Frame.Connections = State.Connections;
+    Dispatcher.fillFrame(Frame);
+    OnFrame(std::move(Frame));
   }
 }
 
+void traffic_threads::thread::dropDrained() {
+  if (State.View->Config == nullptr)
+    return;
+  for (const target_row &Row : State.View->Config->Table.Targets)
+    if (Row.State == drain_state::Draining)
+      Pool.dropIdle({Row.Address, Row.Port});
+}
+
 void traffic_threads::thread::run() {
   asio::co_spawn(Context, acceptAll(Public, entry_port::Public),
                  asio::detached);
@@ -145,16 +162,21 @@
 
 traffic_threads::traffic_threads(const instance_settings &Settings,
                                  const clock &Clock, fleet_secret Secret,
-                                 frame_handler OnFrame)
-    : State(std::make_unique<state>(
-          state{Settings, Clock, std::move(Secret), std::move(OnFrame), {}})) {}
+                                 purse &Tokens, frame_handler OnFrame)
+    : State(std::make_unique<state>(state{Settings,
+                                          Clock,
+                                          std::move(Secret),
+                                          Tokens,
+                                          std::move(OnFrame),
+                                          {}})) {}
 
 traffic_threads::~traffic_threads() { stop(); }
 
 status traffic_threads::start() {
   for (std::uint32_t I = 0; I < State->Settings.TrafficThreads; ++I) {
-    auto Thread = std::make_unique<thread>(I, State->Settings, State->Clock,
-                                           State->Secret, State->OnFrame);
+    auto Thread =
+        std::make_unique<thread>(I, State->Settings, State->Clock,
+                                 State->Secret, State->Tokens, State->OnFrame);
     const status Public = openPort(Thread->Public, State->Settings.Public);
     if (failed(Public))
       return Public;
@@ -174,6 +196,14 @@
     asio::post(Thread->Context, [Thread = Thread.get(), View] {
       Thread->State.View = View;
       Thread->Dispatcher.publish(View);
+      Thread->dropDrained();
+    });
+}
+
+void traffic_threads::deliver(const peer_credit_message &Message) {
+  for (const auto &Thread : State->Threads)
+    asio::post(Thread->Context, [Thread = Thread.get(), Message] {
+      Thread->Dispatcher.receive(Message);
     });
 }
 
