--- a/packages/coordination/src/share.cpp
+++ b/packages/coordination/src/share.cpp
@@ -113,7 +113,7 @@
                             share_actions &Actions) {
   if (Row.Index >= Plan.shares())
     Row.Releasing = true;
-  const bool Lapsed = Now >= fence(Row);
+  const bool Lapsed = !Row.Releasing && Now >= fence(Row);
   if (Lapsed && !Row.Lapsed)
     ++Counts.Lost;
   Row.Lapsed = Lapsed;
--- a/packages/coordination/tests/quota_fleet.h
+++ b/packages/coordination/tests/quota_fleet.h
@@ -547,7 +547,7 @@
   }
 
   void send(std::size_t P, std::size_t Q, std::size_t Size,
-            std::function<void()> Run) {
+            const std::function<void()> &Run) {
     ++Messages;
     Bytes += Size;
     if (!linked(P, Q))
@@ -595,8 +595,8 @@
   void operate(std::size_t P, share_actions Actions) {
     for (const share_read &Read : Actions.Reads)
       startRead(P, Read);
-    for (share_write &Write : Actions.Writes)
-      startWrite(P, std::move(Write));
+    for (const share_write &Write : Actions.Writes)
+      startWrite(P, Write);
     for (outgoing_promise_request &Out : Actions.Requests) {
       const std::size_t Q = indexOf(Out.To.Name);
       send(P, Q, 60, [this, P, Q, Out] {
@@ -650,7 +650,7 @@
     });
   }
 
-  void startWrite(std::size_t P, share_write Write) {
+  void startWrite(std::size_t P, const share_write &Write) {
     ++PlatformWrites;
     const std::uint64_t Life = Processes[P].Life;
     const auto Finish = [this](process &Each,
--- /dev/null
+++ b/packages/coordination/tests/quota_schedule.h
@@ -0,0 +1,207 @@
+/// Random schedules of faults, load and edits for a quota_fleet.
+#ifndef MAGNOLIASPREAD_QUOTA_SCHEDULE_H
+#define MAGNOLIASPREAD_QUOTA_SCHEDULE_H
+
+#include "quota_fleet.h"
+
+#include <cstdlib>
+#include <iterator>
+
+namespace magnoliaspread {
+
+inline constexpr double TestRate = 60;
+inline constexpr double TestBurst = 40;
+inline constexpr milliseconds ScheduleSpan{40000};
+
+inline fleet_config configOf(std::size_t DataCentres, double Rate, double Burst,
+                             std::uint32_t Shares) {
+  fleet_config Config;
+  Config.Limits.push_back({workspaceLimit("clube"), Rate, Burst});
+  Config.Limits.push_back({linkLimit("lisboa", "porto"), Rate / 3, Burst / 2});
+  const auto Permille = static_cast<std::uint32_t>(1000 / DataCentres);
+  for (std::size_t D = 0; D < DataCentres; ++D)
+    Config.Cuts.push_back({1, Permille, Shares});
+  return Config;
+}
+
+/// A random schedule of faults, load and edits, all from one seed.
+class schedule {
+public:
+  schedule(std::uint64_t Seed, quota_policy Policy, bool Loaded = true)
+      : Fleet(options(Seed, Policy),
+              configOf(2 + Seed % 2, TestRate, TestBurst, 1 + Seed % 4)) {
+    if (Loaded)
+      load();
+    else
+      Fleet.Options.Tick = milliseconds(250);
+    const std::size_t Faults = 4 + Fleet.below(8);
+    for (std::size_t I = 0; I < Faults; ++I)
+      Fleet.after(milliseconds(Fleet.below(ScheduleSpan.count())),
+                  [this] { fault(); });
+  }
+
+  /// Mends everything and lowers the load to three quarters of the rate.
+  void calm() {
+    Calm = true;
+    Fleet.Cut.clear();
+    Fleet.CutFromPlatform.clear();
+    Fleet.PlatformUp = true;
+    Fleet.AnswersLost = 0;
+    Fleet.PlatformDelay = milliseconds(5);
+    Fleet.Options.Loss = 0.02;
+    Fleet.Options.Reorder = milliseconds(1);
+    Fleet.Options.Wait = milliseconds(300);
+    const double Rate = Fleet.Configs.back().Limits.front().Rate;
+    Gap = milliseconds(static_cast<int>(1000 / (0.75 * Rate)));
+  }
+
+  bool allHeld() const {
+    std::size_t Held = 0;
+    std::size_t Wanted = 0;
+    for (const quota_fleet::process &Each : Fleet.Processes)
+      Held += Each.Keeper->minted(Fleet.Now).size();
+    for (const share_cut &Cut : Fleet.Configs.back().Cuts)
+      Wanted += Cut.Shares;
+    return Held == Wanted;
+  }
+
+  quota_fleet Fleet;
+
+private:
+  static fleet_options options(std::uint64_t Seed, quota_policy Policy) {
+    fleet_options Options;
+    Options.Seed = Seed;
+    Options.Policy = Policy;
+    Options.DataCentres = 2 + Seed % 2;
+    Options.Instances = 2 + Seed / 2 % 2;
+    Options.DataCentresPerRegion = 1;
+    Options.Tick = milliseconds(50);
+    Options.LeaseTtl = milliseconds(3000);
+    Options.Loss = Seed % 3 == 0 ? 0.3 : 0.02;
+    Options.Duplicates = 0.1;
+    Options.Reorder = milliseconds(Seed % 5 * 100 + 1);
+    return Options;
+  }
+
+  /// Below or above the rate, on a part of the instances that changes; now
+  /// and then all instances spend all that they have.
+  void load() {
+    if (Fleet.uniform() < (Calm ? 0.004 : 0.02))
+      Hot = any();
+    if (!Calm && Fleet.uniform() < 0.01)
+      Gap = milliseconds(Fleet.uniform() < 0.5 ? 8 : 25);
+    const std::size_t P = Fleet.uniform() < 0.7 ? Hot : any();
+    Fleet.arrive(P, 0);
+    if (!Calm)
+      Fleet.arrive(P, 1);
+    if (!Calm && Fleet.uniform() < 0.004) {
+      const std::size_t Limit = Fleet.below(2);
+      for (std::size_t Q = 0; Q < Fleet.Processes.size(); ++Q)
+        Fleet.drain(Q, Limit);
+    }
+    // Quiet spells let the buckets fill.
+    const bool Quiet = Fleet.uniform() < 0.002;
+    Fleet.after(Quiet ? milliseconds(3000) : Gap, [this] { load(); });
+  }
+
+  std::size_t any() { return Fleet.below(Fleet.Processes.size()); }
+  milliseconds span(int Most) { return milliseconds(100 + Fleet.below(Most)); }
+
+  void fault() {
+    using action = void (schedule::*)();
+    static constexpr action Actions[] = {
+        &schedule::crash,     &schedule::crash,       &schedule::freeze,
+        &schedule::freeze,    &schedule::partition,   &schedule::outage,
+        &schedule::cutOff,    &schedule::loseAnswers, &schedule::slowPlatform,
+        &schedule::configure, &schedule::configure,   &schedule::leave};
+    (this->*Actions[Fleet.below(std::size(Actions))])();
+  }
+
+  void crash() { crashOne(any(), milliseconds(0)); }
+
+  void crashOne(std::size_t P, milliseconds Delay) {
+    Fleet.after(Delay, [this, P] {
+      if (!Fleet.Processes[P].Alive)
+        return;
+      const std::uint64_t Incarnation = Fleet.Processes[P].Incarnation;
+      const std::size_t DataCentre = Fleet.Processes[P].DataCentre;
+      Fleet.crash(P);
+      if (Fleet.uniform() < 0.6)
+        Fleet.after(span(2000), [this, DataCentre, Incarnation] {
+          Fleet.proveDead(DataCentre, Incarnation);
+        });
+      Fleet.after(span(8000), [this, P, DataCentre, Incarnation] {
+        Fleet.start(P);
+        Fleet.proveDead(DataCentre, Incarnation);
+      });
+    });
+  }
+
+  void leave() {
+    const std::size_t P = any();
+    if (!Fleet.running(P))
+      return;
+    Fleet.Processes[P].Keeper->leave();
+    crashOne(P, span(4000));
+  }
+
+  void freeze() { Fleet.freeze(any(), span(9000)); }
+
+  void partition() {
+    const std::size_t P = any();
+    const std::size_t Q = any();
+    if (P == Q)
+      return;
+    const std::pair Pair{std::min(P, Q), std::max(P, Q)};
+    Fleet.Cut.insert(Pair);
+    Fleet.after(span(12000), [this, Pair] { Fleet.Cut.erase(Pair); });
+  }
+
+  void outage() {
+    Fleet.PlatformUp = false;
+    Fleet.after(span(15000), [this] { Fleet.PlatformUp = true; });
+  }
+
+  void cutOff() {
+    const std::size_t P = any();
+    Fleet.CutFromPlatform.insert(P);
+    Fleet.after(span(15000), [this, P] { Fleet.CutFromPlatform.erase(P); });
+  }
+
+  void loseAnswers() {
+    Fleet.AnswersLost = 0.4;
+    Fleet.after(span(15000), [this] { Fleet.AnswersLost = 0; });
+  }
+
+  void slowPlatform() {
+    Fleet.PlatformDelay = milliseconds(3000);
+    Fleet.after(span(10000), [this] { Fleet.PlatformDelay = milliseconds(5); });
+  }
+
+  void configure() {
+    const std::size_t DataCentres = Fleet.Options.DataCentres;
+    const double Factor = 0.2 + 2 * Fleet.uniform();
+    fleet_config Config =
+        configOf(DataCentres, TestRate * Factor, TestBurst * Factor,
+                 static_cast<std::uint32_t>(1 + Fleet.below(4)));
+    // Moves most of the minting to one data centre.
+    const std::size_t Main = Fleet.below(DataCentres);
+    for (std::size_t D = 0; D < DataCentres; ++D)
+      Config.Cuts[D].Permille = D == Main ? 800 : 200 / (DataCentres - 1);
+    Fleet.configure(Config, milliseconds(5000));
+  }
+
+  std::size_t Hot = 0;
+  milliseconds Gap{8};
+  bool Calm = false;
+};
+
+/// Schedules per run; QUOTA_SCHEDULES asks for more.
+inline std::uint64_t schedules(std::uint64_t Default) {
+  const char *Text = std::getenv("QUOTA_SCHEDULES");
+  return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
+}
+
+} // namespace magnoliaspread
+
+#endif
