Keep connections that the platform closed while idle from counting as failures

A reused connection that ends without an answer says nothing about the platform, so it is retried at once on a new one; a write is read back first. Idle connections are checked for their end before use. With both taken out the new section failed (get counted as failed, back-off begun).

--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -35,6 +35,16 @@
   return Status >= FirstServerError || Status == TooManyRequests;
 }
 
+/// An idle connection with anything to read, its end included, is of no use.
+bool isQuiet(asio::ip::tcp::socket &Socket) {
+  error_code Error;
+  Socket.non_blocking(true, Error);
+  char Byte = 0;
+  Socket.receive(asio::buffer(&Byte, 1), asio::ip::tcp::socket::message_peek,
+                 Error);
+  return Error == asio::error::would_block;
+}
+
 std::optional<wall_time> parseTime(beast::string_view Text) {
   std::int64_t Milliseconds = 0;
   const char *End = Text.data() + Text.size();
@@ -87,11 +97,19 @@
   co_return !Stopped;
 }
 
-http_exchange::connection_id http_exchange::takeIdle() {
+void http_exchange::dropStaleIdle() {
   const steady_time OldestUse = Clock.now() - Settings.MaxIdle;
-  std::erase_if(Connections, [OldestUse](const auto &Row) {
-    return Row.second.Idle && Row.second.LastUsed < OldestUse;
-  });
+  for (auto Row = Connections.begin(); Row != Connections.end();) {
+    connection &Connection = Row->second;
+    const bool IsStale =
+        Connection.Idle && (Connection.LastUsed < OldestUse ||
+                            !isQuiet(Connection.Stream.socket()));
+    Row = IsStale ? Connections.erase(Row) : std::next(Row);
+  }
+}
+
+http_exchange::connection_id http_exchange::takeIdle() {
+  dropStaleIdle();
   for (auto &[Id, Connection] : Connections) {
     if (!Connection.Idle)
       continue;
@@ -177,8 +195,12 @@
     co_await http::async_read(Connection.Stream, Connection.Buffer, Parser,
                               redirect_error(use_awaitable, Error));
   if (Error || Stopped) {
+    const bool WasClosed = Connection.Reused && Error != beast::error::timeout;
     release(Id, false);
-    co_return exchange_reply{exchange_outcome::NoAnswer, 0, {}};
+    co_return exchange_reply{WasClosed ? exchange_outcome::ClosedWhileIdle
+                                       : exchange_outcome::NoAnswer,
+                             0,
+                             {}};
   }
   http_response Response = Parser.release();
   release(Id, Response.keep_alive());
@@ -209,6 +231,8 @@
   exchange_reply Reply = co_await exchangeOn(Id, Message, Timeout);
   if (Reply.Outcome == exchange_outcome::NoAnswer)
     noteFailure(Kind, StartedAt);
+  if (Reply.Outcome == exchange_outcome::ClosedWhileIdle)
+    closeIdle();
   co_return Reply;
 }
 
--- a/packages/platform/src/http_exchange_p.h
+++ b/packages/platform/src/http_exchange_p.h
@@ -35,6 +35,9 @@
   /// Sent, but the connection broke, the time ran out or the server reported
   /// a fault of its own.
   NoAnswer,
+  /// As NoAnswer, on a connection that had been idle and was closed by the
+  /// server; says nothing about the server's health.
+  ClosedWhileIdle,
   /// Not sent: the pace allows no call before the deadline.
   OutOfTime,
 };
@@ -78,6 +81,7 @@
     boost::beast::tcp_stream Stream;
     boost::beast::flat_buffer Buffer;
     bool Idle = false;
+    /// It has carried an answer before.
     bool Reused = false;
     steady_time LastUsed;
   };
@@ -90,11 +94,14 @@
 
   boost::asio::awaitable<bool> waitForPace(steady_time Deadline);
   boost::asio::awaitable<void> sleepUntil(steady_time Until);
+  /// 0 when it fails.
   boost::asio::awaitable<connection_id> openConnection();
   boost::asio::awaitable<exchange_reply>
   exchangeOn(connection_id Id, const http_request &Request,
              std::chrono::milliseconds Timeout);
+  /// 0 when there is none.
   connection_id takeIdle();
+  void dropStaleIdle();
   void release(connection_id Id, bool KeepAlive);
   void closeIdle();
   void noteFailure(call_kind Kind, steady_time StartedAt);
--- a/packages/platform/src/http_store.cpp
+++ b/packages/platform/src/http_store.cpp
@@ -49,6 +49,12 @@
          "&wait_ms=" + std::to_string(Request.Wait.count());
 }
 
+/// Whether the call may have had its effect without an answer.
+bool isLost(const exchange_reply &Reply) {
+  return Reply.Outcome == exchange_outcome::NoAnswer ||
+         Reply.Outcome == exchange_outcome::ClosedWhileIdle;
+}
+
 bool answeredWith(const exchange_reply &Reply, unsigned Status) {
   return Reply.Outcome == exchange_outcome::Answered && Reply.Status == Status;
 }
@@ -175,7 +181,7 @@
 
   template <class T>
   void start(call_kind Kind, completion<T> Done, operation_function<T> Run);
-  void stop();
+  void stop() noexcept;
 
   awaitable<result<stored_object>> get(get_request Request,
                                        steady_time Deadline);
@@ -268,10 +274,14 @@
     Done(std::move(Result));
 }
 
-void http_store::operations::stop() {
-  Exchange.stop();
-  for (waiting_operation &Waiting : Queue)
-    Waiting.Timer.cancel();
+void http_store::operations::stop() noexcept {
+  try {
+    Exchange.stop();
+    for (waiting_operation &Waiting : Queue)
+      Waiting.Timer.cancel();
+  } catch (...) {
+    // What could not be cancelled ends at its own timeout.
+  }
 }
 
 awaitable<bool> http_store::operations::waitInQueue(steady_time Deadline) {
@@ -371,8 +381,7 @@
   exchange_reply Reply;
   do
     Reply = co_await Exchange.call(Request, Deadline);
-  while (Reply.Outcome == exchange_outcome::NotSent ||
-         Reply.Outcome == exchange_outcome::NoAnswer);
+  while (Reply.Outcome == exchange_outcome::NotSent || isLost(Reply));
   if (answeredWith(Reply, Ok))
     ++Exchange.Counters.of(Kind).Succeeded;
   if (answeredWith(Reply, Missing))
@@ -540,7 +549,7 @@
       co_return error{error_kind::VersionConflict, Request.Name, {}};
     if (Reply.Outcome == exchange_outcome::NotSent)
       continue;
-    if (Reply.Outcome != exchange_outcome::NoAnswer && !Conflicts)
+    if (!isLost(Reply) && !Conflicts)
       co_return unexpected(Reply);
     MayHaveRun = true;
     const read_back Found = co_await readBack(Request.Name, Write, Deadline);
@@ -579,7 +588,7 @@
                       Request.Name,
                       {}};
     }
-    if (Reply.Outcome == exchange_outcome::NoAnswer)
+    if (isLost(Reply))
       MayHaveRun = true;
     else if (Reply.Outcome != exchange_outcome::NotSent)
       co_return unexpected(Reply);
--- a/packages/platform/tests/http_store.cpp
+++ b/packages/platform/tests/http_store.cpp
@@ -123,7 +123,7 @@
     Fixture.Server.setFaults(Losing);
     std::optional<result<put_answer>> Answer;
     Store->put({"x", "2", Base},
-               [&](result<put_answer> Got) { Answer = std::move(Got); });
+               [&](const result<put_answer> &Got) { Answer = Got; });
     Fixture.runFor(20ms);
     Fixture.Server.setFaults({});
     platform_faults LosingNow;
@@ -157,12 +157,13 @@
     Fixture.Server.setFaults(Down);
     std::optional<result<put_answer>> Answer;
     Store->put({"x", "2", valueOf(Base).Version},
-               [&](result<put_answer> Got) { Answer = std::move(Got); });
+               [&](const result<put_answer> &Got) { Answer = Got; });
     CPPUNIT_ASSERT(Fixture.runUntil(
         [&] { return Store->counters().of(call_kind::Put).Failed > 0; }));
     Fixture.Server.setFaults({});
     // Written past the client, so that it comes before the read-back.
-    Other->put({"x", "3", valueOf(Seen).Version}, [](result<put_answer>) {});
+    Other->put({"x", "3", valueOf(Seen).Version},
+               [](const result<put_answer> &) {});
     CPPUNIT_ASSERT(Fixture.runUntil([&] { return Answer.has_value(); }));
     const bool Won = !failed(*Answer);
     CPPUNIT_ASSERT(Won || failedWith(*Answer, error_kind::VersionConflict));
@@ -176,7 +177,7 @@
     Fixture.Server.setFaults(Down);
     std::optional<result<put_answer>> Answer;
     Store->put({"x", "4", Version},
-               [&](result<put_answer> Got) { Answer = std::move(Got); });
+               [&](const result<put_answer> &Got) { Answer = Got; });
     CPPUNIT_ASSERT(Fixture.runUntil(
         [&] { return Store->counters().of(call_kind::Get).Failed > 0; }));
     CPPUNIT_ASSERT(!failed(Fixture.Server.load(R"({"x":5})")));
@@ -219,6 +220,16 @@
     Faults.Delay = 250ms;
     Survives(Faults);
   });
+  section("connections that the platform closed while idle do no harm", [&] {
+    const platform_counters Before = Store->counters();
+    platform_faults Refusing;
+    Refusing.RefuseConnections = true;
+    Fixture.Server.setFaults(Refusing);
+    Fixture.Server.setFaults({});
+    CPPUNIT_ASSERT(!failed(Fixture.get(*Store, "x")));
+    CPPUNIT_ASSERT_EQUAL(Before.of(call_kind::Get).Failed,
+                         Store->counters().of(call_kind::Get).Failed);
+  });
   section("a slow write is not made twice", [&] {
     platform_faults Slow;
     Slow.Delay = 250ms;
@@ -226,7 +237,7 @@
     const std::uint64_t Puts = Fixture.Server.stats().Puts;
     std::optional<result<put_answer>> Answer;
     Store->put({"y", "1", NoObject},
-               [&](result<put_answer> Got) { Answer = std::move(Got); });
+               [&](const result<put_answer> &Got) { Answer = Got; });
     Fixture.runFor(300ms);
     Fixture.Server.setFaults({});
     CPPUNIT_ASSERT(Fixture.runUntil([&] { return Answer.has_value(); }));
@@ -310,6 +321,14 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
                          Fixture.Server.stats().MostWaitingWatches);
   });
+}
+
+STORY(http_store_pace) {
+  store_fixture Fixture;
+  http_store_settings Settings = Fixture.settings();
+  Settings.MaxCalls = 2;
+  Fixture.put(*Fixture.makeStore(Settings), {"x", "1", NoObject});
+
   section("calls keep to their rate", [&] {
     Settings.Pace.CallsPerSecond = 100;
     Settings.Pace.CallBurst = 5;
--- a/tests/standins/platform/main.cpp
+++ b/tests/standins/platform/main.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
+int main(int Argc, char **Argv) try {
   CLI::App App("Stand-in for the platform's object API");
   std::uint16_t Port = 0;
   std::string LoadFile;
@@ -38,4 +38,7 @@
   App.add_option("--load", LoadFile, "JSON object of name -> value");
   CLI11_PARSE(App, Argc, Argv);
   return run(Port, LoadFile);
+} catch (const std::exception &Error) {
+  std::cerr << Error.what() << '\n';
+  return 1;
 }
--- a/tests/standins/platform/platform_server.cpp
+++ b/tests/standins/platform/platform_server.cpp
@@ -176,7 +176,7 @@
       : Io(Io), Port(Port), Acceptor(Io), Control(Io) {}
 
   void open();
-  void stop();
+  void stop() noexcept;
   status load(std::string_view Text);
   void setFaults(const platform_faults &NewFaults);
 
@@ -253,15 +253,19 @@
                  asio::detached);
 }
 
-void platform_server::state::stop() {
+void platform_server::state::stop() noexcept {
   Stopped = true;
   error_code Ignored;
   Acceptor.close(Ignored);
   Control.close(Ignored);
-  for (session &Session : Sessions)
-    Session.Stream.close();
-  for (waiting_watch &Watch : Watches)
-    Watch.Timer.cancel();
+  try {
+    for (session &Session : Sessions)
+      Session.Stream.close();
+    for (waiting_watch &Watch : Watches)
+      Watch.Timer.cancel();
+  } catch (...) {
+    // What could not be cancelled ends with the io_context.
+  }
 }
 
 void platform_server::state::closeSessions() {
