Run requests that are not repeatable at most once by tickets

A ticket names the one incarnation that may run a request; it keeps the key for as long as a ticket can be valid, and everyone else answers that the outcome is unknown. Ruled out: a key cache on each instance, which the simulation shows to run requests twice after a repeat elsewhere, a crash or a full cache; and a write to the platform for each request, which its rate does not allow.

--- /dev/null
+++ b/packages/coordination/tests/once.cpp
@@ -0,0 +1,380 @@
+/// Property: whatever crashes, restarts, expires or crosses, a request runs at
+/// most once, and is never refused as not run after it has run.
+#include <magnoliaspread/once.h>
+#include <magnoliaspread/story.h>
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+#include <xxhash.h>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string testMac(std::string_view Text) {
+  return std::to_string(XXH64(Text.data(), Text.size(), 77));
+}
+
+once_settings smallSettings() {
+  once_settings Settings;
+  Settings.MaxEntries = 6;
+  return Settings;
+}
+
+/// What an instance does with requests that must not run twice.
+class once_policy {
+public:
+  once_policy() = default;
+  once_policy(const once_policy &) = delete;
+  once_policy &operator=(const once_policy &) = delete;
+  virtual ~once_policy() = default;
+  virtual once_decision admit(const once_request &Request, steady_time Now) = 0;
+  virtual void sent(once_id Id) = 0;
+  virtual void finish(once_id Id, bool Known, steady_time Now) = 0;
+  virtual void finishNotRun(once_id Id) = 0;
+};
+
+class ticket_policy final : public once_policy {
+public:
+  ticket_policy(const std::string &Name, std::uint64_t Incarnation,
+                const fake_clock &Clock)
+      : Registry(Name, Incarnation, smallSettings(), testMac, Clock.now(),
+                 Clock.wall()) {}
+  once_decision admit(const once_request &Request, steady_time Now) override {
+    return Registry.admit(Request, Now);
+  }
+  void sent(once_id Id) override { Registry.sent(Id); }
+  void finish(once_id Id, bool Known, steady_time Now) override {
+    if (Known)
+      Registry.finish(Id, {200, "text/plain", "done", true}, Now);
+    else
+      Registry.finishUnknown(Id, Now);
+  }
+  void finishNotRun(once_id Id) override { Registry.finishNotRun(Id); }
+
+private:
+  once_registry Registry;
+};
+
+/// The simple version: each instance remembers the keys that it ran; when full
+/// it forgets the oldest.
+class key_cache_policy final : public once_policy {
+public:
+  once_decision admit(const once_request &Request, steady_time) override {
+    once_decision Decision;
+    const std::string Key(Request.IdempotencyKey);
+    if (std::find(Keys.begin(), Keys.end(), Key) != Keys.end()) {
+      Decision.Verdict = once_verdict::Answered;
+      return Decision;
+    }
+    Keys.push_back(Key);
+    if (Keys.size() > smallSettings().MaxEntries)
+      Keys.pop_front();
+    Decision.Verdict = once_verdict::Run;
+    return Decision;
+  }
+  void sent(once_id) override {}
+  void finish(once_id, bool, steady_time) override {}
+  void finishNotRun(once_id) override {}
+
+private:
+  std::deque<std::string> Keys;
+};
+
+constexpr std::size_t Instances = 3;
+
+struct simulated_request {
+  std::string Key;
+  std::string Ticket;
+  int Runs = 0;
+};
+
+struct attempt {
+  std::size_t Request = 0;
+  std::string Ticket;
+};
+
+struct running {
+  std::size_t Instance = 0;
+  std::size_t Request = 0;
+  once_id Id = 0;
+  bool Sent = false;
+};
+
+/// Callers, a network that duplicates and reorders, and instances that crash.
+class simulation {
+public:
+  simulation(std::uint64_t Seed, bool UseTickets)
+      : Random(Seed), UseTickets(UseTickets) {
+    for (std::size_t I = 0; I < Instances; ++I)
+      Policies.push_back(makePolicy(I));
+  }
+
+  void run(int Steps) {
+    for (int Step = 0; Step < Steps; ++Step)
+      step();
+  }
+
+  int Doubled = 0;
+  int FalseNotRun = 0;
+  int Ran = 0;
+  int Remembered = 0;
+  int Elsewhere = 0;
+
+private:
+  std::size_t below(std::size_t Limit) { return Random() % Limit; }
+
+  std::unique_ptr<once_policy> makePolicy(std::size_t I) {
+    if (!UseTickets)
+      return std::make_unique<key_cache_policy>();
+    return std::make_unique<ticket_policy>("i" + std::to_string(I),
+                                           ++LastIncarnation, Clock);
+  }
+
+  void step() {
+    const std::size_t Choice = below(100);
+    if (Choice < 25)
+      send();
+    else if (Choice < 55)
+      deliver();
+    else if (Choice < 90)
+      progress();
+    else if (Choice < 97)
+      Clock.advance(std::chrono::milliseconds(below(20000)));
+    else
+      crash(below(Instances));
+  }
+
+  /// A new request, or a repeat with the same key and ticket.
+  void send() {
+    if (Requests.empty() || below(3) == 0) {
+      Requests.push_back({"k" + std::to_string(Requests.size()), {}, 0});
+      Attempts.push_back({Requests.size() - 1, {}});
+      return;
+    }
+    const std::size_t Recent = std::min<std::size_t>(Requests.size(), 8);
+    const std::size_t Request = Requests.size() - 1 - below(Recent);
+    Attempts.push_back({Request, Requests[Request].Ticket});
+  }
+
+  void deliver() {
+    if (Attempts.empty())
+      return;
+    std::swap(Attempts[below(Attempts.size())], Attempts.back());
+    const attempt Attempt = Attempts.back();
+    if (below(10) != 0)
+      Attempts.pop_back();
+    const std::size_t Instance = below(Instances);
+    const once_request Request{"w", Requests[Attempt.Request].Key,
+                               Attempt.Ticket, 1};
+    judge(Attempt, Instance, Policies[Instance]->admit(Request, Clock.now()));
+  }
+
+  void judge(const attempt &Attempt, std::size_t Instance,
+             const once_decision &Decision) {
+    simulated_request &Request = Requests[Attempt.Request];
+    switch (Decision.Verdict) {
+    case once_verdict::Run:
+      Running.push_back({Instance, Attempt.Request, Decision.Id, false});
+      return;
+    case once_verdict::TicketNeeded:
+      if (Request.Ticket.empty())
+        Request.Ticket = Decision.NewTicket;
+      return;
+    case once_verdict::Refused:
+      if (answerOf(Decision.Error->Kind).Run == run_state::NotRun)
+        FalseNotRun += Request.Runs;
+      return;
+    case once_verdict::Answered:
+      ++Remembered;
+      return;
+    case once_verdict::Elsewhere:
+      ++Elsewhere;
+      return;
+    }
+  }
+
+  /// Sends a run's first byte, or ends it in one of three ways.
+  void progress() {
+    if (Running.empty())
+      return;
+    std::swap(Running[below(Running.size())], Running.back());
+    running &Run = Running.back();
+    once_policy &Policy = *Policies[Run.Instance];
+    if (!Run.Sent && below(4) != 0) {
+      Policy.sent(Run.Id);
+      Run.Sent = true;
+      Ran += 1;
+      Doubled += ++Requests[Run.Request].Runs > 1 ? 1 : 0;
+      return;
+    }
+    if (!Run.Sent) {
+      FalseNotRun += Requests[Run.Request].Runs;
+      Policy.finishNotRun(Run.Id);
+    } else {
+      Policy.finish(Run.Id, below(3) != 0, Clock.now());
+    }
+    Running.pop_back();
+  }
+
+  void crash(std::size_t Instance) {
+    Policies[Instance] = makePolicy(Instance);
+    std::erase_if(Running, [Instance](const running &Run) {
+      return Run.Instance == Instance;
+    });
+  }
+
+  std::mt19937_64 Random;
+  bool UseTickets;
+  fake_clock Clock;
+  std::uint64_t LastIncarnation = 0;
+  std::vector<std::unique_ptr<once_policy>> Policies;
+  std::vector<simulated_request> Requests;
+  std::vector<attempt> Attempts;
+  std::vector<running> Running;
+};
+
+struct registry_fixture {
+  once_decision admit(std::string_view Key, const std::string &Ticket,
+                      std::uint64_t Content = 1) {
+    return Registry.admit({"w", Key, Ticket, Content}, Clock.now());
+  }
+
+  bool refuses(std::string_view Key, const std::string &Ticket, error_kind Kind,
+               std::uint64_t Content = 1) {
+    const once_decision Decision = admit(Key, Ticket, Content);
+    return Decision.Verdict == once_verdict::Refused &&
+           Decision.Error->Kind == Kind;
+  }
+
+  fake_clock Clock;
+  once_registry Registry{"a",     7,           smallSettings(),
+                         testMac, Clock.now(), Clock.wall()};
+};
+
+} // namespace
+
+STORY(at_most_once_over_crashes_and_repeats) {
+  section("a cache of keys on each instance runs requests twice", [&] {
+    simulation Simulation(1, false);
+    Simulation.run(2000);
+    CPPUNIT_ASSERT(Simulation.Doubled > 0);
+  });
+  section("tickets never do, and refusals are true", [&] {
+    int Ran = 0;
+    int Remembered = 0;
+    int Elsewhere = 0;
+    for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+      simulation Simulation(Seed, true);
+      Simulation.run(2000);
+      const std::string Message = "seed " + std::to_string(Seed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Simulation.Doubled);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Simulation.FalseNotRun);
+      Ran += Simulation.Ran;
+      Remembered += Simulation.Remembered;
+      Elsewhere += Simulation.Elsewhere;
+    }
+    CPPUNIT_ASSERT(Ran > 1000 && Remembered > 1000 && Elsewhere > 1000);
+  });
+}
+
+STORY(tickets) {
+  const once_ticket Ticket{"a", 7, wall_time(1234567ms)};
+  const std::string Text = encodeTicket(Ticket, testMac);
+
+  section("a ticket reads as it was written", [&] {
+    CPPUNIT_ASSERT(valueOf(decodeTicket(Text, testMac)) == Ticket);
+  });
+  section("a changed or cut ticket is refused", [&] {
+    for (std::size_t I = 0; I < Text.size(); ++I) {
+      std::string Changed = Text;
+      Changed[I] = Changed[I] == '1' ? '2' : '1';
+      CPPUNIT_ASSERT(failed(decodeTicket(Changed, testMac)));
+      CPPUNIT_ASSERT(failed(decodeTicket(Text.substr(0, I), testMac)));
+    }
+  });
+}
+
+STORY(repeats_on_the_same_instance) {
+  registry_fixture Fixture;
+  once_registry &Registry = Fixture.Registry;
+  const std::string Ticket = Registry.issue(Fixture.Clock.now());
+  const once_id Id = Fixture.admit("k", Ticket).Id;
+
+  section("a repeat while it runs is neither run nor called not run", [&] {
+    CPPUNIT_ASSERT(Fixture.refuses("k", Ticket, error_kind::OutcomeUnknown));
+    CPPUNIT_ASSERT(Fixture.refuses("k", "", error_kind::OutcomeUnknown));
+  });
+  section("a repeat afterwards gets the answer", [&] {
+    Registry.sent(Id);
+    Registry.finish(Id, {201, "text/plain", "booked", true},
+                    Fixture.Clock.now());
+    const once_decision Repeat = Fixture.admit("k", Ticket);
+    CPPUNIT_ASSERT(Repeat.Verdict == once_verdict::Answered);
+    CPPUNIT_ASSERT_EQUAL(std::string("booked"), Repeat.Answer->Body);
+  });
+  section("another request under the key is refused", [&] {
+    CPPUNIT_ASSERT(Fixture.refuses("k", Ticket, error_kind::BadRequest, 2));
+  });
+  section("the same key of another workspace is another request", [&] {
+    CPPUNIT_ASSERT(
+        Registry.admit({"v", "k", Ticket, 1}, Fixture.Clock.now()).Verdict ==
+        once_verdict::Run);
+  });
+  section("a large answer is kept as its status", [&] {
+    const once_id Large = Fixture.admit("l", Ticket).Id;
+    Registry.finish(Large, {200, "", std::string(5000, 'x'), true},
+                    Fixture.Clock.now());
+    const once_decision Repeat = Fixture.admit("l", Ticket);
+    CPPUNIT_ASSERT(!Repeat.Answer->HasBody);
+    CPPUNIT_ASSERT_EQUAL(200u, Repeat.Answer->Status);
+  });
+  section("what was proved not to have run may run", [&] {
+    Registry.finishNotRun(Fixture.admit("m", Ticket).Id);
+    CPPUNIT_ASSERT(Fixture.admit("m", Ticket).Verdict == once_verdict::Run);
+  });
+}
+
+STORY(limits_of_the_registry) {
+  registry_fixture Fixture;
+  once_registry &Registry = Fixture.Registry;
+  const std::string Ticket = Registry.issue(Fixture.Clock.now());
+
+  section("a full registry refuses new requests, and keeps the old", [&] {
+    for (int I = 0; I < 6; ++I)
+      Registry.finish(Fixture.admit(std::to_string(I), Ticket).Id, {},
+                      Fixture.Clock.now());
+    CPPUNIT_ASSERT(Fixture.refuses("new", Ticket, error_kind::QueueFull));
+    CPPUNIT_ASSERT(Fixture.admit("0", Ticket).Verdict ==
+                   once_verdict::Answered);
+  });
+  section("a forgotten key only meets an expired ticket", [&] {
+    Fixture.Clock.advance(60s);
+    CPPUNIT_ASSERT(Fixture.refuses("0", Ticket, error_kind::OutcomeUnknown));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Registry.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Registry.answerBytes());
+  });
+  section("also when a reading of the clock comes late", [&] {
+    const steady_time Earlier = Fixture.Clock.now() - 30s;
+    const once_decision Late = Registry.admit({"w", "0", Ticket, 1}, Earlier);
+    CPPUNIT_ASSERT(Late.Verdict == once_verdict::Refused);
+  });
+  section("a run longer than its ticket is remembered until it ends", [&] {
+    const std::string Fresh = Registry.issue(Fixture.Clock.now());
+    const once_id Long = Fixture.admit("long", Fresh).Id;
+    Fixture.Clock.advance(600s);
+    CPPUNIT_ASSERT(Fixture.refuses("long", Fresh, error_kind::OutcomeUnknown));
+    Registry.finish(Long, {200, "", "late", true}, Fixture.Clock.now());
+    CPPUNIT_ASSERT(Fixture.admit("long", Fresh).Verdict ==
+                   once_verdict::Answered);
+  });
+  section("a ticket that lives too long is refused", [&] {
+    const std::string Far = encodeTicket(
+        {"a", 7, Fixture.Clock.wall() + std::chrono::hours(24)}, testMac);
+    CPPUNIT_ASSERT(Fixture.refuses("far", Far, error_kind::BadRequest));
+  });
+}
