--- a/packages/steering/include/magnoliaspread/credit.h
+++ b/packages/steering/include/magnoliaspread/credit.h
@@ -1,10 +1,11 @@
 /// Receiver-granted headroom credits.
 ///
-/// An instance divides its free slots among the peers that asked and reserves
-/// them until the credits expire. A sender spends one credit for each request
-/// that it forwards, so senders can't herd onto a peer that looks idle. The
-/// receiver alone admits work, whatever credits are lost, late or repeated.
-/// Not thread-safe.
+/// An instance divides its free slots among the peers that asked, and a sender
+/// spends one credit for each request that it forwards, so senders can't herd
+/// onto a peer that looks idle. Credits expire, and aren't granted again
+/// before. The receiver alone fills its slots, so whatever credits are lost,
+/// late or repeated, none is ever overrun: a request with a valid credit that
+/// finds no free slot waits in the receiver's fair queue. Not thread-safe.
 #ifndef MAGNOLIASPREAD_CREDIT_H
 #define MAGNOLIASPREAD_CREDIT_H
 
@@ -44,9 +45,18 @@
   std::chrono::milliseconds Lifetime{500};
   /// Longer hold of reserved slots at the receiver, for requests on the way.
   std::chrono::milliseconds Grace{150};
+  /// Time from one ask to the use of its credits; slots that turn over faster
+  /// are granted several times.
+  std::chrono::milliseconds Round{250};
+  /// Largest number of times that one free slot is granted.
+  std::uint32_t LargestTurnover = 8;
+  /// Least time between two rounds of asks for one service.
+  std::chrono::milliseconds AskPeriod{50};
+  /// Peers of the own region, and of others, asked in one round.
+  std::uint32_t AskFanOut = 2;
   /// Part of the free slots that is kept for requests that arrive here,
   /// percent.
-  std::uint32_t KeptPercent = 25;
+  std::uint32_t KeptPercent = 10;
   /// Asks and grants held at once.
   std::size_t Capacity = 4096;
 };
@@ -88,25 +98,31 @@
 void noteAsk(credit_grantor &Grantor, instance_handle Peer,
              const credit_ask &Ask, steady_time Now);
 
-/// Divides \p Free slots of \p Service, without those that are reserved,
-/// max-min fairly among the peers with an unanswered ask. \p Random breaks
-/// ties.
-std::vector<addressed_grant> grantCredits(credit_grantor &Grantor,
-                                          service_handle Service,
-                                          std::uint32_t Free, steady_time Now,
-                                          std::uint64_t Random);
-
-/// Slots of the service that unexpired grants hold back.
-std::uint32_t reservedSlots(const credit_grantor &Grantor,
-                            service_handle Service, steady_time Now);
-
-/// Whether a request may take one of \p Free slots. One with a valid credit
-/// uses a reserved slot and spends the credit; any other, \p GrantId 0
-/// included, takes a slot only beyond the reserved ones. NoCapacity, not run,
+/// What an instance can offer to others.
+struct offered_slots {
+  /// Free slots, none while own requests wait.
+  std::uint32_t Free = 0;
+  /// Mean time that a request holds a slot; zero when unknown.
+  std::chrono::nanoseconds SlotTime{};
+};
+
+/// Divides the credits that \p Offer is worth, less those still out, max-min
+/// fairly among the peers with an unanswered ask. \p Random breaks ties.
+std::vector<addressed_grant>
+grantCredits(credit_grantor &Grantor, service_handle Service,
+             const offered_slots &Offer, steady_time Now, std::uint64_t Random);
+
+/// Unspent and unexpired credits of the service.
+std::uint32_t creditsOut(const credit_grantor &Grantor, service_handle Service,
+                         steady_time Now);
+
+/// Whether a forwarded request may take a slot or, with a valid credit, wait
+/// for one. Spends the credit; without one, \p GrantId 0 included, the request
+/// needs a slot beyond the credits that are out. NoCapacity, not run,
 /// otherwise.
-status admit(credit_grantor &Grantor, service_handle Service,
-             instance_handle Peer, std::uint64_t GrantId, std::uint32_t Free,
-             steady_time Now);
+status admitForwarded(credit_grantor &Grantor, service_handle Service,
+                      instance_handle Peer, std::uint64_t GrantId,
+                      std::uint32_t Free, steady_time Now);
 
 /// Drops asks and grants that have expired.
 void dropExpired(credit_grantor &Grantor, steady_time Now);
@@ -128,6 +144,13 @@
     steady_time AskedAt;
     bool Answered = false;
   };
+  /// Demand of one service that finds no slot here.
+  struct shortage {
+    /// Requests in the last second or so, decayed.
+    double Recent = 0;
+    steady_time DecayedAt;
+    steady_time AskedAt;
+  };
   struct held_row {
     instance_handle Peer;
     service_handle Service;
@@ -144,8 +167,36 @@
   std::uint64_t NextSequence;
   std::vector<sent_ask> Sent;
   std::vector<held_row> Held;
+  /// By service.
+  std::vector<shortage> Shortages;
+};
+
+/// Notes a request that finds no free slot at this instance.
+void noteShortage(credit_wallet &Wallet, service_handle Service,
+                  steady_time Now);
+
+/// A peer that may be asked.
+struct askable_peer {
+  instance_handle Peer;
+  /// In the asker's own region.
+  bool Near = false;
 };
 
+struct addressed_ask {
+  instance_handle Peer;
+  credit_ask Ask;
+};
+
+/// The asks to send now for a service of which \p Waiting requests wait here:
+/// to a few random peers, at most once in the policy's ask period, for what
+/// recent demand and the wait call for beyond the credits held. \p Random is
+/// 64 uniform bits.
+std::vector<addressed_ask> planAsks(credit_wallet &Wallet,
+                                    service_handle Service,
+                                    const std::vector<askable_peer> &Peers,
+                                    std::uint32_t Waiting, steady_time Now,
+                                    std::uint64_t Random);
+
 /// Makes an ask to send to \p Peer; replaces an earlier one.
 credit_ask makeAsk(credit_wallet &Wallet, instance_handle Peer,
                    service_handle Service, std::uint32_t Wanted,
--- a/packages/steering/include/magnoliaspread/region.h
+++ b/packages/steering/include/magnoliaspread/region.h
@@ -109,10 +109,11 @@
   bool Moved = false;
 };
 
-/// Chooses a region and counts the decision. \p PlatformNow is a lower bound
-/// on the platform's time. Errors, all not run: NoCapacity when no region can
-/// take the request, ShiftCapped with a time to come back when only a region
-/// that the cap closes could.
+/// Chooses a region and counts the decision, unless no region at all can take
+/// the request, which may then wait and be tried again. \p PlatformNow is a
+/// lower bound on the platform's time. Errors, all not run: NoCapacity when no
+/// region can take the request, ShiftCapped with a time to come back when only
+/// a region that the cap closes could.
 result<region_decision> chooseRegion(const region_plan &Plan,
                                      region_state &State,
                                      const region_request &Request,
--- a/packages/steering/src/credit.cpp
+++ b/packages/steering/src/credit.cpp
@@ -1,11 +1,21 @@
 #include <magnoliaspread/credit.h>
 
+#include <magnoliaspread/ownership.h>
+
 #include <algorithm>
+#include <cmath>
 
 namespace magnoliaspread {
 
+using std::chrono::duration;
+
 namespace {
 
+/// Time constant of the decaying demand.
+constexpr duration<double> DemandMemory{1.0};
+/// Credits wished for over the demand that is expected.
+constexpr double DemandMargin = 1.25;
+
 using asked_row = credit_grantor::asked_row;
 using granted_row = credit_grantor::granted_row;
 using held_row = credit_wallet::held_row;
@@ -19,12 +29,18 @@
   return nullptr;
 }
 
-/// Slots that may be granted of \p Free ones.
+/// Credits that an offer is worth beyond those that are out.
 std::uint32_t grantable(const credit_grantor &Grantor, service_handle Service,
-                        std::uint32_t Free, steady_time Now) {
-  const std::uint32_t Reserved = reservedSlots(Grantor, Service, Now);
-  const std::uint32_t Kept = Free * Grantor.Policy.KeptPercent / 100;
-  return Free > Reserved + Kept ? Free - Reserved - Kept : 0;
+                        const offered_slots &Offer, steady_time Now) {
+  const credit_policy &Policy = Grantor.Policy;
+  const std::uint32_t Kept = Offer.Free * Policy.KeptPercent / 100;
+  double Turnover = 1;
+  if (Offer.SlotTime.count() > 0)
+    Turnover = duration<double>(Policy.Round) / Offer.SlotTime;
+  Turnover = std::clamp(Turnover, 1.0, double(Policy.LargestTurnover));
+  const auto Worth = static_cast<std::uint32_t>((Offer.Free - Kept) * Turnover);
+  const std::uint32_t Out = creditsOut(Grantor, Service, Now);
+  return Worth > Out ? Worth - Out : 0;
 }
 
 /// Max-min fair division of \p Slots over the wishes, in their order.
@@ -55,6 +71,58 @@
   return std::find(Peers.begin(), Peers.end(), Peer) != Peers.end();
 }
 
+/// The shortage row of a service, decayed to \p Now.
+credit_wallet::shortage &shortageOf(credit_wallet &Wallet,
+                                    service_handle Service, steady_time Now) {
+  if (Service.Index >= Wallet.Shortages.size())
+    Wallet.Shortages.resize(Service.Index + 1U);
+  credit_wallet::shortage &Row = Wallet.Shortages[Service.Index];
+  const double Age = duration<double>(Now - Row.DecayedAt).count();
+  Row.Recent *= std::exp(-std::max(0.0, Age) / DemandMemory.count());
+  Row.DecayedAt = Now;
+  return Row;
+}
+
+double creditsHeld(const credit_wallet &Wallet, service_handle Service,
+                   steady_time Now) {
+  double Count = 0;
+  for (const held_row &Row : Wallet.Held)
+    Count += live(Row, Service, Now) ? Row.Remaining : 0;
+  return Count;
+}
+
+/// Whether an answer from the peer may still come.
+bool awaits(const credit_wallet &Wallet, instance_handle Peer,
+            service_handle Service, steady_time Now) {
+  for (const sent_ask &Row : Wallet.Sent)
+    if (Row.Peer == Peer && Row.Ask.Service == Service)
+      return !Row.Answered && Now - Row.AskedAt < Wallet.Policy.Round;
+  return false;
+}
+
+/// Up to the policy's number of random peers of each kind.
+std::vector<instance_handle> choosePeers(const credit_wallet &Wallet,
+                                         service_handle Service,
+                                         const std::vector<askable_peer> &Peers,
+                                         steady_time Now,
+                                         std::uint64_t Random) {
+  const std::uint32_t FanOut = Wallet.Policy.AskFanOut;
+  std::vector<instance_handle> Chosen;
+  for (const bool Near : {true, false}) {
+    std::vector<instance_handle> Pool;
+    for (const askable_peer &Row : Peers)
+      if (Row.Near == Near && !awaits(Wallet, Row.Peer, Service, Now))
+        Pool.push_back(Row.Peer);
+    for (std::uint32_t I = 0; I < FanOut && !Pool.empty(); ++I) {
+      Random = rendezvousScore(Random, I + 1);
+      std::swap(Pool[Random % Pool.size()], Pool.back());
+      Chosen.push_back(Pool.back());
+      Pool.pop_back();
+    }
+  }
+  return Chosen;
+}
+
 } // namespace
 
 credit_grantor::credit_grantor(const credit_policy &Policy,
@@ -74,7 +142,8 @@
 
 std::vector<addressed_grant> grantCredits(credit_grantor &Grantor,
                                           service_handle Service,
-                                          std::uint32_t Free, steady_time Now,
+                                          const offered_slots &Offer,
+                                          steady_time Now,
                                           std::uint64_t Random) {
   dropExpired(Grantor, Now);
   std::vector<asked_row *> Rows;
@@ -90,7 +159,7 @@
   for (const asked_row *Row : Rows)
     Wishes.push_back(Row->Ask.Wanted);
   const std::vector<std::uint32_t> Parts =
-      divide(Wishes, grantable(Grantor, Service, Free, Now));
+      divide(Wishes, grantable(Grantor, Service, Offer, Now));
   std::vector<addressed_grant> Grants;
   const credit_policy &Policy = Grantor.Policy;
   for (std::size_t I = 0; I < Rows.size(); ++I) {
@@ -107,20 +176,18 @@
   return Grants;
 }
 
-std::uint32_t reservedSlots(const credit_grantor &Grantor,
-                            service_handle Service, steady_time Now) {
-  std::uint32_t Reserved = 0;
+std::uint32_t creditsOut(const credit_grantor &Grantor, service_handle Service,
+                         steady_time Now) {
+  std::uint32_t Out = 0;
   for (const granted_row &Row : Grantor.Granted)
     if (Row.Service == Service && Now < Row.Until)
-      Reserved += Row.Remaining;
-  return Reserved;
+      Out += Row.Remaining;
+  return Out;
 }
 
-status admit(credit_grantor &Grantor, service_handle Service,
-             instance_handle Peer, std::uint64_t GrantId, std::uint32_t Free,
-             steady_time Now) {
-  if (Free == 0)
-    return error{error_kind::NoCapacity, "no free slot", {}};
+status admitForwarded(credit_grantor &Grantor, service_handle Service,
+                      instance_handle Peer, std::uint64_t GrantId,
+                      std::uint32_t Free, steady_time Now) {
   for (granted_row &Row : Grantor.Granted) {
     if (Row.Id != GrantId || Row.Peer != Peer || Row.Service != Service)
       continue;
@@ -129,9 +196,9 @@
     --Row.Remaining;
     return {};
   }
-  if (Free > reservedSlots(Grantor, Service, Now))
+  if (Free > creditsOut(Grantor, Service, Now))
     return {};
-  return error{error_kind::NoCapacity, "the free slots are reserved", {}};
+  return error{error_kind::NoCapacity, "no free slot without a credit", {}};
 }
 
 void dropExpired(credit_grantor &Grantor, steady_time Now) {
@@ -154,6 +221,40 @@
                              std::uint64_t FirstSequence)
     : Policy(Policy), NextSequence(FirstSequence) {}
 
+void noteShortage(credit_wallet &Wallet, service_handle Service,
+                  steady_time Now) {
+  credit_wallet::shortage &Row = shortageOf(Wallet, Service, Now);
+  Row.Recent += 1;
+}
+
+std::vector<addressed_ask> planAsks(credit_wallet &Wallet,
+                                    service_handle Service,
+                                    const std::vector<askable_peer> &Peers,
+                                    std::uint32_t Waiting, steady_time Now,
+                                    std::uint64_t Random) {
+  const credit_policy &Policy = Wallet.Policy;
+  credit_wallet::shortage &Row = shortageOf(Wallet, Service, Now);
+  if (Now - Row.AskedAt < Policy.AskPeriod)
+    return {};
+  const double Ahead = Row.Recent * duration<double>(Policy.Round).count();
+  const double Wish = Waiting + std::ceil(Ahead * DemandMargin);
+  const double Missing = Wish - creditsHeld(Wallet, Service, Now);
+  if (Missing < 1)
+    return {};
+  const std::vector<instance_handle> Chosen =
+      choosePeers(Wallet, Service, Peers, Now, Random);
+  if (Chosen.empty())
+    return {};
+  Row.AskedAt = Now;
+  const auto Each =
+      static_cast<std::uint32_t>(std::ceil(Missing / double(Chosen.size())));
+  std::vector<addressed_ask> Asks;
+  Asks.reserve(Chosen.size());
+  for (const instance_handle Peer : Chosen)
+    Asks.push_back({Peer, makeAsk(Wallet, Peer, Service, Each, Now)});
+  return Asks;
+}
+
 credit_ask makeAsk(credit_wallet &Wallet, instance_handle Peer,
                    service_handle Service, std::uint32_t Wanted,
                    steady_time Now) {
--- a/packages/steering/src/region.cpp
+++ b/packages/steering/src/region.cpp
@@ -197,6 +197,19 @@
   return {static_cast<std::uint16_t>(Index)};
 }
 
+/// Regions that the former or the wanted weights, or a fail-over, may choose.
+region_mask servingRegions(const weight_set &Set) {
+  region_mask Regions = Set.Candidates;
+  for (std::size_t I = 0; I < MaxRegions; ++I)
+    if (Set.Former.Share[I] > 0)
+      Regions.set(I);
+  return Regions;
+}
+
+error noRegion() {
+  return {error_kind::NoCapacity, "no region can take the request", {}};
+}
+
 double fraction(double Value) { return Value - std::floor(Value); }
 
 } // namespace
@@ -269,9 +282,12 @@
   if (Service.Index >= Plan.Shifts.size())
     return error{error_kind::NoCapacity, "unknown service", {}};
   State.PlatformNow = std::max(State.PlatformNow, PlatformNow);
-  noteGap(State, Service, Now);
   const std::uint16_t SetIndex = weightSetOf(Plan, Service, Request.Workspace);
   const weight_set &Set = Plan.Sets[SetIndex];
+  const region_mask Usable = Request.Available & Plan.Active;
+  if ((Usable & servingRegions(Set)).none())
+    return noRegion();
+  noteGap(State, Service, Now);
   const shift_row &Shift = Plan.Shifts[Service.Index];
   shift_budget &Budget = State.Budgets[Service.Index];
   countDecision(Budget, Shift);
@@ -281,7 +297,6 @@
   const coupled_choice Choice = chooseCoupled(
       Set.Former, sharesInForce(Set.Former, Set.Wanted, Shift, SinceEdit),
       Draw);
-  const region_mask Usable = Request.Available & Plan.Active;
   const region_handle Former = regionAt(Choice.Former);
   if (Choice.InForce != Choice.Former && Usable[Choice.InForce] &&
       tryMove(Budget, move_cause::Weights))
@@ -291,7 +306,7 @@
   const std::size_t Other = alternative(Plan, Set, Usable & Set.Candidates,
                                         Choice.Former, fraction(Draw * 4096));
   if (Other >= Plan.Regions)
-    return error{error_kind::NoCapacity, "no region can take the request", {}};
+    return noRegion();
   if (tryMove(Budget, move_cause::Forced))
     return region_decision{regionAt(Other), Former, true};
   return shiftCapped(Plan, State, Service);
--- a/packages/steering/tests/credit.cpp
+++ b/packages/steering/tests/credit.cpp
@@ -14,6 +14,13 @@
 constexpr instance_handle Sender{1};
 constexpr instance_handle Receiver{2};
 
+credit_policy testPolicy() {
+  credit_policy Policy;
+  Policy.KeptPercent = 25;
+  Policy.Round = milliseconds(150);
+  return Policy;
+}
+
 std::uint32_t granted(const std::vector<addressed_grant> &Grants) {
   std::uint32_t Count = 0;
   for (const addressed_grant &Grant : Grants)
@@ -25,36 +32,36 @@
 
 STORY(credit_grants) {
   section("free slots are divided fairly among the peers that ask", [&] {
-    credit_grantor Grantor({}, 1);
+    credit_grantor Grantor(testPolicy(), 1);
     noteAsk(Grantor, {1}, {Service, 2, 1}, Start);
     noteAsk(Grantor, {2}, {Service, 100, 1}, Start);
     noteAsk(Grantor, {3}, {Service, 100, 1}, Start);
-    const auto Grants = grantCredits(Grantor, Service, 24, Start, 0);
+    const auto Grants = grantCredits(Grantor, Service, {24, {}}, Start, 0);
     CPPUNIT_ASSERT_EQUAL(18U, granted(Grants));
     for (const addressed_grant &Grant : Grants)
       CPPUNIT_ASSERT_EQUAL(Grant.Peer.Index == 1 ? 2U : 8U, Grant.Grant.Count);
   });
   section("granted slots aren't granted twice", [&] {
-    credit_grantor Grantor({}, 1);
+    credit_grantor Grantor(testPolicy(), 1);
     noteAsk(Grantor, {1}, {Service, 100, 1}, Start);
-    CPPUNIT_ASSERT_EQUAL(6U,
-                         granted(grantCredits(Grantor, Service, 8, Start, 0)));
+    CPPUNIT_ASSERT_EQUAL(
+        6U, granted(grantCredits(Grantor, Service, {8, {}}, Start, 0)));
     noteAsk(Grantor, {2}, {Service, 100, 1}, Start);
-    CPPUNIT_ASSERT(grantCredits(Grantor, Service, 8, Start, 0).empty());
+    CPPUNIT_ASSERT(grantCredits(Grantor, Service, {8, {}}, Start, 0).empty());
   });
   section("a lost grant's slots come back when it expires", [&] {
-    credit_grantor Grantor({}, 1);
+    credit_grantor Grantor(testPolicy(), 1);
     noteAsk(Grantor, {1}, {Service, 100, 1}, Start);
-    grantCredits(Grantor, Service, 8, Start, 0);
+    grantCredits(Grantor, Service, {8, {}}, Start, 0);
     const steady_time Later =
         Start + Grantor.Policy.Lifetime + Grantor.Policy.Grace;
-    CPPUNIT_ASSERT_EQUAL(0U, reservedSlots(Grantor, Service, Later));
+    CPPUNIT_ASSERT_EQUAL(0U, creditsOut(Grantor, Service, Later));
   });
 }
 
 STORY(credit_spending) {
   section("a grant is spent once, however often it arrives", [&] {
-    credit_wallet Wallet({}, 1);
+    credit_wallet Wallet(testPolicy(), 1);
     const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
     const credit_grant Grant{Service, 2, 9, Ask.Sequence, milliseconds(500)};
     CPPUNIT_ASSERT(noteGrant(Wallet, Receiver, Grant, Start));
@@ -66,7 +73,7 @@
     CPPUNIT_ASSERT(errorOf(None).Kind == error_kind::NoCapacity);
   });
   section("the sender's time runs from its ask", [&] {
-    credit_wallet Wallet({}, 1);
+    credit_wallet Wallet(testPolicy(), 1);
     const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
     const credit_grant Grant{Service, 2, 9, Ask.Sequence, milliseconds(500)};
     const steady_time Late = Start + milliseconds(400);
@@ -76,7 +83,7 @@
   });
   section(
       "a grant for another ask or more than was asked counts for less", [&] {
-        credit_wallet Wallet({}, 1);
+        credit_wallet Wallet(testPolicy(), 1);
         const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
         CPPUNIT_ASSERT(!noteGrant(
             Wallet, Receiver,
@@ -88,25 +95,69 @@
       });
 }
 
+STORY(credit_turnover) {
+  credit_grantor Grantor(testPolicy(), 1);
+  section("slots that turn over in a round are granted more than once", [&] {
+    noteAsk(Grantor, {1}, {Service, 100, 1}, Start);
+    const auto Grants =
+        grantCredits(Grantor, Service, {8, milliseconds(50)}, Start, 0);
+    CPPUNIT_ASSERT_EQUAL(18U, granted(Grants));
+  });
+  section("but only a bounded number of times", [&] {
+    noteAsk(Grantor, {2}, {Service, 1000, 1}, Start);
+    const auto Grants =
+        grantCredits(Grantor, Service, {8, milliseconds(1)}, Start, 0);
+    CPPUNIT_ASSERT_EQUAL(48U - 18U, granted(Grants));
+  });
+}
+
+STORY(credit_asks) {
+  std::vector<askable_peer> Peers;
+  for (std::uint16_t I = 0; I < 12; ++I)
+    Peers.push_back({{I}, I < 4});
+  credit_wallet Wallet(testPolicy(), 1);
+  section("without a shortage nobody is asked", [&] {
+    CPPUNIT_ASSERT(planAsks(Wallet, Service, Peers, 0, Start, 5).empty());
+  });
+  section("a few peers near and far are asked, for what is missing", [&] {
+    const auto Asks = planAsks(Wallet, Service, Peers, 8, Start, 5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Asks.size());
+    for (const addressed_ask &Ask : Asks)
+      CPPUNIT_ASSERT_EQUAL(2U, Ask.Ask.Wanted);
+  });
+  section("rounds keep their distance", [&] {
+    const steady_time Soon = Start + milliseconds(49);
+    CPPUNIT_ASSERT(planAsks(Wallet, Service, Peers, 8, Soon, 6).empty());
+    const steady_time Later = Start + milliseconds(50);
+    CPPUNIT_ASSERT(!planAsks(Wallet, Service, Peers, 8, Later, 6).empty());
+  });
+}
+
 STORY(credit_admission) {
-  credit_grantor Grantor({}, 7);
+  credit_grantor Grantor(testPolicy(), 7);
   noteAsk(Grantor, Sender, {Service, 2, 1}, Start);
-  const auto Grants = grantCredits(Grantor, Service, 3, Start, 0);
+  const auto Grants = grantCredits(Grantor, Service, {3, {}}, Start, 0);
   CPPUNIT_ASSERT_EQUAL(2U, granted(Grants));
   const std::uint64_t Id = Grants[0].Grant.Id;
-  const auto admitted = [&](instance_handle Peer, std::uint64_t Grant,
-                            std::uint32_t Free) {
-    return !failed(admit(Grantor, Service, Peer, Grant, Free, Start));
+  const auto Admitted = [&](instance_handle Peer, std::uint64_t Grant,
+                            std::uint32_t Free, steady_time Now) {
+    return !failed(admitForwarded(Grantor, Service, Peer, Grant, Free, Now));
   };
-  section("others get only the slots that aren't reserved", [&] {
-    CPPUNIT_ASSERT(admitted(Receiver, 0, 3));
-    CPPUNIT_ASSERT(!admitted(Receiver, 0, 2));
-    CPPUNIT_ASSERT(!admitted(Receiver, Id, 2));
+  section("others get only the slots that no credit is out for", [&] {
+    CPPUNIT_ASSERT(Admitted(Receiver, 0, 3, Start));
+    CPPUNIT_ASSERT(!Admitted(Receiver, 0, 2, Start));
+    CPPUNIT_ASSERT(!Admitted(Receiver, Id, 2, Start));
   });
   section("each credit admits one request", [&] {
-    CPPUNIT_ASSERT(admitted(Sender, Id, 2));
-    CPPUNIT_ASSERT(admitted(Sender, Id, 1));
-    CPPUNIT_ASSERT(!admitted(Sender, Id, 0));
+    CPPUNIT_ASSERT(Admitted(Sender, Id, 0, Start));
+    CPPUNIT_ASSERT(Admitted(Sender, Id, 0, Start));
+    CPPUNIT_ASSERT(!Admitted(Sender, Id, 0, Start));
+  });
+  section("an expired credit admits none", [&] {
+    noteAsk(Grantor, Sender, {Service, 2, 2}, Start);
+    const auto More = grantCredits(Grantor, Service, {3, {}}, Start, 0);
+    const steady_time Late = Start + milliseconds(650);
+    CPPUNIT_ASSERT(!Admitted(Sender, More[0].Grant.Id, 0, Late));
   });
 }
 
--- a/packages/steering/tests/headroom.h
+++ b/packages/steering/tests/headroom.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -34,6 +35,8 @@
   std::chrono::milliseconds RegionDelay{35};
   std::chrono::milliseconds ReportPeriod{1000};
   std::chrono::milliseconds Length{10000};
+  /// Longest wait of a request for a slot.
+  std::chrono::milliseconds Patience{1000};
   /// A region whose instances stop at half time; no region when past the last.
   std::uint16_t LostRegion = 99;
   /// Faults, as probabilities of each message and millisecond.
@@ -52,13 +55,23 @@
   std::uint64_t Offered = 0;
   std::uint64_t Served = 0;
   std::uint64_t Refused = 0;
-  /// Refused at a peer after a hop.
+  /// Refused at a peer after a hop, and tried again.
   std::uint64_t RefusedLate = 0;
+  /// Sum of the times to a slot, hops included.
+  std::chrono::nanoseconds Waited{};
   std::uint64_t Messages = 0;
 
   double servedPart() const {
     return static_cast<double>(Served) / static_cast<double>(Offered);
   }
+  double meanWaitMs() const {
+    return std::chrono::duration<double, std::milli>(Waited).count() /
+           static_cast<double>(std::max<std::uint64_t>(Served, 1));
+  }
+};
+
+struct headroom_request {
+  steady_time ArrivedAt;
 };
 
 struct headroom_instance {
@@ -70,8 +83,10 @@
   credit_grantor Grantor;
   credit_wallet Wallet;
   region_state State;
-  /// Requests that found neither a slot here nor a credit, since the last ask.
-  std::uint32_t Wanted = 0;
+  /// Requests of own callers that wait.
+  std::deque<headroom_request> Own;
+  /// Requests from peers that wait.
+  std::deque<headroom_request> Forwarded;
 };
 
 class headroom_model {
@@ -89,16 +104,20 @@
   void at(std::chrono::milliseconds Delay, event Action);
   void send(std::uint16_t From, std::uint16_t To, event Action);
   std::uint32_t freeSlots(std::uint16_t Id) const;
-  void begin(std::uint16_t Id);
+  void begin(std::uint16_t Id, const headroom_request &Request);
   void restart(std::uint16_t Id);
   void arrive(std::uint16_t Id);
-  void steer(std::uint16_t Id);
-  void forward(std::uint16_t Id, const credit &Credit);
+  void drain(std::uint16_t Id);
+  bool steer(std::uint16_t Id);
+  bool worthLeaving(const headroom_instance &Instance) const;
+  void forward(std::uint16_t Id, const credit &Credit,
+               const headroom_request &Request);
   void spread(std::uint16_t Id);
   std::uint16_t simpleRegion();
   std::uint16_t anyInstance(std::uint16_t Region);
   void report();
   void exchange();
+  void ask(std::uint16_t Id);
   void measure();
 
   headroom_shape Shape;
@@ -143,7 +162,8 @@
                          credit_grantor({}, std::uint64_t{Id} << 48),
                          credit_wallet({}, 1),
                          {},
-                         0});
+                         {},
+                         {}});
     Peers.push_back({{Id}, {Place}, false});
   }
   for (headroom_instance &Instance : Instances) {
@@ -176,17 +196,22 @@
   return Instance.Slots - std::min(Instance.Slots, Instance.InFlight);
 }
 
-inline void headroom_model::begin(std::uint16_t Id) {
+inline void headroom_model::begin(std::uint16_t Id,
+                                  const headroom_request &Request) {
   ++Instances[Id].InFlight;
   ++Result.Served;
+  Result.Waited += Now - Request.ArrivedAt;
   std::exponential_distribution<double> Spread(1);
   const double Milliseconds =
       static_cast<double>(Shape.SlotTime.count()) * Spread(Random);
   const std::uint64_t Incarnation = Instances[Id].Incarnation;
   at(std::chrono::milliseconds(1 + static_cast<int>(Milliseconds)),
      [this, Id, Incarnation] {
-       if (Instances[Id].Incarnation == Incarnation)
-         --Instances[Id].InFlight;
+       if (Instances[Id].Incarnation != Incarnation)
+         return;
+       --Instances[Id].InFlight;
+       if (Policy == headroom_policy::Credits)
+         drain(Id);
      });
 }
 
@@ -194,6 +219,9 @@
   headroom_instance &Instance = Instances[Id];
   ++Instance.Incarnation;
   Instance.InFlight = 0;
+  Result.Refused += Instance.Own.size() + Instance.Forwarded.size();
+  Instance.Own.clear();
+  Instance.Forwarded.clear();
   const std::uint64_t First = Instance.Incarnation << 32;
   Instance.Grantor = credit_grantor({}, (std::uint64_t{Id} << 48) + First);
   Instance.Wallet = credit_wallet({}, First);
@@ -201,20 +229,51 @@
 
 inline void headroom_model::arrive(std::uint16_t Id) {
   ++Result.Offered;
-  if (Policy == headroom_policy::Credits)
-    steer(Id);
-  else
-    spread(Id);
+  if (Policy != headroom_policy::Credits)
+    return spread(Id);
+  headroom_instance &Instance = Instances[Id];
+  Instance.Own.push_back({Now});
+  if (Instance.Own.size() > 1 || freeSlots(Id) == 0)
+    noteShortage(Instance.Wallet, Service, Now);
+  drain(Id);
+}
+
+/// Starts or forwards waiting requests while there is a place for them.
+inline void headroom_model::drain(std::uint16_t Id) {
+  headroom_instance &Instance = Instances[Id];
+  for (auto *Queue : {&Instance.Forwarded, &Instance.Own}) {
+    while (!Queue->empty() &&
+           Now - Queue->front().ArrivedAt >= Shape.Patience) {
+      Queue->pop_front();
+      ++Result.Refused;
+    }
+  }
+  while (!Instance.Forwarded.empty() && freeSlots(Id) > 0) {
+    const headroom_request Request = Instance.Forwarded.front();
+    Instance.Forwarded.pop_front();
+    begin(Id, Request);
+  }
+  while (!Instance.Own.empty() && steer(Id))
+    Instance.Own.pop_front();
+}
+
+/// Whether a request waits longer here than a hop takes.
+inline bool
+headroom_model::worthLeaving(const headroom_instance &Instance) const {
+  return Instance.Own.size() * Shape.SlotTime >
+         Instance.Slots * Shape.RegionDelay;
 }
 
-inline void headroom_model::steer(std::uint16_t Id) {
+/// Tries to place the first waiting request.
+inline bool headroom_model::steer(std::uint16_t Id) {
   headroom_instance &Instance = Instances[Id];
-  const auto Admitted =
-      admit(Instance.Grantor, Service, {Id}, 0, freeSlots(Id), Now);
-  const bool Here = !failed(Admitted);
+  const headroom_request Request = Instance.Own.front();
+  const bool Here = freeSlots(Id) > 0;
   std::vector<std::vector<instance_handle>> Peered(Shape.Regions);
   region_mask Available;
   for (std::uint16_t R = 0; R < Shape.Regions; ++R) {
+    if (R != Instance.Region && !worthLeaving(Instance))
+      continue;
     Peered[R] = peersIn(Plan, Peers, {R});
     for (const instance_handle Peer : Peered[R])
       if (creditsAt(Instance.Wallet, Peer, Service, Now) > 0)
@@ -228,35 +287,39 @@
   Plan.Sets[0].Wanted = Plan.Sets[0].Former;
   const auto Choice = chooseRegion(Plan, Instance.State,
                                    {Service, NoWorkspace, Available}, Now, {});
-  if (failed(Choice)) {
-    ++Instance.Wanted;
-    ++Result.Refused;
-    return;
+  if (failed(Choice))
+    return false;
+  if (Here && valueOf(Choice).Region.Index == Instance.Region) {
+    begin(Id, Request);
+    return true;
   }
-  if (Here && valueOf(Choice).Region.Index == Instance.Region)
-    return begin(Id);
-  ++Instance.Wanted;
   const auto Credit =
       spendCredit(Instance.Wallet, Peered[valueOf(Choice).Region.Index],
                   Service, Now, Random());
-  forward(Id, valueOf(Credit));
+  forward(Id, valueOf(Credit), Request);
+  return true;
 }
 
-inline void headroom_model::forward(std::uint16_t Id, const credit &Credit) {
+inline void headroom_model::forward(std::uint16_t Id, const credit &Credit,
+                                    const headroom_request &Request) {
   const std::uint16_t To = Credit.Peer.Index;
   const bool Near = Instances[Id].Region == Instances[To].Region;
-  ++Result.Messages;
   at(Near ? std::chrono::milliseconds(1) : Shape.RegionDelay,
-     [this, Id, To, Credit] {
+     [this, Id, To, Credit, Request] {
        headroom_instance &Receiver = Instances[To];
-       if (!Receiver.Up || failed(admit(Receiver.Grantor, Service, {Id},
-                                        Credit.GrantId, freeSlots(To), Now))) {
-         dropCredits(Instances[Id].Wallet, Credit.Peer, Service);
-         ++Result.Refused;
-         ++Result.RefusedLate;
-         return;
+       if (Receiver.Up &&
+           !failed(admitForwarded(Receiver.Grantor, Service, {Id},
+                                  Credit.GrantId, freeSlots(To), Now))) {
+         Receiver.Forwarded.push_back(Request);
+         return drain(To);
        }
-       begin(To);
+       // Refused as not run, so the sender may place it again.
+       dropCredits(Instances[Id].Wallet, Credit.Peer, Service);
+       ++Result.RefusedLate;
+       if (Instances[Id].Up)
+         Instances[Id].Own.push_front(Request);
+       else
+         ++Result.Refused;
      });
 }
 
@@ -277,12 +340,14 @@
   const std::uint16_t Region = simpleRegion();
   const std::uint16_t To = anyInstance(Region);
   const bool Near = Instances[Id].Region == Region;
-  at(Near ? std::chrono::milliseconds(1) : Shape.RegionDelay, [this, To] {
-    if (Instances[To].Up)
-      begin(To);
-    else
-      ++Result.Refused;
-  });
+  const headroom_request Request{Now};
+  at(Near ? std::chrono::milliseconds(1) : Shape.RegionDelay,
+     [this, To, Request] {
+       if (Instances[To].Up)
+         begin(To, Request);
+       else
+         ++Result.Refused;
+     });
 }
 
 inline void headroom_model::report() {
@@ -294,34 +359,40 @@
   at(Shape.RegionDelay, [this, Free] { ReportedFree = Free; });
 }
 
-/// Asks by those that ran short, and grants.
+/// One control tick: asks, grants and the requests that they free.
 inline void headroom_model::exchange() {
   for (std::uint16_t Id = 0; Id < Instances.size(); ++Id) {
     headroom_instance &Instance = Instances[Id];
     if (!Instance.Up)
       continue;
-    const std::uint32_t Wanted = Instance.Wanted;
-    Instance.Wanted = 0;
-    for (std::uint16_t To = 0; Wanted > 0 && To < Instances.size(); ++To) {
-      if (To == Id)
-        continue;
-      const auto Each = static_cast<std::uint32_t>(1 + Wanted / 4);
-      const credit_ask Ask = makeAsk(Instance.Wallet, {To}, Service, Each, Now);
-      send(Id, To, [this, Id, To, Ask] {
-        noteAsk(Instances[To].Grantor, {Id}, Ask, Now);
-      });
-    }
-    std::uint32_t Free = freeSlots(Id);
+    drain(Id);
+    ask(Id);
+    std::uint32_t Free = Instance.Own.empty() ? freeSlots(Id) : 0;
     if (Instance.Region == 1)
       Free = static_cast<std::uint32_t>(Free * Shape.Lie);
-    for (const addressed_grant &Grant :
-         grantCredits(Instance.Grantor, Service, Free, Now, Random()))
+    for (const addressed_grant &Grant : grantCredits(
+             Instance.Grantor, Service, {Free, Shape.SlotTime}, Now, Random()))
       send(Id, Grant.Peer.Index, [this, Id, Grant] {
         noteGrant(Instances[Grant.Peer.Index].Wallet, {Id}, Grant.Grant, Now);
+        drain(Grant.Peer.Index);
       });
   }
 }
 
+inline void headroom_model::ask(std::uint16_t Id) {
+  headroom_instance &Instance = Instances[Id];
+  std::vector<askable_peer> Askable;
+  for (std::uint16_t To = 0; To < Instances.size(); ++To)
+    if (To != Id)
+      Askable.push_back({{To}, Instances[To].Region == Instance.Region});
+  const auto Waiting = static_cast<std::uint32_t>(Instance.Own.size());
+  for (const addressed_ask &Ask :
+       planAsks(Instance.Wallet, Service, Askable, Waiting, Now, Random()))
+    send(Id, Ask.Peer.Index, [this, Id, Ask] {
+      noteAsk(Instances[Ask.Peer.Index].Grantor, {Id}, Ask.Ask, Now);
+    });
+}
+
 inline void headroom_model::measure() {
   std::vector<double> Running(Shape.Regions, 0);
   std::vector<double> Slots(Shape.Regions, 0);
@@ -366,7 +437,7 @@
     }
     if (Step % Shape.ReportPeriod.count() == 0)
       report();
-    if (Policy == headroom_policy::Credits && Step % 50 == 0)
+    if (Policy == headroom_policy::Credits && Step % 20 == 0)
       exchange();
     ++Step;
     measure();
