--- a/packages/steering/src/region.cpp
+++ b/packages/steering/src/region.cpp
@@ -142,6 +142,7 @@
 
 template <class Rows> std::vector<std::string> sortedNames(const Rows &Table) {
   std::vector<std::string> Names;
+  Names.reserve(Table.size());
   for (const auto &Row : Table)
     Names.push_back(Row.Name);
   std::sort(Names.begin(), Names.end());
--- a/packages/steering/tests/headroom.h
+++ b/packages/steering/tests/headroom.h
@@ -100,9 +100,12 @@
   static constexpr service_handle Service{0};
   static constexpr workspace_handle NoWorkspace{};
 
+  std::uint16_t count() const {
+    return static_cast<std::uint16_t>(Instances.size());
+  }
   bool chance(double Part) { return Uniform(Random) < Part; }
-  void at(std::chrono::milliseconds Delay, event Action);
-  void send(std::uint16_t From, std::uint16_t To, event Action);
+  void at(std::chrono::milliseconds Delay, const event &Action);
+  void send(std::uint16_t From, std::uint16_t To, const event &Action);
   std::uint32_t freeSlots(std::uint16_t Id) const;
   void begin(std::uint16_t Id, const headroom_request &Request);
   void restart(std::uint16_t Id);
@@ -172,16 +175,17 @@
   }
 }
 
-inline void headroom_model::at(std::chrono::milliseconds Delay, event Action) {
-  Events.emplace(Now + Delay, std::move(Action));
+inline void headroom_model::at(std::chrono::milliseconds Delay,
+                               const event &Action) {
+  Events.emplace(Now + Delay, Action);
 }
 
 inline void headroom_model::send(std::uint16_t From, std::uint16_t To,
-                                 event Action) {
+                                 const event &Action) {
   ++Result.Messages;
   const bool Near = Instances[From].Region == Instances[To].Region;
   const auto Delay = Near ? std::chrono::milliseconds(1) : Shape.RegionDelay;
-  const auto Deliver = [this, To, Action] {
+  const event Deliver = [this, To, Action] {
     if (Instances[To].Up)
       Action();
   };
@@ -332,7 +336,8 @@
 
 inline std::uint16_t headroom_model::anyInstance(std::uint16_t Region) {
   const std::uint16_t Count = Shape.PlacesPerRegion * Shape.InstancesPerPlace;
-  return static_cast<std::uint16_t>(Region * Count + Random() % Count);
+  return static_cast<std::uint16_t>(std::uint64_t{Region} * Count +
+                                    Random() % Count);
 }
 
 /// Simple versions: the receiver runs whatever comes.
@@ -352,7 +357,7 @@
 
 inline void headroom_model::report() {
   std::vector<double> Free(Shape.Regions, 0);
-  for (std::uint16_t Id = 0; Id < Instances.size(); ++Id)
+  for (std::uint16_t Id = 0; Id < count(); ++Id)
     if (Instances[Id].Up)
       Free[Instances[Id].Region] += freeSlots(Id);
   Free[1] *= Shape.Lie;
@@ -361,7 +366,7 @@
 
 /// One control tick: asks, grants and the requests that they free.
 inline void headroom_model::exchange() {
-  for (std::uint16_t Id = 0; Id < Instances.size(); ++Id) {
+  for (std::uint16_t Id = 0; Id < count(); ++Id) {
     headroom_instance &Instance = Instances[Id];
     if (!Instance.Up)
       continue;
@@ -382,7 +387,7 @@
 inline void headroom_model::ask(std::uint16_t Id) {
   headroom_instance &Instance = Instances[Id];
   std::vector<askable_peer> Askable;
-  for (std::uint16_t To = 0; To < Instances.size(); ++To)
+  for (std::uint16_t To = 0; To < count(); ++To)
     if (To != Id)
       Askable.push_back({{To}, Instances[To].Region == Instance.Region});
   const auto Waiting = static_cast<std::uint32_t>(Instance.Own.size());
@@ -418,7 +423,7 @@
       Action();
     }
     if (Now - Start == Shape.Length / 2)
-      for (std::uint16_t Id = 0; Id < Instances.size(); ++Id)
+      for (std::uint16_t Id = 0; Id < count(); ++Id)
         if (Instances[Id].Region == Shape.LostRegion) {
           restart(Id);
           Instances[Id].Up = false;
--- a/packages/steering/tests/shift.cpp
+++ b/packages/steering/tests/shift.cpp
@@ -204,7 +204,7 @@
   region_state State;
   adoptPlan(State, Plan, {}, Names);
   const service_handle Service{1};
-  const auto choose = [&](int I, region_mask Available) {
+  const auto Choose = [&](int I, region_mask Available) {
     const auto Since = milliseconds(10 * I);
     return chooseRegion(Plan, State, {Service, {0}, Available},
                         steady_time(seconds(10)) + Since,
@@ -214,7 +214,7 @@
   int Capped = 0;
   section("what may not move is refused with a time to come back", [&] {
     for (int I = 0; I < 1000; ++I) {
-      const auto Decision = choose(I, region_mask(2));
+      const auto Decision = Choose(I, region_mask(2));
       Moved += failed(Decision) ? 0 : 1;
       if (!failed(Decision))
         continue;
@@ -226,7 +226,7 @@
     CPPUNIT_ASSERT_EQUAL(1000, Moved + Capped);
   });
   section("without any region the refusal is no capacity", [&] {
-    const auto Decision = choose(2000, region_mask(0));
+    const auto Decision = Choose(2000, region_mask(0));
     CPPUNIT_ASSERT(errorOf(Decision).Kind == error_kind::NoCapacity);
   });
   section("moves to new weights wait while forced ones are refused", [&] {
@@ -234,7 +234,7 @@
     // only for some requests.
     int Refused = 0;
     for (int I = 0; I < 1000; ++I)
-      Refused += failed(choose(3000 + I, region_mask(I % 20 == 0 ? 2 : 3)));
+      Refused += failed(Choose(3000 + I, region_mask(I % 20 == 0 ? 2 : 3)));
     CPPUNIT_ASSERT(Refused <= 5);
   });
 }
--- a/packages/steering/tests/target.cpp
+++ b/packages/steering/tests/target.cpp
@@ -212,6 +212,7 @@
   for (std::uint64_t I = 0; I < 40; ++I)
     Targets.push_back({stableId("t" + std::to_string(I)), I % 2});
   std::vector<std::uint64_t> Mates;
+  Mates.reserve(5);
   for (int I = 0; I < 5; ++I)
     Mates.push_back(stableId("m" + std::to_string(I)));
   const std::vector<std::size_t> Owners = ownership(Targets, Mates);
