coordination: urgent asks come before a lender's reserve

Idle peers kept a reserve while callers waited, and a peer that once had nothing wasn't asked for up to a second.

--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -146,6 +146,7 @@
     bool Known = false;
     milli_tokens Left = 0;
     milli_tokens SparePerSecond = 0;
+    milli_tokens MintedPerSecond = 0;
     steady_time SeenAt;
     steady_time NotBefore;
     milli_tokens Ordered = 0;
@@ -202,7 +203,7 @@
                    steady_time Now);
   static lent_row &account(borrower_state &Borrower, std::uint16_t Limit,
                            const ask_row &Asked);
-  milli_tokens lend(lent_row &Row, milli_tokens Want, steady_time Now);
+  milli_tokens lend(lent_row &Row, const ask_row &Asked, steady_time Now);
   milli_tokens lendable(const limit_state &Limit) const;
   milli_tokens borrowed(const limit_state &Limit) const;
   limit_state *find(limit_id Id);
@@ -215,16 +216,17 @@
   void timeOut(steady_time Now);
   void markReports(steady_time Now);
   void orderAll(bool OnlyHungry, steady_time Now);
-  void order(std::uint16_t Limit, double Remaining, bool OnlySending,
-             steady_time Now);
-  void listCandidates(std::uint16_t Limit, double Remaining, bool OnlySending,
-                      steady_time Now);
+  void order(std::uint16_t Limit, double Remaining, double Urgent,
+             bool OnlySending, steady_time Now);
+  void listCandidates(std::uint16_t Limit, double Remaining, double Least,
+                      bool OnlySending, steady_time Now);
   double expected(const peer_state &Peer, std::uint16_t Limit, double Remaining,
                   steady_time Now) const;
   void addReports();
   std::vector<outgoing_ask> send(steady_time Now);
   void acceptRow(std::uint16_t Peer, const token_grant &Grant,
                  const grant_row &Row, steady_time Now);
+  static double mintedOf(const peer_view &View);
   void noteShortage(peer_view &View, const grant_row &Row, steady_time Now);
   static double horizon(const limit_state &Limit);
   static double prefetch(const limit_state &Limit);
--- a/packages/coordination/include/magnoliaspread/quotamsg.h
+++ b/packages/coordination/include/magnoliaspread/quotamsg.h
@@ -27,6 +27,8 @@
   limit_id Limit = 0;
   /// Tokens asked for.
   milli_tokens Want = 0;
+  /// Part of Want that callers wait for now; lent before the lender's reserve.
+  milli_tokens Urgent = 0;
   /// Unspent tokens of this lender that the borrower still has.
   milli_tokens Held = 0;
   /// Unspent tokens given back since the borrower started.
@@ -56,6 +58,8 @@
   milli_tokens Left = 0;
   /// Tokens per second that the lender mints beyond its own demand.
   milli_tokens SparePerSecond = 0;
+  /// Tokens per second that the lender mints.
+  milli_tokens MintedPerSecond = 0;
 
   bool operator==(const grant_row &) const = default;
 };
--- a/packages/coordination/src/bank.cpp
+++ b/packages/coordination/src/bank.cpp
@@ -302,11 +302,13 @@
   return std::max<milli_tokens>(0, floorTokens(Limit.Level - Reserve));
 }
 
-milli_tokens quota_bank::lend(lent_row &Row, milli_tokens Want,
+milli_tokens quota_bank::lend(lent_row &Row, const ask_row &Asked,
                               steady_time Now) {
   limit_state &Limit = Limits[Row.Limit];
-  const milli_tokens Granted =
-      std::min(std::max<milli_tokens>(0, Want), lendable(Limit));
+  const milli_tokens Idle = floorTokens(Limit.Level) - Limit.Backlog;
+  const milli_tokens Most =
+      std::max(lendable(Limit), std::min(Asked.Urgent, Idle));
+  const milli_tokens Granted = std::clamp<milli_tokens>(Asked.Want, 0, Most);
   Limit.Level -= static_cast<double>(Granted);
   Limit.Lent += Granted;
   Row.Outstanding += Granted;
@@ -340,11 +342,11 @@
     refill(Limit, Now);
     settle(Limit);
     const milli_tokens Granted =
-        lend(account(Borrower, Found->second, Asked), Asked.Want, Now);
+        lend(account(Borrower, Found->second, Asked), Asked, Now);
     offer(Limit, Now);
     const double Spare = std::max(0.0, Limit.MintRate - Limit.Demand);
-    Grant.Rows.push_back(
-        {Asked.Limit, Granted, lendable(Limit), floorTokens(Spare)});
+    Grant.Rows.push_back({Asked.Limit, Granted, lendable(Limit),
+                          floorTokens(Spare), floorTokens(Limit.MintRate)});
   }
   ++Counts.AsksAnswered;
   Counts.GrantRowsSent += Grant.Rows.size();
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds FreshLife{300};
 constexpr double GiveBackPart = 1.5;
 constexpr double LeastDemand = 0.01;
+/// Part of a peer's tokens that it can spare now and then.
+constexpr double SparePart = 0.5;
 constexpr std::size_t MaxAsksPerLimit = 12;
 /// After this a peer may have tokens that it hadn't when it answered.
 constexpr milliseconds ViewLife{1000};
@@ -36,7 +38,7 @@
 constexpr std::uint32_t MostRetrySteps = 20;
 constexpr milliseconds EmptyPause{5000};
 constexpr milliseconds LeastShortage{20};
-constexpr milliseconds MostShortage{500};
+constexpr milliseconds MostShortage{200};
 constexpr milliseconds LeastRetryAfter{20};
 constexpr milliseconds MostRetryAfter{10000};
 
@@ -70,7 +72,7 @@
   peer_view &View = view(Peer, Limit);
   if (View.Row < 0) {
     View.Row = static_cast<std::int32_t>(Peer.Rows.size());
-    Peer.Rows.push_back({Limits[Limit].Id, 0, 0, 0});
+    Peer.Rows.push_back({Limits[Limit].Id, 0, 0, 0, 0});
   }
   return Peer.Rows[static_cast<std::size_t>(View.Row)];
 }
@@ -200,8 +202,9 @@
     if (OnlyHungry && Position >= Backlog + Stock * HungryPart)
       continue;
     const double Remaining = Backlog + Stock - Position;
+    const double Urgent = std::clamp(Backlog - Position, 0.0, Backlog);
     if (Remaining >= 1)
-      order(static_cast<std::uint16_t>(I), Remaining, !OnlyHungry, Now);
+      order(static_cast<std::uint16_t>(I), Remaining, Urgent, !OnlyHungry, Now);
   }
 }
 
@@ -216,12 +219,19 @@
   if (Now >= View.SeenAt + ViewLife)
     return std::min(Remaining, Part);
   const double Age = seconds(Now - View.SeenAt);
-  return static_cast<double>(View.Left) +
-         static_cast<double>(View.SparePerSecond) * Age;
+  return static_cast<double>(View.Left) + mintedOf(View) * Age;
+}
+
+// Demand varies, so that a part of the tokens is to spare now and then also
+// where none is on average.
+double quota_bank::mintedOf(const peer_view &View) {
+  return std::max(static_cast<double>(View.SparePerSecond),
+                  static_cast<double>(View.MintedPerSecond) * SparePart);
 }
 
 void quota_bank::listCandidates(std::uint16_t Limit, double Remaining,
-                                bool OnlySending, steady_time Now) {
+                                double Least, bool OnlySending,
+                                steady_time Now) {
   Candidates.clear();
   for (std::size_t I = 0; I < Peers.size(); ++I) {
     const peer_state &Peer = Peers[I];
@@ -231,7 +241,7 @@
     if (Limit < Peer.Views.size() && Now < Peer.Views[Limit].NotBefore)
       continue;
     const double Expected = expected(Peer, Limit, Remaining, Now);
-    if (Expected < std::min(Remaining, LeastStock))
+    if (Expected < Least)
       continue;
     Candidates.push_back({static_cast<std::uint16_t>(I), Peer.Near, Expected,
                           static_cast<std::uint32_t>(Random())});
@@ -246,9 +256,10 @@
             });
 }
 
-void quota_bank::order(std::uint16_t Limit, double Remaining, bool OnlySending,
-                       steady_time Now) {
-  listCandidates(Limit, Remaining, OnlySending, Now);
+void quota_bank::order(std::uint16_t Limit, double Remaining, double Urgent,
+                       bool OnlySending, steady_time Now) {
+  const double Least = Urgent > 0 ? 0 : std::min(Remaining, LeastStock);
+  listCandidates(Limit, Remaining, Least, OnlySending, Now);
   if (Candidates.size() > MaxAsksPerLimit)
     Candidates.resize(MaxAsksPerLimit);
   for (const candidate &Each : Candidates) {
@@ -258,7 +269,10 @@
     const double Want =
         std::min(Remaining, std::max<double>(Each.Expected, MilliPerToken));
     const auto Ordered = static_cast<milli_tokens>(std::ceil(Want));
-    rowFor(Peer, Limit).Want += Ordered;
+    ask_row &Row = rowFor(Peer, Limit);
+    Row.Want += Ordered;
+    Row.Urgent += std::min(Ordered, static_cast<milli_tokens>(Urgent));
+    Urgent = std::max(0.0, Urgent - Want);
     view(Peer, Limit).Ordered += Ordered;
     Limits[Limit].OnOrder += Ordered;
     Peer.Sending = true;
@@ -345,6 +359,7 @@
   View.Known = true;
   View.Left = Row.Left;
   View.SparePerSecond = Row.SparePerSecond;
+  View.MintedPerSecond = Row.MintedPerSecond;
   View.SeenAt = Now;
   noteShortage(View, Row, Now);
   const steady_time Expires = Peer.SentAt + TokenLife;
--- a/packages/coordination/tests/quota.cpp
+++ b/packages/coordination/tests/quota.cpp
@@ -120,7 +120,7 @@
   Lender.setShares({{0, 1000000, Now, steady_time::max()}}, Now);
   Now += milliseconds(2000);
   Lender.tick(Now);
-  const token_ask First{7, 1, 0, {{Limit, 3000, 0, 0}}};
+  const token_ask First{7, 1, 0, {{Limit, 3000, 0, 0, 0}}};
   section("count against the lender's burst until they are reported", [&] {
     const auto Grant = Lender.answer(First, Now);
     CPPUNIT_ASSERT(Grant && Grant->Rows.front().Tokens == 3000);
@@ -136,10 +136,10 @@
     CPPUNIT_ASSERT_EQUAL(milli_tokens(8000), Lender.available(Limit));
   });
   section("come back when they are returned, and once only", [&] {
-    CPPUNIT_ASSERT(Lender.answer({7, 3, 0, {{Limit, 4000, 0, 0}}}, Now));
-    CPPUNIT_ASSERT(Lender.answer({7, 4, 3, {{Limit, 0, 1000, 2000}}}, Now));
+    CPPUNIT_ASSERT(Lender.answer({7, 3, 0, {{Limit, 4000, 0, 0, 0}}}, Now));
+    CPPUNIT_ASSERT(Lender.answer({7, 4, 3, {{Limit, 0, 0, 1000, 2000}}}, Now));
     CPPUNIT_ASSERT_EQUAL(milli_tokens(6000), Lender.available(Limit));
-    CPPUNIT_ASSERT(Lender.answer({7, 5, 3, {{Limit, 0, 0, 2000}}}, Now));
+    CPPUNIT_ASSERT(Lender.answer({7, 5, 3, {{Limit, 0, 0, 0, 2000}}}, Now));
     CPPUNIT_ASSERT_EQUAL(milli_tokens(6000), Lender.available(Limit));
   });
   section("expire at the borrower before they do at the lender", [&] {
@@ -151,7 +151,7 @@
     Now += milliseconds(20);
     const std::vector<outgoing_ask> Asks = Borrower.tick(Now);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Asks.size());
-    const token_grant Grant{7, 1, 1, 1, {{Limit, 1000, 0, 0}}};
+    const token_grant Grant{7, 1, 1, 1, {{Limit, 1000, 0, 0, 0}}};
     Borrower.accept("lender", Grant, Now + milliseconds(50));
     Borrower.tick(Now + milliseconds(1500));
     CPPUNIT_ASSERT(!Purse.retry(Limit, MilliPerToken, Now + TokenLife));
--- a/packages/coordination/tests/quota_fleet.h
+++ b/packages/coordination/tests/quota_fleet.h
@@ -592,12 +592,12 @@
     });
   }
 
-  void operate(std::size_t P, share_actions Actions) {
+  void operate(std::size_t P, const share_actions &Actions) {
     for (const share_read &Read : Actions.Reads)
       startRead(P, Read);
     for (const share_write &Write : Actions.Writes)
       startWrite(P, Write);
-    for (outgoing_promise_request &Out : Actions.Requests) {
+    for (const outgoing_promise_request &Out : Actions.Requests) {
       const std::size_t Q = indexOf(Out.To.Name);
       send(P, Q, 60, [this, P, Q, Out] {
         const promise_reply Reply =
