Send smaller heartbeats, and measure the fleet with real datagrams

Cause: at 27 data centres of 20 a speaker sent and received 6196 B/s, beyond 5000. The heartbeat leaves out the incarnation that its frame names, the jitter is centred on the period, and summaries without news are passed on with every second heartbeat.

--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxUrgentSummaries = 4;
 /// Bytes of the names of silent data centres in a heartbeat.
 constexpr std::size_t SilentNamesBudgetBytes = 400;
+constexpr milliseconds HeartbeatJitter{50};
+/// Heartbeats between two summaries that a speaker passes on unchanged.
+constexpr std::uint64_t RelayEvery = 2;
 /// Heartbeats between two attempts to reach mates given up for dead.
 constexpr std::uint64_t ProbeEvery = 5;
 constexpr std::size_t MaxProbes = 8;
@@ -92,8 +95,8 @@
 void membership::sendHeartbeat(steady_time Now, outbox &Out) {
   if (Now < NextHeartbeat)
     return;
-  const auto Jitter = milliseconds(randomBelow(HeartbeatPeriod.count() / 10));
-  NextHeartbeat = Now + HeartbeatPeriod - Jitter;
+  const auto Jitter = milliseconds(randomBelow(HeartbeatJitter.count() * 2));
+  NextHeartbeat = Now + HeartbeatPeriod - HeartbeatJitter + Jitter;
   LastHeartbeat = Now;
   ++Own.Sequence;
   ++HeartbeatCount;
@@ -139,7 +142,7 @@
   return Names;
 }
 
-/// Changed summaries go first; a speaker adds one other each time, in turn.
+/// Changed summaries go first; a speaker passes the others on in turn.
 std::vector<data_centre_summary> membership::summariesToRelay() {
   std::vector<data_centre_summary> Chosen;
   for (peer_centre &Centre : Centres) {
@@ -148,7 +151,8 @@
     --Centre.RelaysLeft;
     Chosen.push_back(Centre.Summary);
   }
-  if (!Chosen.empty() || Centres.empty() || !isSpeaker())
+  if (!Chosen.empty() || Centres.empty() || !isSpeaker() ||
+      HeartbeatCount % RelayEvery != 0)
     return Chosen;
   const peer_centre &Next = Centres[RelayCursor++ % Centres.size()];
   if (Next.Summary.Sequence != 0)
--- a/packages/coordination/tests/fleet.h
+++ b/packages/coordination/tests/fleet.h
@@ -168,10 +168,12 @@
 
   /// Every running instance names exactly the serving ones.
   bool viewsAgree() const {
-    for (std::size_t I = 0; I < Nodes.size(); ++I)
-      for (std::size_t C = 0; active(I) && C < Centres; ++C)
-        if (named(I, C) != serving(C))
+    for (std::size_t C = 0; C < Centres; ++C) {
+      const std::set<std::string> Serving = serving(C);
+      for (std::size_t I = 0; I < Nodes.size(); ++I)
+        if (active(I) && named(I, C) != Serving)
           return false;
+    }
     return true;
   }
 
@@ -204,23 +206,35 @@
   std::function<bool(std::size_t, std::size_t)> Blocked;
   /// Called after every step.
   std::function<void()> Check;
-  /// Size of a datagram; unset counts none.
-  std::function<std::size_t(const member_message &)> SizeOf;
+  /// Puts messages on the wire and back; unset, they pass as they are and no
+  /// bytes are counted. The index is the sender's or the receiver's.
+  std::function<std::string(std::size_t, const member_message &)> Encode;
+  std::function<std::optional<member_message>(std::size_t, const std::string &)>
+      Decode;
 
 private:
+  struct packet {
+    member_message Message;
+    std::string Datagram;
+  };
+
   struct delivery {
     steady_time At;
     std::uint64_t Order;
     std::size_t From;
     std::size_t To;
-    std::shared_ptr<const member_message> Message;
-    std::size_t Bytes;
+    std::shared_ptr<const packet> Packet;
 
     bool operator<(const delivery &Other) const {
       return At != Other.At ? At > Other.At : Order > Other.Order;
     }
   };
 
+  /// With the headers of IPv4 and UDP.
+  std::size_t bytesOf(const packet &Packet) const {
+    return Encode ? Packet.Datagram.size() + 28 : 0;
+  }
+
   std::vector<seed_address>
   seedsOf(const std::vector<std::size_t> &Indexes) const {
     std::vector<seed_address> Seeds;
@@ -240,12 +254,15 @@
 
   void send(std::size_t From, const outbox &Out) {
     for (const outgoing_message &Item : Out) {
-      const auto Shared = std::make_shared<const member_message>(Item.Message);
-      const std::size_t Bytes = SizeOf ? SizeOf(Item.Message) : 0;
+      auto Packet = std::make_shared<packet>();
+      if (Encode)
+        Packet->Datagram = Encode(From, Item.Message);
+      else
+        Packet->Message = Item.Message;
       for (const endpoint_address &To : Item.To) {
-        Nodes[From].SentBytes += Bytes;
+        Nodes[From].SentBytes += bytesOf(*Packet);
         ++Nodes[From].SentDatagrams;
-        transmit(From, indexOf(To), Shared, Bytes);
+        transmit(From, indexOf(To), Packet);
       }
     }
   }
@@ -258,23 +275,21 @@
   }
 
   void transmit(std::size_t From, std::size_t To,
-                const std::shared_ptr<const member_message> &Message,
-                std::size_t Bytes) {
+                const std::shared_ptr<const packet> &Packet) {
     if (cut(From, To) || chance(Faults.Loss))
       return;
-    enqueue(From, To, Message, Bytes);
+    enqueue(From, To, Packet);
     if (chance(Faults.Duplication))
-      enqueue(From, To, Message, Bytes);
+      enqueue(From, To, Packet);
   }
 
   void enqueue(std::size_t From, std::size_t To,
-               const std::shared_ptr<const member_message> &Message,
-               std::size_t Bytes) {
+               const std::shared_ptr<const packet> &Packet) {
     const auto Spread = static_cast<std::uint64_t>(
         (Faults.DelayMax - Faults.DelayMin).count() + 1);
     const auto Delay =
         Faults.DelayMin + std::chrono::milliseconds(Random() % Spread);
-    Queue.push({Now + Delay, ++Order, From, To, Message, Bytes});
+    Queue.push({Now + Delay, ++Order, From, To, Packet});
   }
 
   void step() {
@@ -293,9 +308,15 @@
     fleet_node &Node = Nodes[Item.To];
     if (!active(Item.To))
       return;
-    Node.ReceivedBytes += Item.Bytes;
-    send(Item.To,
-         Node.Members->receive(Now, addressOf(Item.From), *Item.Message));
+    Node.ReceivedBytes += bytesOf(*Item.Packet);
+    const endpoint_address From = addressOf(Item.From);
+    if (!Decode) {
+      send(Item.To, Node.Members->receive(Now, From, Item.Packet->Message));
+      return;
+    }
+    const auto Message = Decode(Item.To, Item.Packet->Datagram);
+    if (Message)
+      send(Item.To, Node.Members->receive(Now, From, *Message));
   }
 
   void tickNode(std::size_t Index) {
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -1104,6 +1104,7 @@
 
 void Heartbeat::__set_incarnation(const int64_t val) {
   this->incarnation = val;
+__isset.incarnation = true;
 }
 
 void Heartbeat::__set_report(const Report& val) {
@@ -1233,10 +1234,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Heartbeat");
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 2);
   xfer += this->report.write(oprot);
   xfer += oprot->writeFieldEnd();
@@ -1307,7 +1309,7 @@
 void Heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
-  out << "incarnation=" << to_string(incarnation);
+  out << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
   out << ", " << "report=" << to_string(report);
   out << ", " << "speaker="; (__isset.speaker ? (out << to_string(speaker)) : (out << "<null>"));
   out << ", " << "summaries="; (__isset.summaries ? (out << to_string(summaries)) : (out << "<null>"));
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -550,7 +550,9 @@
 
   bool operator == (const Heartbeat & rhs) const
   {
-    if (!(incarnation == rhs.incarnation))
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
       return false;
     if (!(report == rhs.report))
       return false;
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -53,7 +53,8 @@
 }
 
 struct Heartbeat {
-  1: i64 incarnation
+  /// Left out when it is the sender of the frame.
+  1: optional i64 incarnation
   2: Report report
   3: optional bool speaker
   4: optional list<Summary> summaries
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -66,9 +66,10 @@
   replay_filter Replays;
 };
 
-/// The body alone, without a frame.
-result<std::string> encodeBody(const control_message &Message);
-result<control_message> decodeBody(std::string_view Body);
+/// The body alone; \p Sender is what its frame says.
+result<std::string> encodeBody(const control_message &Message,
+                               std::uint64_t Sender);
+result<control_message> decodeBody(std::string_view Body, std::uint64_t Sender);
 
 } // namespace magnoliaspread
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -20,11 +20,14 @@
   using std::runtime_error::runtime_error;
 };
 
-void writeMember(const member_message &Message, idl::Datagram &Body);
+/// \p Sender is the sender of the frame.
+void writeMember(const member_message &Message, std::uint64_t Sender,
+                 idl::Datagram &Body);
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
 
 /// Read the field of \p Body that is set.
-heartbeat_message readHeartbeat(const idl::Heartbeat &From);
+heartbeat_message readHeartbeat(const idl::Heartbeat &From,
+                                std::uint64_t Sender);
 summary_message readSummaryNews(const idl::SummaryNews &From);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -51,16 +51,17 @@
   return Tag;
 }
 
-void writeBody(const control_message &Message, idl::Datagram &Body) {
+void writeBody(const control_message &Message, std::uint64_t Sender,
+               idl::Datagram &Body) {
   if (const auto *Member = std::get_if<member_message>(&Message))
-    writeMember(*Member, Body);
+    writeMember(*Member, Sender, Body);
   else
     writeQuarantine(std::get<quarantine_notice>(Message), Body);
 }
 
-control_message readBody(const idl::Datagram &Body) {
+control_message readBody(const idl::Datagram &Body, std::uint64_t Sender) {
   if (Body.__isset.heartbeat)
-    return member_message(readHeartbeat(Body.heartbeat));
+    return member_message(readHeartbeat(Body.heartbeat, Sender));
   if (Body.__isset.summary)
     return member_message(readSummaryNews(Body.summary));
   if (Body.__isset.rows)
@@ -120,10 +121,11 @@
   return Key;
 }
 
-result<std::string> encodeBody(const control_message &Message) {
+result<std::string> encodeBody(const control_message &Message,
+                               std::uint64_t Sender) {
   try {
     idl::Datagram Body;
-    writeBody(Message, Body);
+    writeBody(Message, Sender, Body);
     auto Buffer = std::make_shared<TMemoryBuffer>();
     compact_protocol Protocol(Buffer);
     Body.write(&Protocol);
@@ -133,16 +135,17 @@
   }
 }
 
-result<control_message> decodeBody(std::string_view Body) {
+result<control_message> decodeBody(std::string_view Body,
+                                   std::uint64_t Sender) {
   try {
-    return readBody(parseBody(Body));
+    return readBody(parseBody(Body), Sender);
   } catch (const std::exception &Failure) {
     return badDatagram(Failure.what());
   }
 }
 
 result<std::string> datagram_codec::encode(const control_message &Message) {
-  result<std::string> Body = encodeBody(Message);
+  result<std::string> Body = encodeBody(Message, Incarnation);
   if (failed(Body))
     return Body;
   const std::size_t Bytes =
@@ -173,8 +176,8 @@
     return badDatagram("received before");
   const std::size_t BodyBytes =
       Datagram.size() - DatagramHeaderBytes - DatagramTagBytes;
-  result<control_message> Message =
-      decodeBody(Datagram.substr(DatagramHeaderBytes, BodyBytes));
+  result<control_message> Message = decodeBody(
+      Datagram.substr(DatagramHeaderBytes, BodyBytes), Received.Sender);
   if (failed(Message))
     return errorOf(Message);
   Received.Message = std::move(valueOf(Message));
--- a/packages/wire/src/membercodec.cpp
+++ b/packages/wire/src/membercodec.cpp
@@ -128,9 +128,11 @@
   return Rows;
 }
 
-void writeKind(const heartbeat_message &Message, idl::Datagram &Body) {
+void writeKind(const heartbeat_message &Message, std::uint64_t Sender,
+               idl::Datagram &Body) {
   idl::Heartbeat To;
-  To.incarnation = static_cast<std::int64_t>(Message.Incarnation);
+  if (Message.Incarnation != Sender)
+    To.__set_incarnation(static_cast<std::int64_t>(Message.Incarnation));
   write(Message.Report, To.report);
   if (Message.Speaker)
     To.__set_speaker(true);
@@ -143,21 +145,24 @@
   Body.__set_heartbeat(To);
 }
 
-void writeKind(const summary_message &Message, idl::Datagram &Body) {
+void writeKind(const summary_message &Message, std::uint64_t /*Sender*/,
+               idl::Datagram &Body) {
   idl::SummaryNews To;
   write(Message.Summary, To.summary);
   writeAll(Message.Changed, To.changed);
   Body.__set_summary(To);
 }
 
-void writeKind(const rows_message &Message, idl::Datagram &Body) {
+void writeKind(const rows_message &Message, std::uint64_t /*Sender*/,
+               idl::Datagram &Body) {
   idl::Rows To;
   writeAll(Message.Rows, To.rows);
   To.relayed = Message.Relayed;
   Body.__set_rows(To);
 }
 
-void writeKind(const rows_request &Message, idl::Datagram &Body) {
+void writeKind(const rows_request &Message, std::uint64_t /*Sender*/,
+               idl::Datagram &Body) {
   idl::RowsRequest To;
   write(Message.Sender, To.sender);
   To.dataCentre = Message.DataCentre;
@@ -172,13 +177,17 @@
   return From;
 }
 
-void writeMember(const member_message &Message, idl::Datagram &Body) {
-  std::visit([&](const auto &Kind) { writeKind(Kind, Body); }, Message);
+void writeMember(const member_message &Message, std::uint64_t Sender,
+                 idl::Datagram &Body) {
+  std::visit([&](const auto &Kind) { writeKind(Kind, Sender, Body); }, Message);
 }
 
-heartbeat_message readHeartbeat(const idl::Heartbeat &From) {
+heartbeat_message readHeartbeat(const idl::Heartbeat &From,
+                                std::uint64_t Sender) {
   heartbeat_message To;
-  To.Incarnation = static_cast<std::uint64_t>(From.incarnation);
+  To.Incarnation = From.__isset.incarnation
+                       ? static_cast<std::uint64_t>(From.incarnation)
+                       : Sender;
   To.Report = read(From.report);
   To.Speaker = From.__isset.speaker && From.speaker;
   for (const idl::Summary &Summary : From.summaries)
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint64_t SenderId = 42;
+
 fleet_key keyOf(unsigned char Fill) {
   fleet_key Key;
   Key.fill(Fill);
@@ -196,19 +198,22 @@
                              error_kind::BadDatagram));
   });
   section("an empty body has no kind", [&] {
-    CPPUNIT_ASSERT(
-        isError(decodeBody(std::string(1, '\0')), error_kind::BadDatagram));
-    CPPUNIT_ASSERT(isError(decodeBody(""), error_kind::BadDatagram));
+    CPPUNIT_ASSERT(isError(decodeBody(std::string(1, '\0'), SenderId),
+                           error_kind::BadDatagram));
+    CPPUNIT_ASSERT(isError(decodeBody("", SenderId), error_kind::BadDatagram));
   });
   section("names beyond their length are refused", [&] {
     const auto Body = encodeBody(
-        member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}));
-    CPPUNIT_ASSERT(isError(decodeBody(valueOf(Body)), error_kind::BadDatagram));
+        member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}),
+        SenderId);
+    CPPUNIT_ASSERT(
+        isError(decodeBody(valueOf(Body), SenderId), error_kind::BadDatagram));
   });
   section("a list that claims more rows than fit is refused", [&] {
     // Datagram.rows.rows: a list of two thousand million structures.
     const std::string Body("\x3c\x19\xfc\xff\xff\xff\xff\x07", 8);
-    CPPUNIT_ASSERT(isError(decodeBody(Body), error_kind::BadDatagram));
+    CPPUNIT_ASSERT(
+        isError(decodeBody(Body, SenderId), error_kind::BadDatagram));
   });
 }
 
@@ -225,12 +230,12 @@
   std::mt19937_64 Random(20261204);
   std::vector<std::string> Bodies;
   for (const control_message &Message : samples())
-    Bodies.push_back(valueOf(encodeBody(Message)));
+    Bodies.push_back(valueOf(encodeBody(Message, SenderId)));
   section("mutated bodies are read or refused", [&] {
     int Refused = 0;
     for (int I = 0; I < Rounds; ++I) {
       const std::string &Base = Bodies[Random() % Bodies.size()];
-      const auto Read = decodeBody(mutated(Base, Random));
+      const auto Read = decodeBody(mutated(Base, Random), SenderId);
       CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
       Refused += failed(Read) ? 1 : 0;
     }
@@ -239,10 +244,11 @@
   section("what is read can be written and read again", [&] {
     for (int I = 0; I < Rounds / 4; ++I) {
       const std::string &Base = Bodies[Random() % Bodies.size()];
-      const auto Read = decodeBody(mutated(Base, Random));
+      const auto Read = decodeBody(mutated(Base, Random), SenderId);
       if (failed(Read))
         continue;
-      const auto Again = decodeBody(valueOf(encodeBody(valueOf(Read))));
+      const auto Again =
+          decodeBody(valueOf(encodeBody(valueOf(Read), SenderId)), SenderId);
       CPPUNIT_ASSERT(!failed(Again));
       CPPUNIT_ASSERT(valueOf(Again) == valueOf(Read));
     }
@@ -252,15 +258,15 @@
       std::string Bytes(Random() % 200, '\0');
       std::generate(Bytes.begin(), Bytes.end(),
                     [&] { return static_cast<char>(Random()); });
-      const auto Read = decodeBody(Bytes);
+      const auto Read = decodeBody(Bytes, SenderId);
       CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
     }
   });
   section("every truncation is refused", [&] {
     for (const std::string &Body : Bodies)
       for (std::size_t Size = 0; Size < Body.size(); ++Size)
-        CPPUNIT_ASSERT(
-            isError(decodeBody(Body.substr(0, Size)), error_kind::BadDatagram));
+        CPPUNIT_ASSERT(isError(decodeBody(Body.substr(0, Size), SenderId),
+                               error_kind::BadDatagram));
   });
 }
 
