--- /dev/null
+++ b/packages/coordination/tests/quota.cpp
@@ -0,0 +1,162 @@
+#include "quota_schedule.h"
+
+#include <magnoliaspread/story.h>
+
+#include <sstream>
+
+using namespace magnoliaspread;
+
+namespace {
+
+struct schedule_result {
+  std::uint64_t Breaches = 0;
+  std::uint64_t DoubleMints = 0;
+};
+
+schedule_result runSchedule(std::uint64_t Seed, quota_policy Policy) {
+  schedule Schedule(Seed, Policy);
+  Schedule.Fleet.run(ScheduleSpan);
+  return {Schedule.Fleet.breaches(), Schedule.Fleet.DoubleMints};
+}
+
+std::uint64_t firstCaught(quota_policy Policy, std::uint64_t Most) {
+  for (std::uint64_t Seed = 1; Seed <= Most; ++Seed)
+    if (runSchedule(Seed, Policy).Breaches > 0)
+      return Seed;
+  return 0;
+}
+
+} // namespace
+
+STORY(no_window_admits_more_than_rate_and_burst) {
+  section("under random faults, load and edits", [&] {
+    const std::uint64_t Count = schedules(150);
+    for (std::uint64_t Seed = 1; Seed <= Count; ++Seed) {
+      const schedule_result Result = runSchedule(Seed, quota_policy::Lent);
+      std::ostringstream Text;
+      Text << "seed " << Seed << ": " << Result.Breaches << " breaches, "
+           << Result.DoubleMints << " of them mints";
+      CPPUNIT_ASSERT_MESSAGE(Text.str(), Result.Breaches == 0);
+    }
+  });
+}
+
+STORY(the_schedules_catch_simple_versions) {
+  constexpr std::uint64_t Most = 60;
+  section("rate divided by the live members that each one sees", [&] {
+    CPPUNIT_ASSERT(firstCaught(quota_policy::Divided, Most) != 0);
+  });
+  section("a lease that is checked only at its renewal", [&] {
+    CPPUNIT_ASSERT(firstCaught(quota_policy::FenceIgnored, Most) != 0);
+  });
+  section("a lender that refills while its tokens are unspent", [&] {
+    CPPUNIT_ASSERT(firstCaught(quota_policy::RefilledWhileLent, Most) != 0);
+  });
+  section("a new holder that mints at once", [&] {
+    CPPUNIT_ASSERT(firstCaught(quota_policy::NoWait, Most) != 0);
+  });
+  section("a new cut that is in force before all have it", [&] {
+    CPPUNIT_ASSERT(firstCaught(quota_policy::CutAtOnce, Most) != 0);
+  });
+}
+
+STORY(a_fleet_recovers_when_the_faults_end) {
+  constexpr milliseconds Calm{45000};
+  constexpr milliseconds Watched{20000};
+  constexpr double MostWronglyRefused = 0.01;
+  section("every share is held and requests within the limits are admitted",
+          [&] {
+            std::uint64_t Calls = 0;
+            std::uint64_t Wrong = 0;
+            for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+              schedule Schedule(Seed, quota_policy::Lent);
+              quota_fleet &Fleet = Schedule.Fleet;
+              Fleet.run(ScheduleSpan);
+              Schedule.calm();
+              Fleet.run(Calm);
+              Fleet.ConformantCalls = 0;
+              Fleet.WronglyRefused = 0;
+              Fleet.run(Watched);
+              const std::string Text = "seed " + std::to_string(Seed);
+              CPPUNIT_ASSERT_MESSAGE(Text, Fleet.breaches() == 0);
+              CPPUNIT_ASSERT_MESSAGE(Text, Schedule.allHeld());
+              Calls += Fleet.ConformantCalls;
+              Wrong += Fleet.WronglyRefused;
+            }
+            CPPUNIT_ASSERT(static_cast<double>(Wrong) <
+                           MostWronglyRefused * static_cast<double>(Calls));
+          });
+}
+
+STORY(a_full_bucket_is_not_refilled_for_time_it_was_full) {
+  const limit_id Limit = workspaceLimit("clube");
+  steady_time Now{std::chrono::hours(1)};
+  purse Purse;
+  quota_bank Bank({1, 1}, Purse, Now);
+  Bank.setLimits(1, {{Limit, 10, 5}}, Now);
+  Bank.setShares({{0, 1000000, Now, steady_time::max()}}, Now);
+  Now += milliseconds(2000);
+  Bank.tick(Now);
+  section("tokens spent at the end of a pause leave the bucket empty", [&] {
+    Now += milliseconds(900);
+    CPPUNIT_ASSERT(Purse.spend(Limit, 5 * MilliPerToken, Now));
+    Bank.tick(Now);
+    CPPUNIT_ASSERT_EQUAL(milli_tokens(0), Bank.available(Limit));
+  });
+  section("handed out tokens expire in a paused process", [&] {
+    Now += milliseconds(2000);
+    Bank.tick(Now);
+    Now += milliseconds(1000);
+    CPPUNIT_ASSERT(!Purse.spend(Limit, MilliPerToken, Now));
+  });
+}
+
+STORY(lent_tokens) {
+  const limit_id Limit = workspaceLimit("clube");
+  steady_time Now{std::chrono::hours(1)};
+  purse LenderPurse;
+  quota_bank Lender({1, 1}, LenderPurse, Now);
+  Lender.setLimits(1, {{Limit, 10, 8}}, Now);
+  Lender.setShares({{0, 1000000, Now, steady_time::max()}}, Now);
+  Now += milliseconds(2000);
+  Lender.tick(Now);
+  const token_ask First{7, 1, 0, {{Limit, 3000, 0, 0, 0}}};
+  section("count against the lender's burst until they are reported", [&] {
+    const auto Grant = Lender.answer(First, Now);
+    CPPUNIT_ASSERT(Grant && Grant->Rows.front().Tokens == 3000);
+    Now += milliseconds(1000);
+    Lender.tick(Now);
+    CPPUNIT_ASSERT_EQUAL(milli_tokens(5000), Lender.available(Limit));
+  });
+  section("aren't granted again to a duplicate of the ask",
+          [&] { CPPUNIT_ASSERT(!Lender.answer(First, Now)); });
+  section("come back at once when the grant was lost", [&] {
+    const auto Grant = Lender.answer({7, 2, 0, {}}, Now);
+    CPPUNIT_ASSERT(Grant && Grant->Rows.empty());
+    CPPUNIT_ASSERT_EQUAL(milli_tokens(8000), Lender.available(Limit));
+  });
+  section("come back when they are returned, and once only", [&] {
+    CPPUNIT_ASSERT(Lender.answer({7, 3, 0, {{Limit, 4000, 0, 0, 0}}}, Now));
+    CPPUNIT_ASSERT(Lender.answer({7, 4, 3, {{Limit, 0, 0, 1000, 2000}}}, Now));
+    CPPUNIT_ASSERT_EQUAL(milli_tokens(6000), Lender.available(Limit));
+    CPPUNIT_ASSERT(Lender.answer({7, 5, 3, {{Limit, 0, 0, 0, 2000}}}, Now));
+    CPPUNIT_ASSERT_EQUAL(milli_tokens(6000), Lender.available(Limit));
+  });
+  section("expire at the borrower before they do at the lender", [&] {
+    purse Purse;
+    quota_bank Borrower({7, 1}, Purse, Now);
+    Borrower.setLimits(1, {{Limit, 10, 8}}, Now);
+    Borrower.setPeers({{"lender", true}});
+    Purse.addWaiting(Limit, MilliPerToken);
+    Now += milliseconds(20);
+    const std::vector<outgoing_ask> Asks = Borrower.tick(Now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Asks.size());
+    const token_grant Grant{7, 1, 1, 1, {{Limit, 1000, 0, 0, 0}}};
+    Borrower.accept("lender", Grant, Now + milliseconds(50));
+    Borrower.tick(Now + milliseconds(1500));
+    CPPUNIT_ASSERT(!Purse.retry(Limit, MilliPerToken, Now + TokenLife));
+    CPPUNIT_ASSERT(Purse.retry(Limit, MilliPerToken, Now + milliseconds(1999)));
+    Borrower.accept("lender", Grant, Now + milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Borrower.counts().GrantsLate);
+  });
+}
