--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -20,7 +20,9 @@
   using std::runtime_error::runtime_error;
 };
 
-void writeMember(const member_message &Message, idl::Datagram &Body);
+/// \p Sender is the sender of the frame.
+void writeMember(const member_message &Message, std::uint64_t Sender,
+                 idl::Datagram &Body);
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
 
 void writeTokenAsk(const token_ask &Ask, idl::Datagram &Body);
@@ -31,7 +33,8 @@
 void writeCreditGrant(const credit_grant_message &Grant, idl::Datagram &Body);
 
 /// Read the field of \p Body that is set.
-heartbeat_message readHeartbeat(const idl::Heartbeat &From);
+heartbeat_message readHeartbeat(const idl::Heartbeat &From,
+                                std::uint64_t Sender);
 summary_message readSummaryNews(const idl::SummaryNews &From);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
