Traffic: let requests with a credit wait for a slot

Adapts the steerer to credits that don't hold slots: free slots serve whoever comes, a forwarded request with a credit waits in fair order in a lane of its own, and nothing is offered to peers while requests wait here.

--- a/packages/steering/include/magnoliaspread/credit.h
+++ b/packages/steering/include/magnoliaspread/credit.h
@@ -120,9 +120,9 @@
 /// for one. Spends the credit; without one, \p GrantId 0 included, the request
 /// needs a slot beyond the credits that are out. NoCapacity, not run,
 /// otherwise.
-status admitForwarded(credit_grantor &Grantor, service_handle Service,
-                      instance_handle Peer, std::uint64_t GrantId,
-                      std::uint32_t Free, steady_time Now);
+status admitCredited(credit_grantor &Grantor, service_handle Service,
+                     instance_handle Peer, std::uint64_t GrantId,
+                     std::uint32_t Free, steady_time Now);
 
 /// Drops asks and grants that have expired.
 void dropExpired(credit_grantor &Grantor, steady_time Now);
--- a/packages/steering/include/magnoliaspread/fairq.h
+++ b/packages/steering/include/magnoliaspread/fairq.h
@@ -123,6 +123,9 @@
 void settle(fair_queue &Queue, const fairq_grant &Grant,
             std::chrono::nanoseconds Used);
 
+/// Mean time that a granted request holds its slot; zero when unknown.
+std::chrono::nanoseconds meanSlotTime(const fair_queue &Queue);
+
 /// Entries that wait.
 std::size_t waiting(const fair_queue &Queue);
 std::size_t waiting(const fair_queue &Queue, workspace_handle Workspace);
--- a/packages/steering/src/credit.cpp
+++ b/packages/steering/src/credit.cpp
@@ -185,9 +185,9 @@
   return Out;
 }
 
-status admitForwarded(credit_grantor &Grantor, service_handle Service,
-                      instance_handle Peer, std::uint64_t GrantId,
-                      std::uint32_t Free, steady_time Now) {
+status admitCredited(credit_grantor &Grantor, service_handle Service,
+                     instance_handle Peer, std::uint64_t GrantId,
+                     std::uint32_t Free, steady_time Now) {
   for (granted_row &Row : Grantor.Granted) {
     if (Row.Id != GrantId || Row.Peer != Peer || Row.Service != Service)
       continue;
--- a/packages/steering/src/fairq.cpp
+++ b/packages/steering/src/fairq.cpp
@@ -272,6 +272,10 @@
     Queue.Active.set(Workspace, W.Start);
 }
 
+nanoseconds meanSlotTime(const fair_queue &Queue) {
+  return timeOf(Queue.MeanSeconds);
+}
+
 std::size_t waiting(const fair_queue &Queue) {
   return Queue.Limits.Total - Queue.Free.size();
 }
--- a/packages/steering/tests/credit.cpp
+++ b/packages/steering/tests/credit.cpp
@@ -141,7 +141,7 @@
   const std::uint64_t Id = Grants[0].Grant.Id;
   const auto Admitted = [&](instance_handle Peer, std::uint64_t Grant,
                             std::uint32_t Free, steady_time Now) {
-    return !failed(admitForwarded(Grantor, Service, Peer, Grant, Free, Now));
+    return !failed(admitCredited(Grantor, Service, Peer, Grant, Free, Now));
   };
   section("others get only the slots that no credit is out for", [&] {
     CPPUNIT_ASSERT(Admitted(Receiver, 0, 3, Start));
--- a/packages/steering/tests/headroom.h
+++ b/packages/steering/tests/headroom.h
@@ -312,8 +312,8 @@
      [this, Id, To, Credit, Request] {
        headroom_instance &Receiver = Instances[To];
        if (Receiver.Up &&
-           !failed(admitForwarded(Receiver.Grantor, Service, {Id},
-                                  Credit.GrantId, freeSlots(To), Now))) {
+           !failed(admitCredited(Receiver.Grantor, Service, {Id},
+                                 Credit.GrantId, freeSlots(To), Now))) {
          Receiver.Forwarded.push_back(Request);
          return drain(To);
        }
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -96,6 +96,9 @@
       for (const auto &Lane : Service.Lanes)
         if (Lane != nullptr)
           setWeight(Lane->queue(), Workspace, Row.Weight);
+    for (service_state &Service : Services)
+      if (Service.Forwarded != nullptr)
+        setWeight(Service.Forwarded->queue(), Workspace, Row.Weight);
   }
 }
 
@@ -197,7 +200,14 @@
 }
 
 lane &steerer::laneOf(service_handle Service, region_handle Region) {
-  std::unique_ptr<lane> &Lane = Services[Service.Index].Lanes[Region.Index];
+  return openLane(Services[Service.Index].Lanes[Region.Index]);
+}
+
+lane &steerer::forwardedLaneOf(service_handle Service) {
+  return openLane(Services[Service.Index].Forwarded);
+}
+
+lane &steerer::openLane(std::unique_ptr<lane> &Lane) {
   if (Lane == nullptr) {
     Lane = std::make_unique<lane>(Context, Clock, laneLimits());
     for (const workspace_row &Row : Config->Table.Workspaces)
@@ -227,7 +237,7 @@
   if (!Service.valid() || !Plan.Own.valid())
     co_return noCapacity("the service has no plan here");
   if (Request.Forwarded)
-    co_return placeForwarded(Request, Service);
+    co_return co_await placeForwarded(Request, Service);
   const steady_time Deadline = Request.Request->Deadline;
   const std::string Workspace = workspaceName(Request);
   if (!Workspace.empty() && Request.Attempt == 0) {
@@ -246,21 +256,23 @@
   });
 }
 
-/// A forwarded request takes a slot here or is refused; it never waits, since
-/// its sender queues it.
-result<placement> steerer::placeForwarded(const placement_request &Request,
-                                          service_handle Service) {
+/// A forwarded request with a credit takes a slot here or waits for one; it is
+/// never forwarded again. One without a credit takes a free slot or is refused,
+/// and its sender queues it.
+asio::awaitable<result<placement>>
+steerer::placeForwarded(placement_request Request, service_handle Service) {
   const steady_time Now = Clock.now();
   const instance_handle Peer = PeerNames.intern(Request.Forwarded->Peer);
   const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  const status Admitted =
-      admit(Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
+  const status Admitted = admitCredited(
+      Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
   if (failed(Admitted))
-    return errorOf(Admitted);
-  const result<target_handle> Target = pick(Targets, Service, Now, Random());
-  if (failed(Target))
-    return errorOf(Target);
-  return useTarget(Service, valueOf(Target), Now);
+    co_return errorOf(Admitted);
+  updateSlots(Service, Now);
+  const fairq_entry Entry{++NextTicket, workspaceOf(Request),
+                          Request.Request->Deadline};
+  co_return co_await forwardedLaneOf(Service).wait(
+      Entry, [=, this] { return findTarget(Service, Clock.now()); });
 }
 
 placement steerer::useTarget(service_handle Service, target_handle Target,
@@ -279,9 +291,6 @@
 
 std::optional<placement> steerer::findTarget(service_handle Service,
                                              steady_time Now) {
-  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  if (Free <= reservedSlots(Grantor, Service, Now))
-    return std::nullopt;
   const result<target_handle> Target = pick(Targets, Service, Now, Random());
   if (failed(Target))
     return std::nullopt;
@@ -322,6 +331,8 @@
 /// Tells the queues how many requests run at a time, for their estimates.
 void steerer::updateSlots(service_handle Service, steady_time Now) {
   const std::uint32_t Own = countSlots(Targets, Service, Now).Usable;
+  if (Services[Service.Index].Forwarded != nullptr)
+    setSlots(forwardedLaneOf(Service).queue(), Own);
   for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
     const region_handle Region{I};
     const auto Peers = static_cast<std::uint32_t>(peersOf(Region).size());
@@ -331,6 +342,9 @@
 }
 
 void steerer::pumpService(service_handle Service) {
+  const auto &Forwarded = Services[Service.Index].Forwarded;
+  if (Forwarded != nullptr)
+    Forwarded->pump([&] { return findTarget(Service, Clock.now()); });
   for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
     const region_handle Region{I};
     const auto &Lane = Services[Service.Index].Lanes[I];
@@ -369,10 +383,25 @@
   }
 }
 
+/// What this instance offers its peers: nothing while own requests wait.
+offered_slots steerer::offeredSlots(service_handle Service,
+                                    steady_time Now) const {
+  const service_state &State = Services[Service.Index];
+  const auto &Own = State.Lanes[Plan.Own.Index];
+  const bool OwnWait = Own != nullptr && Own->waitingCount() > 0;
+  const bool PeersWait =
+      State.Forwarded != nullptr && State.Forwarded->waitingCount() > 0;
+  offered_slots Offer;
+  if (!OwnWait && !PeersWait)
+    Offer.Free = countSlots(Targets, Service, Now).Free;
+  if (Own != nullptr)
+    Offer.SlotTime = meanSlotTime(Own->queue());
+  return Offer;
+}
+
 void steerer::grantCreditsOf(service_handle Service, steady_time Now) {
-  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  for (const addressed_grant &Row :
-       grantCredits(Grantor, Service, Free, Now, Random()))
+  for (const addressed_grant &Row : grantCredits(
+           Grantor, Service, offeredSlots(Service, Now), Now, Random()))
     Outgoing.push_back(
         {PeerNames.name(Row.Peer),
          credit_grant_message{stableId(Services[Service.Index].Name),
@@ -401,6 +430,8 @@
     for (const auto &Lane : Services[I].Lanes)
       if (Lane != nullptr)
         Frame.Waiting += Lane->waitingCount();
+    if (Services[I].Forwarded != nullptr)
+      Frame.Waiting += Services[I].Forwarded->waitingCount();
   }
   Frame.Credits = std::exchange(Outgoing, {});
 }
@@ -464,6 +495,10 @@
     endTarget(Place, Outcome, Now);
   else
     endPeer(Place, Outcome);
+  // Tickets are unique, and a lane ignores those of others.
+  const auto &Forwarded = Services[Place.Service.Index].Forwarded;
+  if (Forwarded != nullptr)
+    Forwarded->settlePlace(Place.Ticket, Now - Place.Since);
   if (Place.Ticket != 0)
     laneOf(Place.Service, Place.Region)
         .settlePlace(Place.Ticket, Now - Place.Since);
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -44,6 +44,8 @@
     service_handle Planned;
     /// By region of the plan.
     std::vector<std::unique_ptr<lane>> Lanes;
+    /// Requests that peers forwarded with a credit; own targets only.
+    std::unique_ptr<lane> Forwarded;
   };
 
   struct peer_state {
@@ -65,10 +67,13 @@
   void adoptWeights();
 
   result<region_handle> decideRegion(const placement_request &Request);
-  result<placement> placeForwarded(const placement_request &Request,
-                                   service_handle Service);
+  asio::awaitable<result<placement>> placeForwarded(placement_request Request,
+                                                    service_handle Service);
   region_mask availableRegions(service_handle Service, steady_time Now) const;
   lane &laneOf(service_handle Service, region_handle Region);
+  lane &forwardedLaneOf(service_handle Service);
+  lane &openLane(std::unique_ptr<lane> &Lane);
+  offered_slots offeredSlots(service_handle Service, steady_time Now) const;
   std::optional<placement> findPlace(service_handle Service,
                                      region_handle Region);
   std::optional<placement> findTarget(service_handle Service, steady_time Now);
