--- /dev/null
+++ b/packages/coordination/tests/quarantine.cpp
@@ -0,0 +1,302 @@
+/// Property: a request that kills its targets is quarantined after few deaths,
+/// and no request that was only there is.
+#include <magnoliaspread/quarantine.h>
+#include <magnoliaspread/story.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t Targets = 8;
+constexpr std::size_t SlotsPerTarget = 4;
+constexpr request_fingerprint Killer = 1;
+constexpr request_fingerprint Popular = 2;
+
+struct running_attempt {
+  request_fingerprint Fingerprint = 0;
+  std::uint16_t Target = 0;
+  int TicksLeft = 0;
+  bool Alone = false;
+};
+
+/// One instance with its targets, a killer that comes again and again, a
+/// popular request, and rare ones that are sent again when their target dies.
+class crash_simulation {
+public:
+  /// With \p Simple, whatever was in flight on two targets that died is
+  /// refused, and nothing runs alone.
+  crash_simulation(std::uint64_t Seed, bool Simple)
+      : Random(Seed), Simple(Simple) {}
+
+  void run(int Ticks) {
+    for (int Tick = 0; Tick < Ticks; ++Tick) {
+      Clock.advance(10ms);
+      progress();
+      arrive();
+    }
+  }
+
+  int DeathsBeforeVerdict = 0;
+  int DeathsAfterVerdict = 0;
+  bool KillerRefused = false;
+  std::set<request_fingerprint> Condemned;
+  int Completed = 0;
+
+private:
+  std::size_t below(std::size_t Limit) { return Random() % Limit; }
+
+  std::size_t load(std::uint16_t Target) const {
+    return static_cast<std::size_t>(
+        std::count_if(Running.begin(), Running.end(), [&](const auto &Row) {
+          return Row.second.Target == Target;
+        }));
+  }
+
+  bool isReserved(std::uint16_t Target) const {
+    return std::any_of(Running.begin(), Running.end(), [&](const auto &Row) {
+      return Row.second.Target == Target && Row.second.Alone;
+    });
+  }
+
+  std::optional<std::uint16_t> targetFor(bool Alone) {
+    const std::uint16_t First = static_cast<std::uint16_t>(below(Targets));
+    for (std::uint16_t I = 0; I < Targets; ++I) {
+      const std::uint16_t Target = (First + I) % Targets;
+      const std::size_t Load = load(Target);
+      if (Alone ? Load == 0 : Load < SlotsPerTarget && !isReserved(Target))
+        return Target;
+    }
+    return std::nullopt;
+  }
+
+  void arrive() {
+    if (below(20) == 0)
+      Waiting.push_back(Killer);
+    if (below(2) == 0)
+      Waiting.push_back(Popular);
+    if (below(4) == 0)
+      Waiting.push_back(100 + below(1000));
+    std::vector<request_fingerprint> Again;
+    for (request_fingerprint Fingerprint : Waiting)
+      if (!dispatch(Fingerprint))
+        Again.push_back(Fingerprint);
+    Waiting = std::move(Again);
+  }
+
+  placement placementOf(request_fingerprint Fingerprint) {
+    if (!Simple)
+      return Quarantine.place(Fingerprint, Clock.now()).Placement;
+    return Condemned.contains(Fingerprint) ? placement::Quarantined
+                                           : placement::Any;
+  }
+
+  /// False when it has to wait.
+  bool dispatch(request_fingerprint Fingerprint) {
+    const placement Where = placementOf(Fingerprint);
+    if (Where == placement::Quarantined) {
+      KillerRefused = KillerRefused || Fingerprint == Killer;
+      return true;
+    }
+    if (Where == placement::Later)
+      return false;
+    const auto Target = targetFor(Where == placement::Alone);
+    if (!Target)
+      return false;
+    const int Ticks = static_cast<int>(1 + below(8));
+    Running[++LastAttempt] = {Fingerprint, *Target, Ticks,
+                              Where == placement::Alone};
+    Quarantine.started(LastAttempt, Fingerprint, target_handle{*Target});
+    return true;
+  }
+
+  void progress() {
+    std::vector<attempt_id> Done;
+    for (auto &[Id, Attempt] : Running)
+      if (--Attempt.TicksLeft <= 0)
+        Done.push_back(Id);
+    for (attempt_id Id : Done) {
+      const auto Found = Running.find(Id);
+      if (Found == Running.end())
+        continue;
+      if (Found->second.Fingerprint == Killer) {
+        kill(Found->second.Target);
+        continue;
+      }
+      Quarantine.succeeded(Id, Clock.now());
+      Running.erase(Found);
+      ++Completed;
+    }
+  }
+
+  void kill(std::uint16_t Target) {
+    ++(Condemned.contains(Killer) ? DeathsAfterVerdict : DeathsBeforeVerdict);
+    for (auto Row = Running.begin(); Row != Running.end();) {
+      if (Row->second.Target != Target) {
+        ++Row;
+        continue;
+      }
+      const request_fingerprint Fingerprint = Row->second.Fingerprint;
+      DeathsSeen[Fingerprint].insert(Target);
+      if (Simple && DeathsSeen[Fingerprint].size() >= 2)
+        Condemned.insert(Fingerprint);
+      if (Fingerprint != Killer)
+        Waiting.push_back(Fingerprint);
+      Row = Running.erase(Row);
+    }
+    const std::vector<request_fingerprint> Guilty =
+        Quarantine.targetDied(target_handle{Target}, Clock.now());
+    if (!Simple)
+      Condemned.insert(Guilty.begin(), Guilty.end());
+  }
+
+  std::mt19937_64 Random;
+  bool Simple;
+  fake_clock Clock;
+  quarantine Quarantine{quarantine_settings{}};
+  std::vector<request_fingerprint> Waiting;
+  std::map<attempt_id, running_attempt> Running;
+  std::map<request_fingerprint, std::set<std::uint16_t>> DeathsSeen;
+  attempt_id LastAttempt = 0;
+};
+
+struct quarantine_fixture {
+  /// One attempt in flight on a target that then dies.
+  bool dies(request_fingerprint Fingerprint, std::uint16_t Target) {
+    Quarantine.started(++LastAttempt, Fingerprint, target_handle{Target});
+    return !Quarantine.targetDied(target_handle{Target}, Clock.now()).empty();
+  }
+
+  placement placeOf(request_fingerprint Fingerprint) {
+    return Quarantine.place(Fingerprint, Clock.now()).Placement;
+  }
+
+  fake_clock Clock;
+  quarantine Quarantine{quarantine_settings{}};
+  attempt_id LastAttempt = 0;
+};
+
+} // namespace
+
+STORY(killer_among_innocents) {
+  section("condemning whoever was on two dead targets hits innocents", [&] {
+    std::size_t Innocents = 0;
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      crash_simulation Simulation(Seed, true);
+      Simulation.run(600);
+      Simulation.Condemned.erase(Killer);
+      Innocents += Simulation.Condemned.size();
+    }
+    CPPUNIT_ASSERT(Innocents > 0);
+  });
+  section("running suspects alone finds the killer and nobody else", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+      crash_simulation Simulation(Seed, false);
+      Simulation.run(600);
+      const std::string Message = "seed " + std::to_string(Seed);
+      CPPUNIT_ASSERT_MESSAGE(Message, Simulation.Condemned.contains(Killer));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, std::size_t(1),
+                                   Simulation.Condemned.size());
+      CPPUNIT_ASSERT_MESSAGE(Message, Simulation.KillerRefused);
+      CPPUNIT_ASSERT_MESSAGE(Message, Simulation.DeathsBeforeVerdict <= 4);
+      CPPUNIT_ASSERT_MESSAGE(Message, Simulation.DeathsAfterVerdict <= 2);
+      CPPUNIT_ASSERT_MESSAGE(Message, Simulation.Completed > 100);
+    }
+  });
+}
+
+STORY(quarantine_of_one_request) {
+  quarantine_fixture Fixture;
+
+  section("one death makes a suspect, which runs alone", [&] {
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Any);
+    CPPUNIT_ASSERT(!Fixture.dies(5, 0));
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Alone);
+  });
+  section("only so many suspects run alone at once", [&] {
+    CPPUNIT_ASSERT(!Fixture.dies(6, 1));
+    Fixture.Quarantine.started(100, 6, target_handle{2});
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Later);
+    CPPUNIT_ASSERT(Fixture.placeOf(6) == placement::Later);
+  });
+  section("a success clears a suspect", [&] {
+    Fixture.Quarantine.succeeded(100, Fixture.Clock.now());
+    CPPUNIT_ASSERT(Fixture.placeOf(6) == placement::Any);
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Alone);
+  });
+  section("the same target dying twice is not enough",
+          [&] { CPPUNIT_ASSERT(!Fixture.dies(5, 0)); });
+  section("a second target is, and the refusal names its end", [&] {
+    CPPUNIT_ASSERT(Fixture.dies(5, 3));
+    const placement_decision Decision =
+        Fixture.Quarantine.place(5, Fixture.Clock.now());
+    CPPUNIT_ASSERT(Decision.Placement == placement::Quarantined);
+    CPPUNIT_ASSERT(Decision.RetryAfter == 60s);
+  });
+  section("it ends, and one more death makes it longer", [&] {
+    Fixture.Clock.advance(60s);
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Alone);
+    CPPUNIT_ASSERT(Fixture.dies(5, 4));
+    CPPUNIT_ASSERT(
+        Fixture.Quarantine.place(5, Fixture.Clock.now()).RetryAfter == 120s);
+  });
+  section("in the end it is forgotten", [&] {
+    Fixture.Clock.advance(120s + 120s);
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Any);
+    Fixture.Quarantine.notices(1, Fixture.Clock.now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture.Quarantine.suspects());
+  });
+}
+
+STORY(quarantine_notices) {
+  quarantine_fixture First;
+  quarantine_fixture Second;
+  const auto Tell = [&] {
+    for (const quarantine_notice &Notice :
+         First.Quarantine.notices(10, First.Clock.now()))
+      Second.Quarantine.merge(Notice, Second.Clock.now());
+  };
+
+  section("a suspect of one instance runs alone on the next", [&] {
+    First.dies(5, 0);
+    Tell();
+    Tell();
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                         Second.Quarantine.quarantined(Second.Clock.now()));
+  });
+  section("what succeeded there isn't accused again by an old notice", [&] {
+    Second.Quarantine.started(50, 5, target_handle{1});
+    Second.Quarantine.succeeded(50, Second.Clock.now());
+    Tell();
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Any);
+  });
+  section("a quarantine reaches the next instance", [&] {
+    CPPUNIT_ASSERT(First.dies(5, 1));
+    Tell();
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Quarantined);
+  });
+  section("and isn't passed on or kept alive by it", [&] {
+    CPPUNIT_ASSERT(Second.Quarantine.notices(10, Second.Clock.now()).empty());
+    Second.Clock.advance(60s);
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
+  });
+  section("the table of suspects is bounded", [&] {
+    for (std::uint64_t I = 0; I < 5000; ++I)
+      Second.Quarantine.merge({1000 + I, 1000ms, 2}, Second.Clock.now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4096), Second.Quarantine.suspects());
+  });
+}
+
+STORY(fingerprints) {
+  const request_fingerprint Base = fingerprintOf({"w", "GET", "/a", "body"});
+  CPPUNIT_ASSERT(Base == fingerprintOf({"w", "GET", "/a", "body"}));
+  CPPUNIT_ASSERT(Base != fingerprintOf({"v", "GET", "/a", "body"}));
+  CPPUNIT_ASSERT(Base != fingerprintOf({"wG", "ET", "/a", "body"}));
+  CPPUNIT_ASSERT(Base != fingerprintOf({"w", "GET", "/a", "bodz"}));
+}
--- /dev/null
+++ b/packages/coordination/tests/retry.cpp
@@ -0,0 +1,115 @@
+#include <magnoliaspread/retry.h>
+#include <magnoliaspread/story.h>
+
+#include <random>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+attempt_facts freshFacts() {
+  attempt_facts Facts;
+  Facts.TimeLeft = 1s;
+  Facts.UsualTime = 100ms;
+  return Facts;
+}
+
+struct retry_fixture {
+  retry_verdict judge(const attempt_facts &Facts) {
+    return mayRetry(Facts, Settings, Budget, Clock.now());
+  }
+
+  fake_clock Clock;
+  retry_settings Settings;
+  retry_budget Budget{Settings, Clock.now()};
+};
+
+} // namespace
+
+STORY(retries_that_are_safe) {
+  retry_fixture Fixture;
+  attempt_facts Facts = freshFacts();
+
+  section("what was never sent may be sent again", [&] {
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::Retry);
+  });
+  section("after its first byte only a repeatable request may", [&] {
+    Facts.FirstByteSent = true;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::MayHaveRun);
+    Facts.Repeatable = true;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::Retry);
+  });
+  section("or one that the target says it did not run", [&] {
+    Facts.Repeatable = false;
+    Facts.ReportedNotRun = true;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::Retry);
+  });
+  section("not without its body, nor after the answer's first byte", [&] {
+    Facts.BodyHeld = false;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::NotReplayable);
+    Facts = freshFacts();
+    Facts.Repeatable = true;
+    Facts.AnswerStarted = true;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::NotReplayable);
+  });
+  section("not when no answer can come before the deadline", [&] {
+    Facts = freshFacts();
+    Facts.TimeLeft = 100ms;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::NoTime);
+  });
+  section("not too often", [&] {
+    Facts = freshFacts();
+    Facts.Attempts = 3;
+    CPPUNIT_ASSERT(Fixture.judge(Facts) == retry_verdict::TooManyAttempts);
+  });
+}
+
+STORY(retry_budgets) {
+  section("when all fails, retries stay a small part", [&] {
+    retry_fixture Fixture;
+    int Retries = 0;
+    for (int I = 0; I < 10000; ++I) {
+      Fixture.Clock.advance(10ms);
+      Retries += Fixture.judge(freshFacts()) == retry_verdict::Retry ? 1 : 0;
+    }
+    // 10 at first, and 0.1 a second for 100 s.
+    CPPUNIT_ASSERT(Retries >= 19 && Retries <= 20);
+  });
+  section("when one in 20 fails, each is retried", [&] {
+    retry_fixture Fixture;
+    for (int I = 0; I < 10000; ++I) {
+      if (I % 20 == 0)
+        CPPUNIT_ASSERT(Fixture.judge(freshFacts()) == retry_verdict::Retry);
+      else
+        Fixture.Budget.succeeded(Fixture.Clock.now());
+    }
+  });
+}
+
+STORY(hedges) {
+  retry_fixture Fixture;
+  attempt_facts Facts = freshFacts();
+  Facts.FirstByteSent = true;
+  const auto Hedges = [&](std::chrono::milliseconds Waited) {
+    return mayHedge(Facts, Waited, 300ms, Fixture.Settings, Fixture.Budget,
+                    Fixture.Clock.now());
+  };
+
+  section("never of a request that may not be repeated", [&] {
+    CPPUNIT_ASSERT(!Hedges(400ms));
+    Facts.ReportedNotRun = true;
+    CPPUNIT_ASSERT(!Hedges(400ms));
+  });
+  section("of a repeatable one that takes longer than most", [&] {
+    Facts.Repeatable = true;
+    CPPUNIT_ASSERT(!Hedges(299ms));
+    CPPUNIT_ASSERT(Hedges(300ms));
+  });
+  section("within the budget", [&] {
+    int Count = 0;
+    while (Hedges(300ms))
+      ++Count;
+    CPPUNIT_ASSERT_EQUAL(9, Count);
+  });
+}
