--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -14,7 +14,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -147,7 +146,8 @@
   std::unordered_map<request_fingerprint, suspect> Suspects;
   std::unordered_map<attempt_id, attempt> Attempts;
   std::unordered_map<request_fingerprint, std::size_t> InFlight;
-  std::map<target_handle, std::vector<attempt_id>> AttemptsByTarget;
+  /// By Index of the target.
+  std::unordered_map<std::uint16_t, std::vector<attempt_id>> AttemptsByTarget;
   /// Suspects that run alone on a target now.
   std::vector<request_fingerprint> Isolated;
 };
--- a/packages/coordination/src/quarantine.cpp
+++ b/packages/coordination/src/quarantine.cpp
@@ -72,7 +72,7 @@
     Isolated.push_back(Fingerprint);
   ++Count;
   Attempts[Attempt] = {Fingerprint, Target};
-  AttemptsByTarget[Target].push_back(Attempt);
+  AttemptsByTarget[Target.Index].push_back(Attempt);
 }
 
 void quarantine::succeeded(attempt_id Attempt, steady_time Now) {
@@ -93,10 +93,10 @@
     InFlight.erase(Ended.Fingerprint);
     std::erase(Isolated, Ended.Fingerprint);
   }
-  std::vector<attempt_id> &OnTarget = AttemptsByTarget[Ended.Target];
+  std::vector<attempt_id> &OnTarget = AttemptsByTarget[Ended.Target.Index];
   std::erase(OnTarget, Attempt);
   if (OnTarget.empty())
-    AttemptsByTarget.erase(Ended.Target);
+    AttemptsByTarget.erase(Ended.Target.Index);
 }
 
 /// A success while quarantined is of an attempt from before, and tells nothing.
@@ -117,7 +117,7 @@
 std::vector<request_fingerprint>
 quarantine::endAttemptsOn(target_handle Target) {
   std::vector<request_fingerprint> Fingerprints;
-  const auto Found = AttemptsByTarget.find(Target);
+  const auto Found = AttemptsByTarget.find(Target.Index);
   if (Found == AttemptsByTarget.end())
     return Fingerprints;
   const std::vector<attempt_id> Ids = Found->second;
--- a/packages/platform/tests/http_store.cpp
+++ b/packages/platform/tests/http_store.cpp
@@ -230,6 +230,13 @@
     CPPUNIT_ASSERT_EQUAL(Before.of(call_kind::Get).Failed,
                          Store->counters().of(call_kind::Get).Failed);
   });
+}
+
+STORY(http_store_slow_and_long_outages) {
+  store_fixture Fixture;
+  const auto Store = Fixture.makeStore(Fixture.settings());
+  Fixture.put(*Store, {"x", "1", NoObject});
+
   section("a slow write is not made twice", [&] {
     platform_faults Slow;
     Slow.Delay = 250ms;
