--- /dev/null
+++ b/bench/measures.h
@@ -0,0 +1,38 @@
+/// Lines of measures, one JSON object each.
+#ifndef MAGNOLIASPREAD_BENCH_REPORT_H
+#define MAGNOLIASPREAD_BENCH_REPORT_H
+
+#include <cstdio>
+#include <optional>
+#include <string>
+
+namespace magnoliaspread {
+
+/// Which side of its bound a measure has to stay on.
+enum class bound_side { AtMost, AtLeast };
+
+/// Prints measures and remembers whether all kept their bounds.
+struct bench_report {
+  bool AllOk = true;
+};
+
+inline void print(bench_report &Report, const std::string &Measure,
+                  double Value, const char *Unit,
+                  std::optional<double> Bound = {},
+                  bound_side Side = bound_side::AtMost) {
+  std::printf("{\"measure\":\"%s\",\"value\":%.6g,\"unit\":\"%s\",",
+              Measure.c_str(), Value, Unit);
+  if (!Bound) {
+    std::printf("\"bound\":null,\"ok\":null}\n");
+    return;
+  }
+  const bool Ok =
+      Side == bound_side::AtMost ? Value <= *Bound : Value >= *Bound;
+  Report.AllOk = Report.AllOk && Ok;
+  std::printf("\"bound\":%.6g,\"ok\":%s}\n", *Bound, Ok ? "true" : "false");
+  std::fflush(stdout);
+}
+
+} // namespace magnoliaspread
+
+#endif
