Steering: further attempts of a request add nothing to the shift budget

Each retry counted as one more request, so a service whose requests are tried three times could move three times its cap. A forwarded request waits at most half a second for a slot before its sender places it again.

--- a/packages/steering/include/magnoliaspread/region.h
+++ b/packages/steering/include/magnoliaspread/region.h
@@ -100,6 +100,9 @@
   workspace_handle Workspace;
   /// Regions that can take a request now: a free slot here or a credit there.
   region_mask Available;
+  /// A further attempt for a request that was counted: it may take a move from
+  /// the shift budget but adds nothing to it.
+  bool Repeated = false;
 };
 
 struct region_decision {
--- a/packages/steering/src/region.cpp
+++ b/packages/steering/src/region.cpp
@@ -291,7 +291,8 @@
   noteGap(State, Service, Now);
   const shift_row &Shift = Plan.Shifts[Service.Index];
   shift_budget &Budget = State.Budgets[Service.Index];
-  countDecision(Budget, Shift);
+  if (!Request.Repeated)
+    countDecision(Budget, Shift);
   const auto SinceEdit =
       duration_cast<milliseconds>(State.PlatformNow - Plan.EditedAt);
   const double Draw = draw(State.Draws[SetIndex]);
--- a/packages/steering/tests/shift.cpp
+++ b/packages/steering/tests/shift.cpp
@@ -225,6 +225,21 @@
     CPPUNIT_ASSERT(Moved <= 300 && Moved >= 295);
     CPPUNIT_ASSERT_EQUAL(1000, Moved + Capped);
   });
+  section("further attempts for a request add nothing to the budget", [&] {
+    region_state Again;
+    adoptPlan(Again, Plan, {}, Names);
+    int First = 0;
+    int Further = 0;
+    for (int I = 0; I < 4000; ++I) {
+      const bool Repeated = I % 4 != 0;
+      const auto Decision = chooseRegion(
+          Plan, Again, {Service, {0}, region_mask(2), Repeated},
+          steady_time(seconds(10)) + milliseconds(I), Plan.EditedAt);
+      (Repeated ? Further : First) += failed(Decision) ? 0 : 1;
+    }
+    // Of 1000 requests, each tried four times.
+    CPPUNIT_ASSERT(First + Further <= 300);
+  });
   section("without any region the refusal is no capacity", [&] {
     const auto Decision = Choose(2000, region_mask(0));
     CPPUNIT_ASSERT(errorOf(Decision).Kind == error_kind::NoCapacity);
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -14,6 +14,8 @@
 
 /// Pause between two asks for credits to the same peer.
 constexpr milliseconds AskPause{50};
+/// Longest wait of a forwarded request; its sender places it again then.
+constexpr milliseconds ForwardedWait{500};
 /// Peers of a region that are asked for credits at a time.
 constexpr std::size_t MaxAskPeers = 4;
 
@@ -224,6 +226,7 @@
   Wanted.Workspace =
       handleOf<workspace_handle>(PlanNames.Workspaces, workspaceName(Request));
   Wanted.Available = availableRegions(serviceOf(Request), Now);
+  Wanted.Repeated = Request.Attempt > 0;
   const result<region_decision> Decided =
       chooseRegion(Plan, Regions, Wanted, Now, platformNow(Now));
   if (failed(Decided))
@@ -269,10 +272,14 @@
   if (failed(Admitted))
     co_return errorOf(Admitted);
   updateSlots(Service, Now);
+  const steady_time Deadline = Request.Request->Deadline;
   const fairq_entry Entry{++NextTicket, workspaceOf(Request),
-                          Request.Request->Deadline};
-  co_return co_await forwardedLaneOf(Service).wait(
+                          std::min(Deadline, Now + ForwardedWait)};
+  const result<placement> Place = co_await forwardedLaneOf(Service).wait(
       Entry, [=, this] { return findTarget(Service, Clock.now()); });
+  if (failed(Place) && Clock.now() < Deadline)
+    co_return noCapacity("no slot came free for a forwarded request");
+  co_return Place;
 }
 
 placement steerer::useTarget(service_handle Service, target_handle Target,
