coordination: a starting instance takes one share at a time

Both shares of a data centre were taken by the first instance in one tick and one of them was released again 15 s later, which left a twelfth of the minting unused meanwhile. The pause before taking now counts writes under way.

--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -109,7 +109,7 @@
     double MintRate = 0;
     milli_tokens Lent = 0;
     std::vector<token_pot> Pots;
-    /// Asked of peers and not yet answered.
+    /// Likely to come from asks that aren't answered yet.
     milli_tokens OnOrder = 0;
     double Demand = 0;
     /// Borrowed per second.
@@ -150,6 +150,8 @@
     steady_time SeenAt;
     steady_time NotBefore;
     milli_tokens Ordered = 0;
+    /// Part of Ordered that is likely to come.
+    milli_tokens Likely = 0;
     milli_tokens Returned = 0;
     milli_tokens ReturnedSent = 0;
     milli_tokens ReturnedKnown = 0;
@@ -229,7 +231,7 @@
   static double mintedOf(const peer_view &View);
   void noteShortage(peer_view &View, const grant_row &Row, steady_time Now);
   static double horizon(const limit_state &Limit);
-  static double prefetch(const limit_state &Limit);
+  double prefetch(const limit_state &Limit) const;
   double position(const limit_state &Limit) const;
   static peer_view &view(peer_state &Peer, std::uint16_t Limit);
   ask_row &rowFor(peer_state &Peer, std::uint16_t Limit);
--- a/packages/coordination/include/magnoliaspread/share.h
+++ b/packages/coordination/include/magnoliaspread/share.h
@@ -142,6 +142,7 @@
     steady_time NextPromise;
     /// This process will not take the share in silence before.
     steady_time PromisedUntil;
+    /// Since when the share may be taken, with a random part.
     std::optional<steady_time> TakeAt;
   };
 
@@ -172,6 +173,7 @@
   bool mayTake(const share_row &Row, steady_time Now) const;
   bool silent(const share_row &Row, steady_time Now) const;
   std::size_t fairCount() const;
+  std::chrono::milliseconds takePause() const;
   void read(share_row &Row, steady_time Now, share_actions &Actions);
   void write(share_row &Row, steady_time Now, lease_state State,
              share_actions &Actions);
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -25,6 +25,8 @@
 /// Borrowed tokens are kept at least this long before they are given back.
 constexpr milliseconds FreshLife{300};
 constexpr double GiveBackPart = 1.5;
+/// Least part of an ask that is counted on.
+constexpr double LeastLikely = 0.25;
 constexpr double LeastDemand = 0.01;
 /// Part of a peer's tokens that it can spare now and then.
 constexpr double SparePart = 0.5;
@@ -123,10 +125,14 @@
                     MostHorizon);
 }
 
-double quota_bank::prefetch(const limit_state &Limit) {
+double quota_bank::prefetch(const limit_state &Limit) const {
   const double Demand = std::min(Limit.Demand, Limit.Rate);
   const double Stock = Demand * (Limit.LeadTime + horizon(Limit));
-  return Stock < LeastStock ? 0 : Stock + MilliPerToken;
+  if (Stock < LeastStock)
+    return 0;
+  // One token against chance, unless that would bind most of a small burst.
+  const double Part = Limit.Burst / static_cast<double>(Peers.size() + 1);
+  return Stock + std::min<double>(MilliPerToken, Part * StockPart);
 }
 
 double quota_bank::position(const limit_state &Limit) const {
@@ -163,8 +169,9 @@
   for (const ask_row &Row : Peer.Rows) {
     const std::uint16_t Index = LimitIndex.at(Row.Limit);
     peer_view &View = view(Peer, Index);
-    Limits[Index].OnOrder -= View.Ordered;
+    Limits[Index].OnOrder -= View.Likely;
     View.Ordered = 0;
+    View.Likely = 0;
   }
   Peer.Rows.clear();
 }
@@ -273,10 +280,13 @@
     Row.Want += Ordered;
     Row.Urgent += std::min(Ordered, static_cast<milli_tokens>(Urgent));
     Urgent = std::max(0.0, Urgent - Want);
+    const double Likely = std::clamp(Each.Expected, Want * LeastLikely, Want);
+    const auto Counted = static_cast<milli_tokens>(std::ceil(Likely));
     view(Peer, Limit).Ordered += Ordered;
-    Limits[Limit].OnOrder += Ordered;
+    view(Peer, Limit).Likely += Counted;
+    Limits[Limit].OnOrder += Counted;
     Peer.Sending = true;
-    Remaining -= Want;
+    Remaining -= Likely;
   }
 }
 
--- a/packages/coordination/src/share.cpp
+++ b/packages/coordination/src/share.cpp
@@ -149,17 +149,21 @@
     Row.TakeAt.reset();
     return;
   }
-  if (!Row.TakeAt) {
-    const std::size_t Held = heldCount();
-    Row.TakeAt =
-        Now + jitter(TakeJitter) + TakePausePerShare * static_cast<int>(Held);
-    if (Held >= fairCount())
-      *Row.TakeAt += TakePauseOverFair;
-  }
-  if (Now >= std::max(*Row.TakeAt, Row.RetryAt))
+  if (!Row.TakeAt)
+    Row.TakeAt = Now + jitter(TakeJitter);
+  if (Now >= std::max(*Row.TakeAt + takePause(), Row.RetryAt))
     write(Row, Now, lease_state::Held, Actions);
 }
 
+milliseconds share_keeper::takePause() const {
+  const auto Count = static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [](const share_row &Row) {
+        return Row.Held || Row.WriteTicket != 0;
+      }));
+  const milliseconds Pause = TakePausePerShare * static_cast<int>(Count);
+  return Count < fairCount() ? Pause : Pause + TakePauseOverFair;
+}
+
 bool share_keeper::mayTake(const share_row &Row, steady_time Now) const {
   if (Leaving || !Row.Known || Row.Index >= Plan.shares())
     return false;
--- a/packages/coordination/tests/quota_schedule.h
+++ b/packages/coordination/tests/quota_schedule.h
@@ -38,6 +38,10 @@
     for (std::size_t I = 0; I < Faults; ++I)
       Fleet.after(milliseconds(Fleet.below(ScheduleSpan.count())),
                   [this] { fault(); });
+    // Some operators edit much more often than others.
+    for (std::size_t I = 0; I < 6 && Seed % 4 == 0; ++I)
+      Fleet.after(milliseconds(Fleet.below(ScheduleSpan.count())),
+                  [this] { configure(); });
   }
 
   /// Mends everything and lowers the load to three quarters of the rate.
