--- a/bench/quota.cpp
+++ b/bench/quota.cpp
@@ -165,7 +165,8 @@
 void measureScale(std::size_t Nodes, std::size_t PerCentre,
                   std::size_t Limits) {
   constexpr double CallsPerInstance = 50;
-  constexpr milliseconds ScaleWarmup{8000};
+  constexpr milliseconds ScaleFill{8000};
+  constexpr milliseconds ScaleWarmup{4000};
   constexpr milliseconds ScaleMeasured{4000};
   fleet_options Options;
   Options.DataCentres = Nodes / PerCentre;
@@ -176,7 +177,7 @@
                            static_cast<double>(Limits) / LoadPart;
   quota_fleet Fleet(
       Options, configOf(Options.DataCentres, Limits, LimitRate, LimitRate / 2));
-  Fleet.run(ScaleWarmup / 2);
+  Fleet.run(ScaleFill);
   std::function<void()> Next = [&] {
     Fleet.arrive(Fleet.below(Nodes), Fleet.below(Limits));
     const double Gap = std::exponential_distribution<double>(
@@ -232,7 +233,7 @@
       measureScale(12, 2, Limits);
     measureScale(40, 5, 64);
     measureScale(135, 5, 64);
-    for (const std::size_t Limits : {8, 64})
+    for (const std::size_t Limits : {8, 64, 256})
       measureScale(540, 20, Limits);
   }
   return AllOk ? 0 : 1;
--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -173,8 +173,8 @@
     /// Holds no share, so there is nothing to ask for before.
     steady_time EmptyUntil;
     std::uint32_t Failures = 0;
-    /// Lent tokens were spent or given back since the last ask.
-    bool ReportDue = false;
+    /// When to report tokens that were spent or given back since the last ask.
+    std::optional<steady_time> ReportAt;
     bool Sending = false;
     std::vector<peer_view> Views;
     std::vector<ask_row> Rows;
@@ -196,6 +196,7 @@
   void lower(limit_state &Limit, const limit_row &Row);
   void expirePots(limit_state &Limit, steady_time Now);
   void spendPots(limit_state &Limit, milli_tokens Tokens);
+  void noteReport(peer_state &Peer, const limit_state &Limit) const;
   void expireLent(steady_time Now);
   void expireRow(lent_row &Row, steady_time Now);
   void credit(limit_state &Limit, lent_row &Row, milli_tokens Tokens);
@@ -232,6 +233,7 @@
   void noteShortage(peer_view &View, const grant_row &Row, steady_time Now);
   static double horizon(const limit_state &Limit);
   double prefetch(const limit_state &Limit) const;
+  double spareToken(const limit_state &Limit) const;
   double position(const limit_state &Limit) const;
   static peer_view &view(peer_state &Peer, std::uint16_t Limit);
   ask_row &rowFor(peer_state &Peer, std::uint16_t Limit);
--- a/packages/coordination/src/bank.cpp
+++ b/packages/coordination/src/bank.cpp
@@ -149,7 +149,7 @@
       continue;
     Pot.Tokens -= Spent;
     Tokens -= Spent;
-    Peers[Pot.Peer].ReportDue = true;
+    noteReport(Peers[Pot.Peer], Limit);
   }
   std::erase_if(Limit.Pots,
                 [](const token_pot &Pot) { return Pot.Tokens <= 0; });
@@ -162,7 +162,7 @@
     peer_state &Peer = Peers[Pot.Peer];
     const auto Index = static_cast<std::uint16_t>(&Limit - Limits.data());
     view(Peer, Index).Returned += Pot.Tokens;
-    Peer.ReportDue = true;
+    noteReport(Peer, Limit);
     return true;
   });
 }
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -33,7 +33,6 @@
 constexpr std::size_t MaxAsksPerLimit = 12;
 /// After this a peer may have tokens that it hadn't when it answered.
 constexpr milliseconds ViewLife{1000};
-constexpr milliseconds ReportPause{150};
 constexpr milliseconds LeastTimeout{60};
 constexpr milliseconds MostTimeout{1500};
 constexpr milliseconds RetryStep{100};
@@ -130,9 +129,13 @@
   const double Stock = Demand * (Limit.LeadTime + horizon(Limit));
   if (Stock < LeastStock)
     return 0;
-  // One token against chance, unless that would bind most of a small burst.
+  return Stock + spareToken(Limit);
+}
+
+// One token against chance, unless that would bind most of a small burst.
+double quota_bank::spareToken(const limit_state &Limit) const {
   const double Part = Limit.Burst / static_cast<double>(Peers.size() + 1);
-  return Stock + std::min<double>(MilliPerToken, Part * StockPart);
+  return std::min<double>(MilliPerToken, Part * StockPart);
 }
 
 double quota_bank::position(const limit_state &Limit) const {
@@ -142,7 +145,7 @@
 void quota_bank::giveBack(limit_state &Limit, steady_time Now) {
   if (Limit.Pots.empty())
     return;
-  const double Most = prefetch(Limit) * GiveBackPart + MilliPerToken +
+  const double Most = prefetch(Limit) * GiveBackPart + spareToken(Limit) +
                       static_cast<double>(Limit.Backlog);
   const double Excess =
       Limit.Level + static_cast<double>(borrowed(Limit)) - Most;
@@ -158,7 +161,7 @@
     Pot.Tokens -= Back;
     Left -= Back;
     view(Peers[Pot.Peer], Index).Returned += Back;
-    Peers[Pot.Peer].ReportDue = true;
+    noteReport(Peers[Pot.Peer], Limit);
   }
   std::erase_if(Limit.Pots,
                 [](const token_pot &Pot) { return Pot.Tokens <= 0; });
@@ -182,18 +185,25 @@
       continue;
     closeAsk(Peer);
     ++Counts.AsksTimedOut;
-    Peer.ReportDue = true;
+    if (!Peer.ReportAt)
+      Peer.ReportAt = Now;
     Peer.Failures = std::min(Peer.Failures + 1, MostRetrySteps);
     // The first loss is repeated at once; more of them are likely a fault.
     Peer.RetryAt = Now + RetryStep * static_cast<int>(Peer.Failures - 1);
   }
 }
 
+// A limit with little burst needs its lent tokens back soon.
+void quota_bank::noteReport(peer_state &Peer, const limit_state &Limit) const {
+  const steady_time Due = TickedAt + toMillis(horizon(Limit));
+  Peer.ReportAt = std::min(Peer.ReportAt.value_or(Due), Due);
+}
+
 void quota_bank::markReports(steady_time Now) {
   for (peer_state &Peer : Peers) {
-    if (!Peer.ReportDue || Peer.Sending || Peer.Open || !Peer.Present)
+    if (!Peer.ReportAt || Peer.Sending || Peer.Open || !Peer.Present)
       continue;
-    if (Now >= Peer.RetryAt && Now >= Peer.SentAt + ReportPause)
+    if (Now >= *Peer.ReportAt && Now >= Peer.RetryAt)
       Peer.Sending = true;
   }
 }
@@ -318,7 +328,7 @@
     for (peer_view &View : Peer.Views)
       View.Row = -1;
     Peer.Sending = false;
-    Peer.ReportDue = false;
+    Peer.ReportAt.reset();
     Peer.Open = true;
     Peer.SentAt = Now;
     ++Peer.Sequence;
--- a/packages/coordination/tests/quota_fleet.h
+++ b/packages/coordination/tests/quota_fleet.h
@@ -23,6 +23,10 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+/// Estimates of an encoded message without its rows, and of a row.
+inline constexpr std::size_t MessageBytes = 40;
+inline constexpr std::size_t RowBytes = 18;
+
 /// Lent is the shipped policy; the others are simple versions that the tests
 /// have to catch.
 enum class quota_policy {
@@ -576,19 +580,20 @@
       for (ask_row &Row : Out.Ask.Rows)
         Row.Held = 0;
     const std::size_t Q = indexOf(Out.To);
-    const std::size_t Size = 36 + 11 * Out.Ask.Rows.size();
+    const std::size_t Size = MessageBytes + RowBytes * Out.Ask.Rows.size();
     send(P, Q, Size, [this, P, Q, Ask = std::move(Out.Ask)] {
       const auto Grant =
           timed([&] { return Processes[Q].Bank->answer(Ask, Now); });
       if (!Grant)
         return;
-      send(Q, P, 40 + 13 * Grant->Rows.size(), [this, P, Q, Grant] {
-        timed([&] {
-          Processes[P].Bank->accept(Processes[Q].Name, *Grant, Now);
-          return 0;
-        });
-        retryWaiting(P);
-      });
+      send(Q, P, MessageBytes + RowBytes * Grant->Rows.size(),
+           [this, P, Q, Grant] {
+             timed([&] {
+               Processes[P].Bank->accept(Processes[Q].Name, *Grant, Now);
+               return 0;
+             });
+             retryWaiting(P);
+           });
     });
   }
 
