--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -1706,6 +1706,10 @@
   this->want = val;
 }
 
+void AskRow::__set_urgent(const int64_t val) {
+  this->urgent = val;
+}
+
 void AskRow::__set_held(const int64_t val) {
   this->held = val;
 }
@@ -1758,6 +1762,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->urgent);
+          this->__isset.urgent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->held);
           this->__isset.held = true;
@@ -1765,7 +1777,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->returned);
           this->__isset.returned = true;
@@ -1798,11 +1810,15 @@
   xfer += oprot->writeI64(this->want);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("urgent", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->urgent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->held);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->returned);
   xfer += oprot->writeFieldEnd();
 
@@ -1815,6 +1831,7 @@
   using ::std::swap;
   swap(a.limit, b.limit);
   swap(a.want, b.want);
+  swap(a.urgent, b.urgent);
   swap(a.held, b.held);
   swap(a.returned, b.returned);
   swap(a.__isset, b.__isset);
@@ -1823,6 +1840,7 @@
 AskRow::AskRow(const AskRow& other46) noexcept {
   limit = other46.limit;
   want = other46.want;
+  urgent = other46.urgent;
   held = other46.held;
   returned = other46.returned;
   __isset = other46.__isset;
@@ -1830,6 +1848,7 @@
 AskRow& AskRow::operator=(const AskRow& other47) noexcept {
   limit = other47.limit;
   want = other47.want;
+  urgent = other47.urgent;
   held = other47.held;
   returned = other47.returned;
   __isset = other47.__isset;
@@ -1840,6 +1859,7 @@
   out << "AskRow(";
   out << "limit=" << to_string(limit);
   out << ", " << "want=" << to_string(want);
+  out << ", " << "urgent=" << to_string(urgent);
   out << ", " << "held=" << to_string(held);
   out << ", " << "returned=" << to_string(returned);
   out << ")";
@@ -2037,6 +2057,10 @@
 void GrantRow::__set_sparePerSecond(const int64_t val) {
   this->sparePerSecond = val;
 }
+
+void GrantRow::__set_mintedPerSecond(const int64_t val) {
+  this->mintedPerSecond = val;
+}
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj)
 {
   obj.printTo(out);
@@ -2097,6 +2121,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mintedPerSecond);
+          this->__isset.mintedPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2130,6 +2162,10 @@
   xfer += oprot->writeI64(this->sparePerSecond);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mintedPerSecond", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->mintedPerSecond);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2141,6 +2177,7 @@
   swap(a.tokens, b.tokens);
   swap(a.left, b.left);
   swap(a.sparePerSecond, b.sparePerSecond);
+  swap(a.mintedPerSecond, b.mintedPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -2149,6 +2186,7 @@
   tokens = other56.tokens;
   left = other56.left;
   sparePerSecond = other56.sparePerSecond;
+  mintedPerSecond = other56.mintedPerSecond;
   __isset = other56.__isset;
 }
 GrantRow& GrantRow::operator=(const GrantRow& other57) noexcept {
@@ -2156,6 +2194,7 @@
   tokens = other57.tokens;
   left = other57.left;
   sparePerSecond = other57.sparePerSecond;
+  mintedPerSecond = other57.mintedPerSecond;
   __isset = other57.__isset;
   return *this;
 }
@@ -2166,6 +2205,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "left=" << to_string(left);
   out << ", " << "sparePerSecond=" << to_string(sparePerSecond);
+  out << ", " << "mintedPerSecond=" << to_string(mintedPerSecond);
   out << ")";
 }
 
@@ -2182,6 +2222,10 @@
   this->sequence = val;
 }
 
+void TokenGrant::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
 void TokenGrant::__set_shares(const int32_t val) {
   this->shares = val;
 }
@@ -2234,6 +2278,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->shares);
           this->__isset.shares = true;
@@ -2241,7 +2293,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
@@ -2286,11 +2338,15 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->shares);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
     std::vector<GrantRow> ::const_iterator _iter63;
@@ -2311,6 +2367,7 @@
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
+  swap(a.configVersion, b.configVersion);
   swap(a.shares, b.shares);
   swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
@@ -2319,6 +2376,7 @@
 TokenGrant::TokenGrant(const TokenGrant& other64) {
   incarnation = other64.incarnation;
   sequence = other64.sequence;
+  configVersion = other64.configVersion;
   shares = other64.shares;
   rows = other64.rows;
   __isset = other64.__isset;
@@ -2326,6 +2384,7 @@
 TokenGrant& TokenGrant::operator=(const TokenGrant& other65) {
   incarnation = other65.incarnation;
   sequence = other65.sequence;
+  configVersion = other65.configVersion;
   shares = other65.shares;
   rows = other65.rows;
   __isset = other65.__isset;
@@ -2336,6 +2395,7 @@
   out << "TokenGrant(";
   out << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "configVersion=" << to_string(configVersion);
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "rows=" << to_string(rows);
   out << ")";
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -733,9 +733,10 @@
 std::ostream& operator<<(std::ostream& out, const RowsRequest& obj);
 
 typedef struct _AskRow__isset {
-  _AskRow__isset() : limit(false), want(false), held(false), returned(false) {}
+  _AskRow__isset() : limit(false), want(false), urgent(false), held(false), returned(false) {}
   bool limit :1;
   bool want :1;
+  bool urgent :1;
   bool held :1;
   bool returned :1;
 } _AskRow__isset;
@@ -748,6 +749,7 @@
   AskRow() noexcept
          : limit(0),
            want(0),
+           urgent(0),
            held(0),
            returned(0) {
   }
@@ -755,6 +757,7 @@
   virtual ~AskRow() noexcept;
   int64_t limit;
   int64_t want;
+  int64_t urgent;
   int64_t held;
   int64_t returned;
 
@@ -764,6 +767,8 @@
 
   void __set_want(const int64_t val);
 
+  void __set_urgent(const int64_t val);
+
   void __set_held(const int64_t val);
 
   void __set_returned(const int64_t val);
@@ -774,6 +779,8 @@
       return false;
     if (!(want == rhs.want))
       return false;
+    if (!(urgent == rhs.urgent))
+      return false;
     if (!(held == rhs.held))
       return false;
     if (!(returned == rhs.returned))
@@ -860,11 +867,12 @@
 std::ostream& operator<<(std::ostream& out, const TokenAsk& obj);
 
 typedef struct _GrantRow__isset {
-  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false) {}
+  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false), mintedPerSecond(false) {}
   bool limit :1;
   bool tokens :1;
   bool left :1;
   bool sparePerSecond :1;
+  bool mintedPerSecond :1;
 } _GrantRow__isset;
 
 class GrantRow : public virtual ::apache::thrift::TBase {
@@ -876,7 +884,8 @@
            : limit(0),
              tokens(0),
              left(0),
-             sparePerSecond(0) {
+             sparePerSecond(0),
+             mintedPerSecond(0) {
   }
 
   virtual ~GrantRow() noexcept;
@@ -884,6 +893,7 @@
   int64_t tokens;
   int64_t left;
   int64_t sparePerSecond;
+  int64_t mintedPerSecond;
 
   _GrantRow__isset __isset;
 
@@ -895,6 +905,8 @@
 
   void __set_sparePerSecond(const int64_t val);
 
+  void __set_mintedPerSecond(const int64_t val);
+
   bool operator == (const GrantRow & rhs) const
   {
     if (!(limit == rhs.limit))
@@ -905,6 +917,8 @@
       return false;
     if (!(sparePerSecond == rhs.sparePerSecond))
       return false;
+    if (!(mintedPerSecond == rhs.mintedPerSecond))
+      return false;
     return true;
   }
   bool operator != (const GrantRow &rhs) const {
@@ -924,9 +938,10 @@
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj);
 
 typedef struct _TokenGrant__isset {
-  _TokenGrant__isset() : incarnation(false), sequence(false), shares(false), rows(false) {}
+  _TokenGrant__isset() : incarnation(false), sequence(false), configVersion(false), shares(false), rows(false) {}
   bool incarnation :1;
   bool sequence :1;
+  bool configVersion :1;
   bool shares :1;
   bool rows :1;
 } _TokenGrant__isset;
@@ -939,12 +954,14 @@
   TokenGrant() noexcept
              : incarnation(0),
                sequence(0),
+               configVersion(0),
                shares(0) {
   }
 
   virtual ~TokenGrant() noexcept;
   int64_t incarnation;
   int64_t sequence;
+  int64_t configVersion;
   int32_t shares;
   std::vector<GrantRow>  rows;
 
@@ -954,6 +971,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_configVersion(const int64_t val);
+
   void __set_shares(const int32_t val);
 
   void __set_rows(const std::vector<GrantRow> & val);
@@ -964,6 +983,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
     if (!(shares == rhs.shares))
       return false;
     if (!(rows == rhs.rows))
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -79,8 +79,9 @@
 struct AskRow {
   1: i64 limit
   2: i64 want
-  3: i64 held
-  4: i64 returned
+  3: i64 urgent
+  4: i64 held
+  5: i64 returned
 }
 
 struct TokenAsk {
@@ -95,13 +96,15 @@
   2: i64 tokens
   3: i64 left
   4: i64 sparePerSecond
+  5: i64 mintedPerSecond
 }
 
 struct TokenGrant {
   1: i64 incarnation
   2: i64 sequence
-  3: i32 shares
-  4: list<GrantRow> rows
+  3: i64 configVersion
+  4: i32 shares
+  5: list<GrantRow> rows
 }
 
 struct Mate {
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -9,7 +9,9 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
+#include <magnoliaspread/sharemsg.h>
 
 #include <array>
 #include <cstddef>
@@ -30,7 +32,11 @@
 /// Most elements of any list in a datagram.
 inline constexpr std::size_t MaxDatagramListRows = 256;
 
-using control_message = std::variant<member_message, quarantine_notice>;
+using quota_message =
+    std::variant<token_ask, token_grant, promise_request, promise_reply>;
+
+using control_message =
+    std::variant<member_message, quota_message, quarantine_notice>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -23,6 +23,7 @@
 /// \p Sender is the sender of the frame.
 void writeMember(const member_message &Message, std::uint64_t Sender,
                  idl::Datagram &Body);
+void writeQuota(const quota_message &Message, idl::Datagram &Body);
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
 
 /// Read the field of \p Body that is set.
@@ -31,6 +32,10 @@
 summary_message readSummaryNews(const idl::SummaryNews &From);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
+token_ask readTokenAsk(const idl::TokenAsk &From);
+token_grant readTokenGrant(const idl::TokenGrant &From);
+promise_request readPromiseRequest(const idl::PromiseRequest &From);
+promise_reply readPromiseReply(const idl::PromiseReply &From);
 quarantine_notice readQuarantine(const idl::QuarantineNotice &From);
 
 /// Names are checked for their length, numbers for their range.
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -55,6 +55,8 @@
                idl::Datagram &Body) {
   if (const auto *Member = std::get_if<member_message>(&Message))
     writeMember(*Member, Sender, Body);
+  else if (const auto *Quota = std::get_if<quota_message>(&Message))
+    writeQuota(*Quota, Body);
   else
     writeQuarantine(std::get<quarantine_notice>(Message), Body);
 }
@@ -68,6 +70,14 @@
     return member_message(readRows(Body.rows));
   if (Body.__isset.rowsRequest)
     return member_message(readRowsRequest(Body.rowsRequest));
+  if (Body.__isset.tokenAsk)
+    return quota_message(readTokenAsk(Body.tokenAsk));
+  if (Body.__isset.tokenGrant)
+    return quota_message(readTokenGrant(Body.tokenGrant));
+  if (Body.__isset.promiseRequest)
+    return quota_message(readPromiseRequest(Body.promiseRequest));
+  if (Body.__isset.promiseReply)
+    return quota_message(readPromiseReply(Body.promiseReply));
   if (Body.__isset.quarantine)
     return readQuarantine(Body.quarantine);
   throw malformed_message("unknown kind");
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -59,6 +59,11 @@
       member_message(summary_message{sampleSummary(), {Row, Row}}),
       member_message(rows_message{{Row, Row, Row}, true}),
       member_message(rows_request{Row, "dc3"}),
+      quota_message(
+          token_ask{9, 8, 7, {{0xffffffff, 5000, 4000, 300, 20}, {}}}),
+      quota_message(token_grant{9, 8, 77, 2, {{1, 5000, 40, 3, 1ll << 50}}}),
+      quota_message(promise_request{{"a", 9}, 8, {{65535, 77}, {1, 2}}}),
+      quota_message(promise_reply{{"a", 9}, 8, {0, 1, 65535}}),
       quarantine_notice{0xffffffffffffffffull, 90000ms, 3},
   };
 }
@@ -202,6 +207,14 @@
                            error_kind::BadDatagram));
     CPPUNIT_ASSERT(isError(decodeBody("", SenderId), error_kind::BadDatagram));
   });
+  section("token amounts below zero are refused", [&] {
+    const quota_message Grant = token_grant{9, 8, 77, 2, {{1, -1, 0, 0, 0}}};
+    const quota_message Ask = token_ask{9, 8, 7, {{1, 0, 0, 0, -1}}};
+    for (const quota_message &Message : {Grant, Ask})
+      CPPUNIT_ASSERT(
+          isError(decodeBody(valueOf(encodeBody(Message, SenderId)), SenderId),
+                  error_kind::BadDatagram));
+  });
   section("names beyond their length are refused", [&] {
     const auto Body = encodeBody(
         member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}),
@@ -274,8 +287,10 @@
   std::mt19937_64 Random(20261205);
   datagram_codec Sender(keyOf(1), 1001);
   datagram_codec Receiver(keyOf(1), 1002);
+  const std::vector<control_message> Messages = samples();
   for (int I = 0; I < 20000; ++I) {
-    const std::string Good = encoded(Sender, samples()[Random() % 6]);
+    const std::string Good =
+        encoded(Sender, Messages[Random() % Messages.size()]);
     const std::string Bad = mutated(Good, Random);
     if (Bad == Good)
       continue;
