Tell a silent data centre apart from one that spoke to the other speaker

Cause: with 27 data centres a summary comes to one speaker about every five seconds on average but at random, so 12 s without one happened all the time and the start of a fleet of 540 never settled. Speakers now take turns in whom they send to, believe each other, and wait three rounds.

--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -21,11 +21,14 @@
 namespace magnoliaspread {
 
 inline constexpr std::chrono::milliseconds HeartbeatPeriod{1000};
-inline constexpr std::chrono::milliseconds SuspectAfter{3000};
+/// Three periods and the delay and jitter of a heartbeat, so that two lost in
+/// a row raise no suspicion.
+inline constexpr std::chrono::milliseconds SuspectAfter{3300};
 inline constexpr std::chrono::milliseconds DeadAfter{6000};
 /// How long a dead row is kept so that late messages can't revive it.
 inline constexpr std::chrono::milliseconds DeadHold{600000};
-/// A data centre that sent no summary for this long counts as silent.
+/// A data centre that sent no summary for this long counts as silent; longer
+/// where a round of summaries takes longer.
 inline constexpr std::chrono::milliseconds SilentAfter{12000};
 inline constexpr std::size_t SpeakersPerDataCentre = 2;
 
@@ -211,6 +214,7 @@
   bool isOwn(const member_row &Row) const {
     return Row.Identity.DataCentre == Self.DataCentre;
   }
+  bool isUnheard(steady_time Now, const peer_centre &Centre) const;
   bool isSilent(steady_time Now, const peer_centre &Centre) const;
   std::vector<endpoint_address> heartbeatAddresses();
   std::vector<std::string> silentCentres(steady_time Now) const;
--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t SilentNamesBudgetBytes = 400;
 constexpr milliseconds HeartbeatJitter{50};
 /// Heartbeats between two summaries that a speaker passes on unchanged.
-constexpr std::uint64_t RelayEvery = 2;
+constexpr std::uint64_t RelayEvery = 3;
 /// Heartbeats between two attempts to reach mates given up for dead.
 constexpr std::uint64_t ProbeEvery = 5;
 constexpr std::size_t MaxProbes = 8;
@@ -132,7 +132,7 @@
   std::vector<std::string> Names;
   std::size_t Bytes = 0;
   for (const peer_centre &Centre : Centres) {
-    if (!isSilent(Now, Centre))
+    if (!isUnheard(Now, Centre))
       continue;
     Bytes += Centre.Name.size() + 1;
     if (Bytes > SilentNamesBudgetBytes)
@@ -233,7 +233,7 @@
   const std::uint32_t Turn = Centre.SummaryCount++;
   const std::vector<member_row> Speakers = speakers(Centre.Name);
   if (!Speakers.empty() && Turn % RandomEvery != RandomEvery - 1)
-    return Speakers[randomBelow(Speakers.size())].Identity.Internal;
+    return Speakers[Turn % Speakers.size()].Identity.Internal;
   std::vector<endpoint_address> Choices;
   for (const instance_handle Handle : Table.ofDataCentre(Centre.Name))
     if (Table.at(Handle).live())
--- a/packages/coordination/src/memberviews.cpp
+++ b/packages/coordination/src/memberviews.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds SpeakerSayHolds{3000};
+/// Rounds of summaries without one from a data centre that make it silent.
+constexpr int SilentRounds = 3;
 /// An instance that isn't a speaker hears summaries less often.
-constexpr std::chrono::milliseconds RelayedSilentAfter{60000};
+constexpr std::chrono::milliseconds RelayedSilentAfter{120000};
 
 } // namespace
 
@@ -64,14 +66,21 @@
   return Views;
 }
 
+/// Summaries of another data centre come to any of the speakers here.
+bool membership::isUnheard(steady_time Now, const peer_centre &Centre) const {
+  const std::chrono::milliseconds Limit =
+      std::max(SilentAfter, SilentRounds * summaryPeriod());
+  return Now - Centre.LastHeard >= Limit;
+}
+
 bool membership::isSilent(steady_time Now, const peer_centre &Centre) const {
   const auto Recent = [&](const std::optional<steady_time> &At) {
     return At && Now - *At < SpeakerSayHolds;
   };
-  if (isSpeaker())
-    return Now - Centre.LastHeard >= SilentAfter;
   if (Recent(Centre.SaidHeardAt))
     return false;
+  if (isSpeaker())
+    return isUnheard(Now, Centre);
   return Recent(Centre.SaidSilentAt) ||
          Now - Centre.LastHeard >= RelayedSilentAfter;
 }
--- a/packages/coordination/tests/memberfaults.cpp
+++ b/packages/coordination/tests/memberfaults.cpp
@@ -169,6 +169,31 @@
   });
 }
 
+STORY(many_data_centres) {
+  fleet Fleet(27, 3, 14);
+  Fleet.Faults = {0.01, 0.01, 1ms, 60ms};
+  Fleet.startAll();
+  Fleet.run(30s);
+  section("none is taken for silent in a calm fleet", [&] {
+    for (int I = 0; I < 90; ++I) {
+      Fleet.run(1s);
+      for (std::size_t Index = 0; Index < Fleet.Nodes.size(); ++Index)
+        for (std::size_t C = 0; C < Fleet.Centres; ++C)
+          CPPUNIT_ASSERT(!Fleet.named(Index, C).empty());
+    }
+  });
+  section("a lost one is, within half a minute", [&] {
+    for (std::size_t Index = 15; Index < 18; ++Index)
+      Fleet.kill(Index);
+    CPPUNIT_ASSERT(Fleet.runUntil(30s, [&] {
+      for (std::size_t Index = 0; Index < Fleet.Nodes.size(); ++Index)
+        if (Fleet.active(Index) && !Fleet.named(Index, 5).empty())
+          return false;
+      return true;
+    }));
+  });
+}
+
 STORY(clock_stepped_back_at_restart) {
   fleet Fleet(1, 4, 12);
   Fleet.startAll();
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -860,6 +860,7 @@
 
 void Summary::__set_speaker(const int64_t val) {
   this->speaker = val;
+__isset.speaker = true;
 }
 
 void Summary::__set_sequence(const int64_t val) {
@@ -1010,10 +1011,11 @@
   xfer += oprot->writeI64(this->rowsHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("speaker", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->speaker);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.speaker) {
+    xfer += oprot->writeFieldBegin("speaker", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->speaker);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
@@ -1087,7 +1089,7 @@
   out << "Summary(";
   out << "dataCentre=" << to_string(dataCentre);
   out << ", " << "rowsHash=" << to_string(rowsHash);
-  out << ", " << "speaker=" << to_string(speaker);
+  out << ", " << "speaker="; (__isset.speaker ? (out << to_string(speaker)) : (out << "<null>"));
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "lowestVersion=" << to_string(lowestVersion);
   out << ", " << "config=" << to_string(config);
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -478,7 +478,9 @@
       return false;
     if (!(rowsHash == rhs.rowsHash))
       return false;
-    if (!(speaker == rhs.speaker))
+    if (__isset.speaker != rhs.__isset.speaker)
+      return false;
+    else if (__isset.speaker && !(speaker == rhs.speaker))
       return false;
     if (!(sequence == rhs.sequence))
       return false;
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -43,7 +43,8 @@
 struct Summary {
   1: string dataCentre
   2: i64 rowsHash
-  3: i64 speaker
+  /// Left out when it is the sender of the frame.
+  3: optional i64 speaker
   4: i64 sequence
   5: i64 lowestVersion
   6: ConfigStamp config
--- a/packages/wire/include/magnoliaspread/replay.h
+++ b/packages/wire/include/magnoliaspread/replay.h
@@ -20,6 +20,9 @@
   /// True the first time that \p Sequence comes from \p Sender.
   bool accept(std::uint64_t Sender, std::uint64_t Sequence);
 
+  /// Senders remembered now.
+  std::size_t senderCount() const { return Windows.size(); }
+
 private:
   struct sender_window {
     std::uint64_t Highest = 0;
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -29,7 +29,8 @@
 /// Read the field of \p Body that is set.
 heartbeat_message readHeartbeat(const idl::Heartbeat &From,
                                 std::uint64_t Sender);
-summary_message readSummaryNews(const idl::SummaryNews &From);
+summary_message readSummaryNews(const idl::SummaryNews &From,
+                                std::uint64_t Sender);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
 token_ask readTokenAsk(const idl::TokenAsk &From);
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -65,7 +65,7 @@
   if (Body.__isset.heartbeat)
     return member_message(readHeartbeat(Body.heartbeat, Sender));
   if (Body.__isset.summary)
-    return member_message(readSummaryNews(Body.summary));
+    return member_message(readSummaryNews(Body.summary, Sender));
   if (Body.__isset.rows)
     return member_message(readRows(Body.rows));
   if (Body.__isset.rowsRequest)
--- a/packages/wire/src/membercodec.cpp
+++ b/packages/wire/src/membercodec.cpp
@@ -87,10 +87,12 @@
   return {read(From.identity), read(From.report)};
 }
 
-void write(const data_centre_summary &From, idl::Summary &To) {
+void write(const data_centre_summary &From, std::uint64_t Sender,
+           idl::Summary &To) {
   To.dataCentre = From.DataCentre;
   To.rowsHash = static_cast<std::int64_t>(From.RowsHash);
-  To.speaker = static_cast<std::int64_t>(From.Speaker);
+  if (From.Speaker != Sender)
+    To.__set_speaker(static_cast<std::int64_t>(From.Speaker));
   To.sequence = static_cast<std::int64_t>(From.Sequence);
   To.lowestVersion = static_cast<std::int64_t>(From.LowestVersion);
   write(From.Config, To.config);
@@ -99,11 +101,12 @@
   To.platformReachable = From.PlatformReachable;
 }
 
-data_centre_summary read(const idl::Summary &From) {
+data_centre_summary read(const idl::Summary &From, std::uint64_t Sender) {
   data_centre_summary To;
   To.DataCentre = readName(From.dataCentre);
   To.RowsHash = static_cast<std::uint64_t>(From.rowsHash);
-  To.Speaker = static_cast<std::uint64_t>(From.speaker);
+  To.Speaker =
+      From.__isset.speaker ? static_cast<std::uint64_t>(From.speaker) : Sender;
   To.Sequence = static_cast<std::uint64_t>(From.sequence);
   To.LowestVersion = static_cast<std::uint64_t>(From.lowestVersion);
   To.Config = read(From.config);
@@ -113,8 +116,8 @@
   return To;
 }
 
-template <class From, class To>
-void writeAll(const std::vector<From> &Items, std::vector<To> &Out) {
+void writeAll(const std::vector<member_row> &Items,
+              std::vector<idl::Row> &Out) {
   Out.resize(Items.size());
   for (std::size_t I = 0; I < Items.size(); ++I)
     write(Items[I], Out[I]);
@@ -137,7 +140,9 @@
   if (Message.Speaker)
     To.__set_speaker(true);
   if (!Message.Summaries.empty()) {
-    writeAll(Message.Summaries, To.summaries);
+    To.summaries.resize(Message.Summaries.size());
+    for (std::size_t I = 0; I < Message.Summaries.size(); ++I)
+      write(Message.Summaries[I], Sender, To.summaries[I]);
     To.__isset.summaries = true;
   }
   if (!Message.SilentCentres.empty())
@@ -145,10 +150,10 @@
   Body.__set_heartbeat(To);
 }
 
-void writeKind(const summary_message &Message, std::uint64_t /*Sender*/,
+void writeKind(const summary_message &Message, std::uint64_t Sender,
                idl::Datagram &Body) {
   idl::SummaryNews To;
-  write(Message.Summary, To.summary);
+  write(Message.Summary, Sender, To.summary);
   writeAll(Message.Changed, To.changed);
   Body.__set_summary(To);
 }
@@ -191,14 +196,15 @@
   To.Report = read(From.report);
   To.Speaker = From.__isset.speaker && From.speaker;
   for (const idl::Summary &Summary : From.summaries)
-    To.Summaries.push_back(read(Summary));
+    To.Summaries.push_back(read(Summary, Sender));
   for (const std::string &Name : From.silentCentres)
     To.SilentCentres.push_back(readName(Name));
   return To;
 }
 
-summary_message readSummaryNews(const idl::SummaryNews &From) {
-  return {read(From.summary), readAll(From.changed)};
+summary_message readSummaryNews(const idl::SummaryNews &From,
+                                std::uint64_t Sender) {
+  return {read(From.summary, Sender), readAll(From.changed)};
 }
 
 rows_message readRows(const idl::Rows &From) {
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -169,6 +169,7 @@
     for (std::uint64_t I = 10; I < 10 + 2 * MaxReplaySenders; ++I) {
       Filter.accept(I, 1);
       CPPUNIT_ASSERT(!Filter.accept(1, 5000));
+      CPPUNIT_ASSERT(Filter.senderCount() <= MaxReplaySenders);
     }
   });
 }
@@ -207,6 +208,20 @@
                            error_kind::BadDatagram));
     CPPUNIT_ASSERT(isError(decodeBody("", SenderId), error_kind::BadDatagram));
   });
+  section("bytes after the body are refused", [&] {
+    const std::string Body = valueOf(encodeBody(samples().front(), SenderId));
+    CPPUNIT_ASSERT(!failed(decodeBody(Body, SenderId)));
+    CPPUNIT_ASSERT(
+        isError(decodeBody(Body + '\0', SenderId), error_kind::BadDatagram));
+  });
+  section("states outside the list are refused", [&] {
+    member_row Row = sampleRow();
+    Row.Report.State = static_cast<member_state>(9);
+    const member_message Message = rows_message{{Row}, true};
+    CPPUNIT_ASSERT(
+        isError(decodeBody(valueOf(encodeBody(Message, SenderId)), SenderId),
+                error_kind::BadDatagram));
+  });
   section("token amounts below zero are refused", [&] {
     const quota_message Grant = token_grant{9, 8, 77, 2, {{1, -1, 0, 0, 0}}};
     const quota_message Ask = token_ask{9, 8, 7, {{1, 0, 0, 0, -1}}};
