--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -194,33 +194,20 @@
   const control_message &Message = Datagram.Message;
   if (const auto *Member = std::get_if<member_message>(&Message))
     return Members.receive(From, *Member);
-  if (const auto *Ask = std::get_if<token_ask>(&Message))
-    return Quota.receive(Sender, *Ask);
-  if (const auto *Grant = std::get_if<token_grant>(&Message))
-    return Quota.receive(Sender, *Grant);
-  if (const auto *Request = std::get_if<promise_request>(&Message))
-    return Quota.receive(Sender, *Request);
-  if (const auto *Reply = std::get_if<promise_reply>(&Message))
-    return Quota.receive(Sender, *Reply);
+  if (const auto *Limits = std::get_if<quota_message>(&Message))
+    return Quota.receive(Sender, *Limits);
   const auto Row = Members.members().findIncarnation(Sender);
   if (!Row)
     return;
-  if (const auto *Ask = std::get_if<credit_ask_message>(&Message))
-    return Traffic.deliver({Row->Identity.Name, *Ask});
-  if (const auto *Grant = std::get_if<credit_grant_message>(&Message))
-    return Traffic.deliver({Row->Identity.Name, *Grant});
+  if (const auto *Credit = std::get_if<credit_message>(&Message))
+    return Traffic.deliver({Row->Identity.Name, *Credit});
 }
 
 void instance::take(traffic_frame Frame) {
   for (const peer_credit_message &Row : Frame.Credits) {
     const auto Peer = Members.members().find(Row.Peer);
-    if (!Peer)
-      continue;
-    std::visit(
-        [&](const auto &Message) {
-          Datagrams.send({Peer->Identity.Internal}, Message);
-        },
-        Row.Message);
+    if (Peer)
+      Datagrams.send({Peer->Identity.Internal}, Row.Message);
   }
   Frame.Credits.clear();
   Frames[Frame.Thread] = std::move(Frame);
--- a/packages/daemon/src/quotasys.cpp
+++ b/packages/daemon/src/quotasys.cpp
@@ -153,34 +153,36 @@
 }
 
 void quota_system::sendTo(std::uint64_t Incarnation,
-                          const control_message &Message) {
+                          const quota_message &Message) {
   if (const auto Row = Members.findIncarnation(Incarnation))
     Port.send({Row->Identity.Internal}, Message);
 }
 
 void quota_system::sendTo(const std::string &Name,
-                          const control_message &Message) {
+                          const quota_message &Message) {
   if (const auto Row = Members.find(Name))
     Port.send({Row->Identity.Internal}, Message);
 }
 
-void quota_system::receive(std::uint64_t Sender, const token_ask &Ask) {
+void quota_system::receive(std::uint64_t Sender, const quota_message &Message) {
+  std::visit([&](const auto &Kind) { take(Sender, Kind); }, Message);
+}
+
+void quota_system::take(std::uint64_t Sender, const token_ask &Ask) {
   if (const auto Grant = Bank.answer(Ask, Clock.now()))
     sendTo(Sender, *Grant);
 }
 
-void quota_system::receive(std::uint64_t Sender, const token_grant &Grant) {
+void quota_system::take(std::uint64_t Sender, const token_grant &Grant) {
   if (const auto Row = Members.findIncarnation(Sender))
     Bank.accept(Row->Identity.Name, Grant, Clock.now());
 }
 
-void quota_system::receive(std::uint64_t Sender,
-                           const promise_request &Request) {
+void quota_system::take(std::uint64_t Sender, const promise_request &Request) {
   sendTo(Sender, Keeper.answer(Request, Clock.now()));
 }
 
-void quota_system::receive(std::uint64_t /*Sender*/,
-                           const promise_reply &Reply) {
+void quota_system::take(std::uint64_t /*Sender*/, const promise_reply &Reply) {
   Keeper.accept(Reply, Clock.now());
 }
 
--- a/packages/daemon/src/quotasys_p.h
+++ b/packages/daemon/src/quotasys_p.h
@@ -30,10 +30,7 @@
 
   void tick();
 
-  void receive(std::uint64_t Sender, const token_ask &Ask);
-  void receive(std::uint64_t Sender, const token_grant &Grant);
-  void receive(std::uint64_t Sender, const promise_request &Request);
-  void receive(std::uint64_t Sender, const promise_reply &Reply);
+  void receive(std::uint64_t Sender, const quota_message &Message);
 
   /// The process with that incarnation has certainly ended.
   void declareDead(std::uint64_t Incarnation);
@@ -51,12 +48,16 @@
   const quota_bank &bank() const { return Bank; }
 
 private:
+  void take(std::uint64_t Sender, const token_ask &Ask);
+  void take(std::uint64_t Sender, const token_grant &Grant);
+  void take(std::uint64_t Sender, const promise_request &Request);
+  void take(std::uint64_t Sender, const promise_reply &Reply);
   void runShares(steady_time Now);
   void runBank(steady_time Now);
   void read(const share_read &Read);
   void write(const share_write &Write);
-  void sendTo(std::uint64_t Incarnation, const control_message &Message);
-  void sendTo(const std::string &Name, const control_message &Message);
+  void sendTo(std::uint64_t Incarnation, const quota_message &Message);
+  void sendTo(const std::string &Name, const quota_message &Message);
 
   object_store &Store;
   datagram_port &Port;
--- a/packages/traffic/src/dispatch_p.h
+++ b/packages/traffic/src/dispatch_p.h
@@ -13,7 +13,7 @@
 
 namespace magnoliaspread {
 
-struct placement {
+struct dispatch_place {
   upstream_kind Kind = upstream_kind::Target;
   std::string Name;
   endpoint_address Address;
@@ -57,7 +57,7 @@
 
   /// Waits for a place until the request's deadline at the latest; the error
   /// is final and true: nothing was sent.
-  virtual asio::awaitable<result<placement>>
+  virtual asio::awaitable<result<dispatch_place>>
   place(const placement_request &Request) = 0;
 
   /// Runs what is due; called once each control tick.
@@ -70,7 +70,7 @@
   virtual void receive(const peer_credit_message &Message) = 0;
 
   /// Gives the place back.
-  virtual void finished(const placement &Place,
+  virtual void finished(const dispatch_place &Place,
                         const relay_outcome &Outcome) = 0;
 };
 
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -33,10 +33,11 @@
 /// Most elements of any list in a datagram.
 inline constexpr std::size_t MaxDatagramListRows = 256;
 
-using control_message =
-    std::variant<member_message, quarantine_notice, token_ask, token_grant,
-                 promise_request, promise_reply, credit_ask_message,
-                 credit_grant_message>;
+using quota_message =
+    std::variant<token_ask, token_grant, promise_request, promise_reply>;
+
+using control_message = std::variant<member_message, quota_message,
+                                     quarantine_notice, credit_message>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -51,58 +51,41 @@
   return Tag;
 }
 
-/// Writes each kind of message into its field of the body.
-struct body_writer {
-  idl::Datagram &Body;
-  std::uint64_t Sender;
-
-  void operator()(const member_message &Message) const {
-    writeMember(Message, Sender, Body);
-  }
-  void operator()(const quarantine_notice &Notice) const {
-    writeQuarantine(Notice, Body);
-  }
-  void operator()(const token_ask &Ask) const { writeTokenAsk(Ask, Body); }
-  void operator()(const token_grant &Grant) const {
-    writeTokenGrant(Grant, Body);
-  }
-  void operator()(const promise_request &Request) const {
-    writePromiseRequest(Request, Body);
-  }
-  void operator()(const promise_reply &Reply) const {
-    writePromiseReply(Reply, Body);
-  }
-  void operator()(const credit_ask_message &Ask) const {
-    writeCreditAsk(Ask, Body);
-  }
-  void operator()(const credit_grant_message &Grant) const {
-    writeCreditGrant(Grant, Body);
-  }
-};
+void writeBody(const control_message &Message, std::uint64_t Sender,
+               idl::Datagram &Body) {
+  if (const auto *Member = std::get_if<member_message>(&Message))
+    writeMember(*Member, Sender, Body);
+  else if (const auto *Quota = std::get_if<quota_message>(&Message))
+    writeQuota(*Quota, Body);
+  else if (const auto *Credit = std::get_if<credit_message>(&Message))
+    writeCredit(*Credit, Body);
+  else
+    writeQuarantine(std::get<quarantine_notice>(Message), Body);
+}
 
 control_message readBody(const idl::Datagram &Body, std::uint64_t Sender) {
   if (Body.__isset.heartbeat)
     return member_message(readHeartbeat(Body.heartbeat, Sender));
   if (Body.__isset.summary)
-    return member_message(readSummaryNews(Body.summary));
+    return member_message(readSummaryNews(Body.summary, Sender));
   if (Body.__isset.rows)
     return member_message(readRows(Body.rows));
   if (Body.__isset.rowsRequest)
     return member_message(readRowsRequest(Body.rowsRequest));
-  if (Body.__isset.quarantine)
-    return readQuarantine(Body.quarantine);
   if (Body.__isset.tokenAsk)
-    return readTokenAsk(Body.tokenAsk);
+    return quota_message(readTokenAsk(Body.tokenAsk));
   if (Body.__isset.tokenGrant)
-    return readTokenGrant(Body.tokenGrant);
+    return quota_message(readTokenGrant(Body.tokenGrant));
   if (Body.__isset.promiseRequest)
-    return readPromiseRequest(Body.promiseRequest);
+    return quota_message(readPromiseRequest(Body.promiseRequest));
   if (Body.__isset.promiseReply)
-    return readPromiseReply(Body.promiseReply);
+    return quota_message(readPromiseReply(Body.promiseReply));
+  if (Body.__isset.quarantine)
+    return readQuarantine(Body.quarantine);
   if (Body.__isset.creditAsk)
-    return readCreditAsk(Body.creditAsk);
+    return credit_message(readCreditAsk(Body.creditAsk));
   if (Body.__isset.creditGrant)
-    return readCreditGrant(Body.creditGrant);
+    return credit_message(readCreditGrant(Body.creditGrant));
   throw malformed_message("unknown kind");
 }
 
@@ -158,7 +141,7 @@
                                std::uint64_t Sender) {
   try {
     idl::Datagram Body;
-    std::visit(body_writer{Body, Sender}, Message);
+    writeBody(Message, Sender, Body);
     auto Buffer = std::make_shared<TMemoryBuffer>();
     compact_protocol Protocol(Buffer);
     Body.write(&Protocol);
