--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -15,16 +15,20 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnoliaspread {
 
 inline constexpr std::chrono::milliseconds HeartbeatPeriod{1000};
-inline constexpr std::chrono::milliseconds SuspectAfter{3000};
+/// Three periods and the delay and jitter of a heartbeat, so that two lost in
+/// a row raise no suspicion.
+inline constexpr std::chrono::milliseconds SuspectAfter{3300};
 inline constexpr std::chrono::milliseconds DeadAfter{6000};
 /// How long a dead row is kept so that late messages can't revive it.
 inline constexpr std::chrono::milliseconds DeadHold{600000};
-/// A data centre that sent no summary for this long counts as silent.
+/// A data centre that sent no summary for this long counts as silent; longer
+/// where a round of summaries takes longer.
 inline constexpr std::chrono::milliseconds SilentAfter{12000};
 inline constexpr std::size_t SpeakersPerDataCentre = 2;
 
@@ -123,6 +127,10 @@
   /// has to stop.
   bool superseded() const { return Superseded; }
 
+  /// Incarnations that have certainly ended since the last call: their address
+  /// refused a connection, or a later incarnation answers there.
+  std::vector<std::uint64_t> takeEnded() { return std::exchange(Ended, {}); }
+
   /// False for a while after a pause of this process, when its view of others
   /// is old.
   bool settled(steady_time Now) const { return Now >= SettledAt; }
@@ -180,6 +188,7 @@
   bool mergeRemote(steady_time Now, member_entry &Entry, const member_row &Row);
   bool addRow(steady_time Now, const member_row &Row, bool FromItself);
   void meetOwnName(steady_time Now, const member_row &Row);
+  void noteEnded(std::uint64_t Incarnation);
   void markDead(steady_time Now, member_entry &Entry);
   void checkHash(steady_time Now, peer_centre &Centre, bool Direct);
 
@@ -205,6 +214,7 @@
   bool isOwn(const member_row &Row) const {
     return Row.Identity.DataCentre == Self.DataCentre;
   }
+  bool isUnheard(steady_time Now, const peer_centre &Centre) const;
   bool isSilent(steady_time Now, const peer_centre &Centre) const;
   std::vector<endpoint_address> heartbeatAddresses();
   std::vector<std::string> silentCentres(steady_time Now) const;
@@ -244,6 +254,7 @@
   std::uint64_t HeartbeatCount = 0;
   std::size_t RelayCursor = 0;
   std::size_t SeedCursor = 0;
+  std::vector<std::uint64_t> Ended;
   bool HurryWanted = false;
   bool Superseded = false;
 };
--- a/packages/steering/include/magnoliaspread/limit.h
+++ b/packages/steering/include/magnoliaspread/limit.h
@@ -18,7 +18,7 @@
 std::uint32_t limitPart(std::uint32_t Limit, std::uint32_t Index,
                         std::uint32_t Parts);
 
-struct limit_row {
+struct in_flight_limit {
   /// No limit applies while false.
   bool Limited = false;
   std::uint32_t InFlight = 0;
@@ -31,7 +31,7 @@
 
 /// One row for each weight set, for the instance's own region.
 struct limit_ledger {
-  std::vector<limit_row> Rows;
+  std::vector<in_flight_limit> Rows;
 };
 
 /// Sets this instance's part of a limit. A smaller part applies at once, a
--- a/packages/steering/include/magnoliaspread/region.h
+++ b/packages/steering/include/magnoliaspread/region.h
@@ -100,6 +100,9 @@
   workspace_handle Workspace;
   /// Regions that can take a request now: a free slot here or a credit there.
   region_mask Available;
+  /// A further attempt for a request that was counted: it may take a move from
+  /// the shift budget but adds nothing to it.
+  bool Repeated = false;
 };
 
 struct region_decision {
@@ -109,10 +112,11 @@
   bool Moved = false;
 };
 
-/// Chooses a region and counts the decision. \p PlatformNow is a lower bound
-/// on the platform's time. Errors, all not run: NoCapacity when no region can
-/// take the request, ShiftCapped with a time to come back when only a region
-/// that the cap closes could.
+/// Chooses a region and counts the decision, unless no region at all can take
+/// the request, which may then wait and be tried again. \p PlatformNow is a
+/// lower bound on the platform's time. Errors, all not run: NoCapacity when no
+/// region can take the request, ShiftCapped with a time to come back when only
+/// a region that the cap closes could.
 result<region_decision> chooseRegion(const region_plan &Plan,
                                      region_state &State,
                                      const region_request &Request,
--- a/packages/steering/src/limit.cpp
+++ b/packages/steering/src/limit.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-limit_row &rowAt(limit_ledger &Ledger, std::size_t Row) {
+in_flight_limit &rowAt(limit_ledger &Ledger, std::size_t Row) {
   if (Row >= Ledger.Rows.size())
     Ledger.Rows.resize(Row + 1);
   return Ledger.Rows[Row];
 }
 
-void applyRaise(limit_row &Row, steady_time Now) {
+void applyRaise(in_flight_limit &Row, steady_time Now) {
   if (Row.RaisedPart > Row.Part && Now >= Row.RaisedAt)
     Row.Part = Row.RaisedPart;
 }
@@ -30,7 +30,7 @@
 
 void setLimitPart(limit_ledger &Ledger, std::size_t Row, std::uint32_t Part,
                   steady_time Now, steady_time UsableAt) {
-  limit_row &State = rowAt(Ledger, Row);
+  in_flight_limit &State = rowAt(Ledger, Row);
   applyRaise(State, Now);
   if (!State.Limited)
     State.Part = 0;
@@ -42,14 +42,14 @@
 }
 
 void clearLimit(limit_ledger &Ledger, std::size_t Row) {
-  limit_row &State = rowAt(Ledger, Row);
+  in_flight_limit &State = rowAt(Ledger, Row);
   State.Limited = false;
   State.Part = 0;
   State.RaisedPart = 0;
 }
 
 status admitLimited(limit_ledger &Ledger, std::size_t Row, steady_time Now) {
-  limit_row &State = rowAt(Ledger, Row);
+  in_flight_limit &State = rowAt(Ledger, Row);
   applyRaise(State, Now);
   if (State.Limited && State.InFlight >= State.Part)
     return error{error_kind::NoCapacity, "the region's limit is reached", {}};
@@ -58,7 +58,7 @@
 }
 
 void releaseLimited(limit_ledger &Ledger, std::size_t Row) {
-  limit_row &State = rowAt(Ledger, Row);
+  in_flight_limit &State = rowAt(Ledger, Row);
   if (State.InFlight > 0)
     --State.InFlight;
 }
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -43,7 +43,8 @@
 struct Summary {
   1: string dataCentre
   2: i64 rowsHash
-  3: i64 speaker
+  /// Left out when it is the sender of the frame.
+  3: optional i64 speaker
   4: i64 sequence
   5: i64 lowestVersion
   6: ConfigStamp config
@@ -53,7 +54,8 @@
 }
 
 struct Heartbeat {
-  1: i64 incarnation
+  /// Left out when it is the sender of the frame.
+  1: optional i64 incarnation
   2: Report report
   3: optional bool speaker
   4: optional list<Summary> summaries
@@ -78,8 +80,9 @@
 struct AskRow {
   1: i64 limit
   2: i64 want
-  3: i64 held
-  4: i64 returned
+  3: i64 urgent
+  4: i64 held
+  5: i64 returned
 }
 
 struct TokenAsk {
@@ -94,13 +97,15 @@
   2: i64 tokens
   3: i64 left
   4: i64 sparePerSecond
+  5: i64 mintedPerSecond
 }
 
 struct TokenGrant {
   1: i64 incarnation
   2: i64 sequence
-  3: i32 shares
-  4: list<GrantRow> rows
+  3: i64 configVersion
+  4: i32 shares
+  5: list<GrantRow> rows
 }
 
 struct Mate {
@@ -131,6 +136,20 @@
   3: i32 deaths
 }
 
+struct CreditAsk {
+  1: i64 serviceId
+  2: i32 wanted
+  3: i64 sequence
+}
+
+struct CreditGrant {
+  1: i64 serviceId
+  2: i32 count
+  3: i64 id
+  4: i64 sequence
+  5: i32 lifetimeMs
+}
+
 /// Exactly one field is set; it is the kind of the datagram.
 struct Datagram {
   1: optional Heartbeat heartbeat
@@ -142,4 +161,6 @@
   7: optional PromiseRequest promiseRequest
   8: optional PromiseReply promiseReply
   9: optional QuarantineNotice quarantine
+  10: optional CreditAsk creditAsk
+  11: optional CreditGrant creditGrant
 }
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -6,10 +6,13 @@
 #ifndef MAGNOLIASPREAD_DATAGRAM_H
 #define MAGNOLIASPREAD_DATAGRAM_H
 
+#include <magnoliaspread/creditmsg.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
+#include <magnoliaspread/sharemsg.h>
 
 #include <array>
 #include <cstddef>
@@ -30,7 +33,11 @@
 /// Most elements of any list in a datagram.
 inline constexpr std::size_t MaxDatagramListRows = 256;
 
-using control_message = std::variant<member_message, quarantine_notice>;
+using quota_message =
+    std::variant<token_ask, token_grant, promise_request, promise_reply>;
+
+using control_message = std::variant<member_message, quota_message,
+                                     quarantine_notice, credit_message>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
@@ -66,9 +73,10 @@
   replay_filter Replays;
 };
 
-/// The body alone, without a frame.
-result<std::string> encodeBody(const control_message &Message);
-result<control_message> decodeBody(std::string_view Body);
+/// The body alone; \p Sender is what its frame says.
+result<std::string> encodeBody(const control_message &Message,
+                               std::uint64_t Sender);
+result<control_message> decodeBody(std::string_view Body, std::uint64_t Sender);
 
 } // namespace magnoliaspread
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -20,15 +20,27 @@
   using std::runtime_error::runtime_error;
 };
 
-void writeMember(const member_message &Message, idl::Datagram &Body);
+/// \p Sender is the sender of the frame.
+void writeMember(const member_message &Message, std::uint64_t Sender,
+                 idl::Datagram &Body);
+void writeQuota(const quota_message &Message, idl::Datagram &Body);
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
+void writeCredit(const credit_message &Message, idl::Datagram &Body);
 
 /// Read the field of \p Body that is set.
-heartbeat_message readHeartbeat(const idl::Heartbeat &From);
-summary_message readSummaryNews(const idl::SummaryNews &From);
+heartbeat_message readHeartbeat(const idl::Heartbeat &From,
+                                std::uint64_t Sender);
+summary_message readSummaryNews(const idl::SummaryNews &From,
+                                std::uint64_t Sender);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
+token_ask readTokenAsk(const idl::TokenAsk &From);
+token_grant readTokenGrant(const idl::TokenGrant &From);
+promise_request readPromiseRequest(const idl::PromiseRequest &From);
+promise_reply readPromiseReply(const idl::PromiseReply &From);
 quarantine_notice readQuarantine(const idl::QuarantineNotice &From);
+credit_ask_message readCreditAsk(const idl::CreditAsk &From);
+credit_grant_message readCreditGrant(const idl::CreditGrant &From);
 
 /// Names are checked for their length, numbers for their range.
 std::string readName(const std::string &From);
