--- a/packages/report/tests/slo.cpp
+++ b/packages/report/tests/slo.cpp
@@ -124,6 +124,20 @@
   }
 }
 
+STORY(damaged_pages_are_refused) {
+  slo_window Window(steady_time{});
+  Window.add(steady_time{} + 10min, {row("aero", 5, 1)});
+  std::string Page = formatSlo(Window);
+  for (std::size_t At = 0; At < Page.size(); ++At) {
+    CPPUNIT_ASSERT(failed(parseSlo(Page.substr(0, At))));
+    std::string Changed = Page;
+    Changed[At] = '}';
+    auto Read = parseSlo(Changed);
+    if (failed(Read))
+      CPPUNIT_ASSERT(errorOf(Read).Kind == error_kind::PeerRejected);
+  }
+}
+
 STORY(burn_is_summed_over_instances) {
   auto Page = [](std::uint64_t Good, std::uint64_t Failed) {
     slo_window Window(steady_time{});
--- a/packages/settings/src/field.cpp
+++ b/packages/settings/src/field.cpp
@@ -84,6 +84,7 @@
     return "a path prefix such as \"/calendar/\"";
   case text_rule::KeyHash:
     return "a BLAKE2b-256 hash of 64 lower-case hex digits";
+  case text_rule::Secret:
   case text_rule::Free:
     break;
   }
@@ -124,6 +125,7 @@
     return isPathPrefix(Value);
   case text_rule::KeyHash:
     return isKeyHash(Value);
+  case text_rule::Secret:
   case text_rule::Free:
     break;
   }
@@ -211,6 +213,12 @@
   return true;
 }
 
+std::string shownValue(const field_spec &Field, std::string_view Value) {
+  if (isSecret(Field))
+    return "of another form";
+  return "\"" + std::string(Value) + "\"";
+}
+
 std::string faultText(std::string_view Where, std::string_view Field,
                       std::string_view Value, std::string_view Allowed) {
   std::string Text(Where);
--- a/packages/settings/src/field_p.h
+++ b/packages/settings/src/field_p.h
@@ -21,6 +21,8 @@
   IpAddress,
   PathPrefix,
   KeyHash,
+  /// Any string; not repeated in messages.
+  Secret,
   Free,
 };
 
@@ -106,6 +108,15 @@
 bool fromText(std::string_view Text, std::uint16_t &Value);
 bool fromText(std::string_view Text, std::chrono::milliseconds &Value);
 
+/// Whether messages must not repeat the field's value; a hash's field may hold
+/// the key itself by mistake.
+inline bool isSecret(const field_spec &Field) {
+  return Field.Text == text_rule::KeyHash || Field.Text == text_rule::Secret;
+}
+
+/// The rejected value for a message.
+std::string shownValue(const field_spec &Field, std::string_view Value);
+
 /// "<where>: field "<field>" is <value>, allowed: <allowed>".
 std::string faultText(std::string_view Where, std::string_view Field,
                       std::string_view Value, std::string_view Allowed);
--- a/packages/settings/src/json_read.cpp
+++ b/packages/settings/src/json_read.cpp
@@ -102,14 +102,15 @@
   if (!Json)
     return nullptr;
   if (!Json->is_array())
-    reject(Name, *Json, "an array");
+    Fault.set(faultText(Where, Name, quoteValue(*Json), "an array"));
   return Json->if_array();
 }
 
-void object_reader::reject(std::string_view Name,
+void object_reader::reject(const field_spec &Field,
                            const boost::json::value &Json,
                            std::string_view Allowed) {
-  Fault.set(faultText(Where, Name, quoteValue(Json), Allowed));
+  std::string Value = isSecret(Field) ? "of another form" : quoteValue(Json);
+  Fault.set(faultText(Where, Field.Name, Value, Allowed));
 }
 
 void object_reader::finish() {
--- a/packages/settings/src/json_read_p.h
+++ b/packages/settings/src/json_read_p.h
@@ -56,7 +56,7 @@
     if (fromJson(*Json, Read) && allows(Field, Read))
       Value = Read;
     else
-      reject(Field.Name, *Json, allowedText(Field, Value));
+      reject(Field, *Json, allowedText(Field, Value));
   }
 
   /// The value of field \p Name, or null when it is left out.
@@ -65,7 +65,7 @@
   /// The array in field \p Name, or null; another type is a fault.
   const boost::json::array *takeArray(std::string_view Name);
 
-  void reject(std::string_view Name, const boost::json::value &Json,
+  void reject(const field_spec &Field, const boost::json::value &Json,
               std::string_view Allowed);
 
   /// Faults on any field that was not asked for.
--- a/packages/settings/src/rows_p.h
+++ b/packages/settings/src/rows_p.h
@@ -38,7 +38,7 @@
       if (fromText(Given.Value, Read) && allows(Field, Read))
         Value = Read;
       else
-        setFault(faultText("row", Field.Name, "\"" + Given.Value + "\"",
+        setFault(faultText("row", Field.Name, shownValue(Field, Given.Value),
                            allowedText(Field, Value)));
     }
   }
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -80,7 +80,7 @@
          Settings.MaxHeaderBytes);
 }
 
-bool isSecret(std::string_view Text) {
+bool isSecretText(std::string_view Text) {
   return Text.size() == SecretLength &&
          Text.find_first_not_of("0123456789abcdefABCDEF") == Text.npos;
 }
@@ -89,7 +89,7 @@
 void readSecret(object_reader &Reader, std::string_view FileName,
                 instance_settings &Settings, read_fault &Fault) {
   std::string Where(FileName);
-  Reader(textField("fleet_secret", presence::Optional, text_rule::Free),
+  Reader(textField("fleet_secret", presence::Optional, text_rule::Secret),
          Settings.FleetSecret);
   Reader(textField("fleet_secret_file", presence::Optional, text_rule::Free),
          Settings.FleetSecretFile);
@@ -106,7 +106,7 @@
                                  "\"" + Settings.FleetSecretFile + "\"",
                                  "a file that can be read"));
   }
-  if (!isSecret(Settings.FleetSecret))
+  if (!isSecretText(Settings.FleetSecret))
     Fault.set(faultText(Where, Field, "of another form",
                         "32 bytes as 64 hex digits"));
 }
--- a/packages/settings/src/table_check.cpp
+++ b/packages/settings/src/table_check.cpp
@@ -46,7 +46,7 @@
 
   template <class T> void operator()(const field_spec &Field, const T &Value) {
     if (Fault.empty() && !allows(Field, Value))
-      Fault = faultText(Where, Field.Name, "\"" + toText(Value) + "\"",
+      Fault = faultText(Where, Field.Name, shownValue(Field, toText(Value)),
                         allowedText(Field, Value));
   }
 };
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -87,6 +87,8 @@
     auto Read = parseSettings(with(Secret, "0badsecret"), "x");
     CPPUNIT_ASSERT(errorOf(Read).Detail.find("0badsecret") ==
                    std::string::npos);
+    Read = parseSettings(with("\"" + Secret + "\"", "123456789"), "x");
+    CPPUNIT_ASSERT(errorOf(Read).Detail.find("123456789") == std::string::npos);
     expectFault(with("\"fleet_secret\":\"" + Secret + "\"",
                      "\"fleet_secret_file\":\"/nonexistent/secret\""),
                 {"fleet_secret_file", "/nonexistent/secret"});
--- a/packages/settings/tests/table.cpp
+++ b/packages/settings/tests/table.cpp
@@ -167,6 +167,18 @@
   });
 }
 
+STORY(a_key_in_place_of_its_hash_is_not_repeated) {
+  config_table Table = smallTable();
+  Table.Keys[0].Hash = "clear-key";
+  for (const status &Checked :
+       {checkTable(Table), status(errorOf(parseTable(formatTable(Table))))}) {
+    CPPUNIT_ASSERT(failed(Checked));
+    expectPieces(errorOf(Checked).Detail, {"hash", "64"});
+    CPPUNIT_ASSERT(errorOf(Checked).Detail.find("clear-key") ==
+                   std::string::npos);
+  }
+}
+
 STORY(keys_are_hashed_as_blake2b_256) {
   // RFC 7693 does not list this digest; it is BLAKE2b-256 of "abc".
   CPPUNIT_ASSERT_EQUAL(std::string("bddd813c634239723171ef3fee98579b"
