Try two writers through platform faults that change every few milliseconds

The writers' own check now stays on until a mark is settled: an earlier write of unknown outcome can take effect later.

--- a/packages/platform/include/magnoliaspread/platform.h
+++ b/packages/platform/include/magnoliaspread/platform.h
@@ -135,7 +135,8 @@
   /// Errors besides: NotFound.
   virtual void get(get_request Request, completion<stored_object> Done) = 0;
 
-  /// Errors besides: VersionConflict.
+  /// Errors besides: VersionConflict, for this write alone: an earlier one
+  /// whose outcome is unknown can take effect until its version is replaced.
   virtual void put(put_request Request, completion<put_answer> Done) = 0;
 
   /// Errors besides: VersionConflict, NotFound.
--- a/packages/platform/tests/writers.cpp
+++ b/packages/platform/tests/writers.cpp
@@ -17,14 +17,16 @@
 
 namespace {
 
-constexpr int MarksPerWriter = 12;
+constexpr int FewMarks = 12;
+constexpr int ManyMarks = 150;
 constexpr const char *Name = "marks";
 
 /// Adds marks one after the other: reads, appends, puts the version read.
 class mark_writer {
 public:
-  mark_writer(object_store &Store, std::string Prefix, bool RetriesBlindly)
-      : Store(Store), Prefix(std::move(Prefix)),
+  mark_writer(object_store &Store, std::string Prefix, int Marks,
+              bool RetriesBlindly)
+      : Store(Store), Prefix(std::move(Prefix)), Marks(Marks),
         RetriesBlindly(RetriesBlindly) {}
 
   void run() {
@@ -34,7 +36,7 @@
       });
   }
 
-  bool finished() const { return Next == MarksPerWriter; }
+  bool finished() const { return Next == Marks; }
 
   std::set<std::string> Succeeded;
 
@@ -44,15 +46,15 @@
   void append(result<stored_object> Read) {
     if (failed(Read))
       return run();
-    boost::json::value Marks = boost::json::parse(valueOf(Read).Value);
+    boost::json::value Value = boost::json::parse(valueOf(Read).Value);
     const boost::json::value Mark(mark());
-    boost::json::array &Rows = Marks.as_array();
+    boost::json::array &Rows = Value.as_array();
     const bool IsThere =
         std::find(Rows.begin(), Rows.end(), Mark) != Rows.end();
     if (CheckFirst && IsThere)
       return next();
     Rows.push_back(Mark);
-    put({Name, boost::json::serialize(Marks), valueOf(Read).Version});
+    put({Name, boost::json::serialize(Value), valueOf(Read).Version});
   }
 
   void put(const put_request &Request) {
@@ -64,8 +66,9 @@
       const error_kind Kind = errorOf(Answer).Kind;
       if (RetriesBlindly && Kind == error_kind::PlatformUnavailable)
         return put(Request);
-      // A conflict says that the write was not applied.
-      CheckFirst = Kind != error_kind::VersionConflict;
+      // A conflict says that this write was not applied, but an earlier one
+      // of the mark whose outcome is unknown may be yet.
+      CheckFirst = CheckFirst || Kind != error_kind::VersionConflict;
       run();
     });
   }
@@ -78,6 +81,7 @@
 
   object_store &Store;
   std::string Prefix;
+  int Marks;
   bool RetriesBlindly;
   bool CheckFirst = false;
   int Next = 0;
@@ -105,9 +109,9 @@
 }
 
 outcome runWriters(store_fixture &Fixture, object_store &First,
-                   object_store &Second, bool RetryBlindly) {
-  mark_writer A(First, "a", RetryBlindly);
-  mark_writer B(Second, "b", RetryBlindly);
+                   object_store &Second, int Marks, bool RetryBlindly) {
+  mark_writer A(First, "a", Marks, RetryBlindly);
+  mark_writer B(Second, "b", Marks, RetryBlindly);
   A.run();
   B.run();
   const bool Finished =
@@ -129,7 +133,63 @@
   Faults.LoseAnswers = 0.3;
   Faults.Seed = Seed;
   Fixture.Server.setFaults(Faults);
-  return runWriters(Fixture, *First, *Second, false);
+  return runWriters(Fixture, *First, *Second, FewMarks, false);
+}
+
+/// Changes the server's faults every few milliseconds until it is destroyed.
+class fault_rotation {
+public:
+  fault_rotation(store_fixture &Fixture, std::uint64_t Seed)
+      : Server(Fixture.Server), Random(Seed), Timer(Fixture.Io) {
+    rotate();
+  }
+
+private:
+  platform_faults next() {
+    platform_faults Faults;
+    Faults.Seed = Random();
+    switch (Random() % 8) {
+    case 0:
+      Faults.Down = true;
+      break;
+    case 1:
+      Faults.RefuseConnections = true;
+      break;
+    case 2:
+      Faults.Delay = 150ms;
+      break;
+    case 3:
+      Faults.LoseAnswers = 0.5;
+      break;
+    default:
+      break;
+    }
+    return Faults;
+  }
+
+  void rotate() {
+    Server.setFaults(next());
+    Timer.expires_after(std::chrono::milliseconds(5 + Random() % 40));
+    Timer.async_wait([this](const boost::system::error_code &Error) {
+      if (!Error)
+        rotate();
+    });
+  }
+
+  platform_server &Server;
+  std::mt19937_64 Random;
+  boost::asio::steady_timer Timer;
+};
+
+outcome runThroughRotatingFaults(std::uint64_t Seed) {
+  store_fixture Fixture;
+  http_store_settings Settings = Fixture.settings();
+  Settings.OperationTimeout = 200ms;
+  const auto First = Fixture.makeStore(Settings, Seed * 2 + 1);
+  const auto Second = Fixture.makeStore(Settings, Seed * 2 + 2);
+  Fixture.put(*First, {Name, "[]", NoObject});
+  const fault_rotation Rotation(Fixture, Seed);
+  return runWriters(Fixture, *First, *Second, ManyMarks, false);
 }
 
 /// The simple version: a write without an answer is sent again as it was.
@@ -146,7 +206,7 @@
   };
   memory_store First(Platform, Fixture.Clock, Post);
   memory_store Second(Platform, Fixture.Clock, Post);
-  return runWriters(Fixture, First, Second, true);
+  return runWriters(Fixture, First, Second, FewMarks, true);
 }
 
 } // namespace
@@ -158,13 +218,18 @@
       Doubled += runBlindRetry(Seed).Doubled;
     CPPUNIT_ASSERT(Doubled > 0);
   });
+  const auto IsRight = [](const outcome &Outcome, std::uint64_t Seed) {
+    const std::string Message = "seed " + std::to_string(Seed);
+    CPPUNIT_ASSERT_MESSAGE(Message, Outcome.Finished);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Doubled);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Missing);
+  };
   section("reading the write back first adds each mark once", [&] {
-    for (std::uint64_t Seed = 1; Seed <= 8; ++Seed) {
-      const outcome Outcome = runAgainstServer(Seed);
-      const std::string Message = "seed " + std::to_string(Seed);
-      CPPUNIT_ASSERT_MESSAGE(Message, Outcome.Finished);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Doubled);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(Message, 0, Outcome.Missing);
-    }
+    for (std::uint64_t Seed = 1; Seed <= 8; ++Seed)
+      IsRight(runAgainstServer(Seed), Seed);
+  });
+  section("also while the platform fails in one way after the other", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 6; ++Seed)
+      IsRight(runThroughRotatingFaults(Seed), Seed);
   });
 }
