Make the proof of a conflict deterministic in its test

The test let either writer win. A long back-off now leaves the other writer time before the read-back, so that the conflict has to be proved from the chain of write ids.

--- a/packages/platform/tests/http_store.cpp
+++ b/packages/platform/tests/http_store.cpp
@@ -146,7 +146,11 @@
 
 STORY(http_store_proves_a_conflict) {
   store_fixture Fixture;
-  const auto Store = Fixture.makeStore(Fixture.settings());
+  http_store_settings Settings = Fixture.settings();
+  // Leaves the other writer time before the read-back.
+  Settings.Pace.MinBackoff = 200ms;
+  Settings.Pace.MaxBackoff = 200ms;
+  const auto Store = Fixture.makeStore(Settings);
   const auto Other = Fixture.makeStore(Fixture.settings(), 2);
   const auto Base = Fixture.put(*Store, {"x", "1", NoObject});
   const auto Seen = Fixture.get(*Other, "x");
@@ -161,14 +165,13 @@
     CPPUNIT_ASSERT(Fixture.runUntil(
         [&] { return Store->counters().of(call_kind::Put).Failed > 0; }));
     Fixture.Server.setFaults({});
-    // Written past the client, so that it comes before the read-back.
-    Other->put({"x", "3", valueOf(Seen).Version},
-               [](const result<put_answer> &) {});
+    CPPUNIT_ASSERT(
+        !failed(Fixture.put(*Other, {"x", "3", valueOf(Seen).Version})));
     CPPUNIT_ASSERT(Fixture.runUntil([&] { return Answer.has_value(); }));
-    const bool Won = !failed(*Answer);
-    CPPUNIT_ASSERT(Won || failedWith(*Answer, error_kind::VersionConflict));
-    const auto Now = Fixture.get(*Store, "x");
-    CPPUNIT_ASSERT_EQUAL(std::string(Won ? "2" : "3"), valueOf(Now).Value);
+    CPPUNIT_ASSERT(failedWith(*Answer, error_kind::VersionConflict));
+    CPPUNIT_ASSERT_EQUAL(std::string("3"),
+                         valueOf(Fixture.get(*Store, "x")).Value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Store->counters().WritesReadBack);
   });
   section("a foreign value without lineage leaves the outcome unknown", [&] {
     const object_version Version = valueOf(Fixture.get(*Store, "x")).Version;
@@ -179,7 +182,7 @@
     Store->put({"x", "4", Version},
                [&](const result<put_answer> &Got) { Answer = Got; });
     CPPUNIT_ASSERT(Fixture.runUntil(
-        [&] { return Store->counters().of(call_kind::Get).Failed > 0; }));
+        [&] { return Store->counters().of(call_kind::Put).Failed > 1; }));
     CPPUNIT_ASSERT(!failed(Fixture.Server.load(R"({"x":5})")));
     Fixture.Server.setFaults({});
     CPPUNIT_ASSERT(Fixture.runUntil([&] { return Answer.has_value(); }));
