--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -109,7 +109,7 @@
     double MintRate = 0;
     milli_tokens Lent = 0;
     std::vector<token_pot> Pots;
-    /// Asked of peers and not yet answered.
+    /// Likely to come from asks that aren't answered yet.
     milli_tokens OnOrder = 0;
     double Demand = 0;
     /// Borrowed per second.
@@ -146,9 +146,12 @@
     bool Known = false;
     milli_tokens Left = 0;
     milli_tokens SparePerSecond = 0;
+    milli_tokens MintedPerSecond = 0;
     steady_time SeenAt;
     steady_time NotBefore;
     milli_tokens Ordered = 0;
+    /// Part of Ordered that is likely to come.
+    milli_tokens Likely = 0;
     milli_tokens Returned = 0;
     milli_tokens ReturnedSent = 0;
     milli_tokens ReturnedKnown = 0;
@@ -170,8 +173,8 @@
     /// Holds no share, so there is nothing to ask for before.
     steady_time EmptyUntil;
     std::uint32_t Failures = 0;
-    /// Lent tokens were spent or given back since the last ask.
-    bool ReportDue = false;
+    /// When to report tokens that were spent or given back since the last ask.
+    std::optional<steady_time> ReportAt;
     bool Sending = false;
     std::vector<peer_view> Views;
     std::vector<ask_row> Rows;
@@ -193,6 +196,7 @@
   void lower(limit_state &Limit, const limit_row &Row);
   void expirePots(limit_state &Limit, steady_time Now);
   void spendPots(limit_state &Limit, milli_tokens Tokens);
+  void noteReport(peer_state &Peer, const limit_state &Limit) const;
   void expireLent(steady_time Now);
   void expireRow(lent_row &Row, steady_time Now);
   void credit(limit_state &Limit, lent_row &Row, milli_tokens Tokens);
@@ -202,7 +206,7 @@
                    steady_time Now);
   static lent_row &account(borrower_state &Borrower, std::uint16_t Limit,
                            const ask_row &Asked);
-  milli_tokens lend(lent_row &Row, milli_tokens Want, steady_time Now);
+  milli_tokens lend(lent_row &Row, const ask_row &Asked, steady_time Now);
   milli_tokens lendable(const limit_state &Limit) const;
   milli_tokens borrowed(const limit_state &Limit) const;
   limit_state *find(limit_id Id);
@@ -215,19 +219,21 @@
   void timeOut(steady_time Now);
   void markReports(steady_time Now);
   void orderAll(bool OnlyHungry, steady_time Now);
-  void order(std::uint16_t Limit, double Remaining, bool OnlySending,
-             steady_time Now);
-  void listCandidates(std::uint16_t Limit, double Remaining, bool OnlySending,
-                      steady_time Now);
+  void order(std::uint16_t Limit, double Remaining, double Urgent,
+             bool OnlySending, steady_time Now);
+  void listCandidates(std::uint16_t Limit, double Remaining, double Least,
+                      bool OnlySending, steady_time Now);
   double expected(const peer_state &Peer, std::uint16_t Limit, double Remaining,
                   steady_time Now) const;
   void addReports();
   std::vector<outgoing_ask> send(steady_time Now);
   void acceptRow(std::uint16_t Peer, const token_grant &Grant,
                  const grant_row &Row, steady_time Now);
+  static double mintedOf(const peer_view &View);
   void noteShortage(peer_view &View, const grant_row &Row, steady_time Now);
   static double horizon(const limit_state &Limit);
-  static double prefetch(const limit_state &Limit);
+  double prefetch(const limit_state &Limit) const;
+  double spareToken(const limit_state &Limit) const;
   double position(const limit_state &Limit) const;
   static peer_view &view(peer_state &Peer, std::uint16_t Limit);
   ask_row &rowFor(peer_state &Peer, std::uint16_t Limit);
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -25,18 +25,21 @@
 /// Borrowed tokens are kept at least this long before they are given back.
 constexpr milliseconds FreshLife{300};
 constexpr double GiveBackPart = 1.5;
+/// Least part of an ask that is counted on.
+constexpr double LeastLikely = 0.25;
 constexpr double LeastDemand = 0.01;
+/// Part of a peer's tokens that it can spare now and then.
+constexpr double SparePart = 0.5;
 constexpr std::size_t MaxAsksPerLimit = 12;
 /// After this a peer may have tokens that it hadn't when it answered.
 constexpr milliseconds ViewLife{1000};
-constexpr milliseconds ReportPause{150};
 constexpr milliseconds LeastTimeout{60};
 constexpr milliseconds MostTimeout{1500};
 constexpr milliseconds RetryStep{100};
 constexpr std::uint32_t MostRetrySteps = 20;
 constexpr milliseconds EmptyPause{5000};
 constexpr milliseconds LeastShortage{20};
-constexpr milliseconds MostShortage{500};
+constexpr milliseconds MostShortage{200};
 constexpr milliseconds LeastRetryAfter{20};
 constexpr milliseconds MostRetryAfter{10000};
 
@@ -70,7 +73,7 @@
   peer_view &View = view(Peer, Limit);
   if (View.Row < 0) {
     View.Row = static_cast<std::int32_t>(Peer.Rows.size());
-    Peer.Rows.push_back({Limits[Limit].Id, 0, 0, 0});
+    Peer.Rows.push_back({Limits[Limit].Id, 0, 0, 0, 0});
   }
   return Peer.Rows[static_cast<std::size_t>(View.Row)];
 }
@@ -121,10 +124,18 @@
                     MostHorizon);
 }
 
-double quota_bank::prefetch(const limit_state &Limit) {
+double quota_bank::prefetch(const limit_state &Limit) const {
   const double Demand = std::min(Limit.Demand, Limit.Rate);
   const double Stock = Demand * (Limit.LeadTime + horizon(Limit));
-  return Stock < LeastStock ? 0 : Stock + MilliPerToken;
+  if (Stock < LeastStock)
+    return 0;
+  return Stock + spareToken(Limit);
+}
+
+// One token against chance, unless that would bind most of a small burst.
+double quota_bank::spareToken(const limit_state &Limit) const {
+  const double Part = Limit.Burst / static_cast<double>(Peers.size() + 1);
+  return std::min<double>(MilliPerToken, Part * StockPart);
 }
 
 double quota_bank::position(const limit_state &Limit) const {
@@ -134,7 +145,7 @@
 void quota_bank::giveBack(limit_state &Limit, steady_time Now) {
   if (Limit.Pots.empty())
     return;
-  const double Most = prefetch(Limit) * GiveBackPart + MilliPerToken +
+  const double Most = prefetch(Limit) * GiveBackPart + spareToken(Limit) +
                       static_cast<double>(Limit.Backlog);
   const double Excess =
       Limit.Level + static_cast<double>(borrowed(Limit)) - Most;
@@ -150,7 +161,7 @@
     Pot.Tokens -= Back;
     Left -= Back;
     view(Peers[Pot.Peer], Index).Returned += Back;
-    Peers[Pot.Peer].ReportDue = true;
+    noteReport(Peers[Pot.Peer], Limit);
   }
   std::erase_if(Limit.Pots,
                 [](const token_pot &Pot) { return Pot.Tokens <= 0; });
@@ -161,8 +172,9 @@
   for (const ask_row &Row : Peer.Rows) {
     const std::uint16_t Index = LimitIndex.at(Row.Limit);
     peer_view &View = view(Peer, Index);
-    Limits[Index].OnOrder -= View.Ordered;
+    Limits[Index].OnOrder -= View.Likely;
     View.Ordered = 0;
+    View.Likely = 0;
   }
   Peer.Rows.clear();
 }
@@ -173,18 +185,25 @@
       continue;
     closeAsk(Peer);
     ++Counts.AsksTimedOut;
-    Peer.ReportDue = true;
+    if (!Peer.ReportAt)
+      Peer.ReportAt = Now;
     Peer.Failures = std::min(Peer.Failures + 1, MostRetrySteps);
     // The first loss is repeated at once; more of them are likely a fault.
     Peer.RetryAt = Now + RetryStep * static_cast<int>(Peer.Failures - 1);
   }
 }
 
+// A limit with little burst needs its lent tokens back soon.
+void quota_bank::noteReport(peer_state &Peer, const limit_state &Limit) const {
+  const steady_time Due = TickedAt + toMillis(horizon(Limit));
+  Peer.ReportAt = std::min(Peer.ReportAt.value_or(Due), Due);
+}
+
 void quota_bank::markReports(steady_time Now) {
   for (peer_state &Peer : Peers) {
-    if (!Peer.ReportDue || Peer.Sending || Peer.Open || !Peer.Present)
+    if (!Peer.ReportAt || Peer.Sending || Peer.Open || !Peer.Present)
       continue;
-    if (Now >= Peer.RetryAt && Now >= Peer.SentAt + ReportPause)
+    if (Now >= *Peer.ReportAt && Now >= Peer.RetryAt)
       Peer.Sending = true;
   }
 }
@@ -200,8 +219,9 @@
     if (OnlyHungry && Position >= Backlog + Stock * HungryPart)
       continue;
     const double Remaining = Backlog + Stock - Position;
+    const double Urgent = std::clamp(Backlog - Position, 0.0, Backlog);
     if (Remaining >= 1)
-      order(static_cast<std::uint16_t>(I), Remaining, !OnlyHungry, Now);
+      order(static_cast<std::uint16_t>(I), Remaining, Urgent, !OnlyHungry, Now);
   }
 }
 
@@ -216,12 +236,19 @@
   if (Now >= View.SeenAt + ViewLife)
     return std::min(Remaining, Part);
   const double Age = seconds(Now - View.SeenAt);
-  return static_cast<double>(View.Left) +
-         static_cast<double>(View.SparePerSecond) * Age;
+  return static_cast<double>(View.Left) + mintedOf(View) * Age;
+}
+
+// Demand varies, so that a part of the tokens is to spare now and then also
+// where none is on average.
+double quota_bank::mintedOf(const peer_view &View) {
+  return std::max(static_cast<double>(View.SparePerSecond),
+                  static_cast<double>(View.MintedPerSecond) * SparePart);
 }
 
 void quota_bank::listCandidates(std::uint16_t Limit, double Remaining,
-                                bool OnlySending, steady_time Now) {
+                                double Least, bool OnlySending,
+                                steady_time Now) {
   Candidates.clear();
   for (std::size_t I = 0; I < Peers.size(); ++I) {
     const peer_state &Peer = Peers[I];
@@ -231,7 +258,7 @@
     if (Limit < Peer.Views.size() && Now < Peer.Views[Limit].NotBefore)
       continue;
     const double Expected = expected(Peer, Limit, Remaining, Now);
-    if (Expected < std::min(Remaining, LeastStock))
+    if (Expected < Least)
       continue;
     Candidates.push_back({static_cast<std::uint16_t>(I), Peer.Near, Expected,
                           static_cast<std::uint32_t>(Random())});
@@ -246,9 +273,10 @@
             });
 }
 
-void quota_bank::order(std::uint16_t Limit, double Remaining, bool OnlySending,
-                       steady_time Now) {
-  listCandidates(Limit, Remaining, OnlySending, Now);
+void quota_bank::order(std::uint16_t Limit, double Remaining, double Urgent,
+                       bool OnlySending, steady_time Now) {
+  const double Least = Urgent > 0 ? 0 : std::min(Remaining, LeastStock);
+  listCandidates(Limit, Remaining, Least, OnlySending, Now);
   if (Candidates.size() > MaxAsksPerLimit)
     Candidates.resize(MaxAsksPerLimit);
   for (const candidate &Each : Candidates) {
@@ -258,11 +286,17 @@
     const double Want =
         std::min(Remaining, std::max<double>(Each.Expected, MilliPerToken));
     const auto Ordered = static_cast<milli_tokens>(std::ceil(Want));
-    rowFor(Peer, Limit).Want += Ordered;
+    ask_row &Row = rowFor(Peer, Limit);
+    Row.Want += Ordered;
+    Row.Urgent += std::min(Ordered, static_cast<milli_tokens>(Urgent));
+    Urgent = std::max(0.0, Urgent - Want);
+    const double Likely = std::clamp(Each.Expected, Want * LeastLikely, Want);
+    const auto Counted = static_cast<milli_tokens>(std::ceil(Likely));
     view(Peer, Limit).Ordered += Ordered;
-    Limits[Limit].OnOrder += Ordered;
+    view(Peer, Limit).Likely += Counted;
+    Limits[Limit].OnOrder += Counted;
     Peer.Sending = true;
-    Remaining -= Want;
+    Remaining -= Likely;
   }
 }
 
@@ -294,7 +328,7 @@
     for (peer_view &View : Peer.Views)
       View.Row = -1;
     Peer.Sending = false;
-    Peer.ReportDue = false;
+    Peer.ReportAt.reset();
     Peer.Open = true;
     Peer.SentAt = Now;
     ++Peer.Sequence;
@@ -345,6 +379,7 @@
   View.Known = true;
   View.Left = Row.Left;
   View.SparePerSecond = Row.SparePerSecond;
+  View.MintedPerSecond = Row.MintedPerSecond;
   View.SeenAt = Now;
   noteShortage(View, Row, Now);
   const steady_time Expires = Peer.SentAt + TokenLife;
--- a/packages/coordination/tests/quota_fleet.h
+++ b/packages/coordination/tests/quota_fleet.h
@@ -23,6 +23,10 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+/// Estimates of an encoded message without its rows, and of a row.
+inline constexpr std::size_t MessageBytes = 40;
+inline constexpr std::size_t RowBytes = 18;
+
 /// Lent is the shipped policy; the others are simple versions that the tests
 /// have to catch.
 enum class quota_policy {
@@ -547,7 +551,7 @@
   }
 
   void send(std::size_t P, std::size_t Q, std::size_t Size,
-            std::function<void()> Run) {
+            const std::function<void()> &Run) {
     ++Messages;
     Bytes += Size;
     if (!linked(P, Q))
@@ -576,28 +580,29 @@
       for (ask_row &Row : Out.Ask.Rows)
         Row.Held = 0;
     const std::size_t Q = indexOf(Out.To);
-    const std::size_t Size = 36 + 11 * Out.Ask.Rows.size();
+    const std::size_t Size = MessageBytes + RowBytes * Out.Ask.Rows.size();
     send(P, Q, Size, [this, P, Q, Ask = std::move(Out.Ask)] {
       const auto Grant =
           timed([&] { return Processes[Q].Bank->answer(Ask, Now); });
       if (!Grant)
         return;
-      send(Q, P, 40 + 13 * Grant->Rows.size(), [this, P, Q, Grant] {
-        timed([&] {
-          Processes[P].Bank->accept(Processes[Q].Name, *Grant, Now);
-          return 0;
-        });
-        retryWaiting(P);
-      });
+      send(Q, P, MessageBytes + RowBytes * Grant->Rows.size(),
+           [this, P, Q, Grant] {
+             timed([&] {
+               Processes[P].Bank->accept(Processes[Q].Name, *Grant, Now);
+               return 0;
+             });
+             retryWaiting(P);
+           });
     });
   }
 
-  void operate(std::size_t P, share_actions Actions) {
+  void operate(std::size_t P, const share_actions &Actions) {
     for (const share_read &Read : Actions.Reads)
       startRead(P, Read);
-    for (share_write &Write : Actions.Writes)
-      startWrite(P, std::move(Write));
-    for (outgoing_promise_request &Out : Actions.Requests) {
+    for (const share_write &Write : Actions.Writes)
+      startWrite(P, Write);
+    for (const outgoing_promise_request &Out : Actions.Requests) {
       const std::size_t Q = indexOf(Out.To.Name);
       send(P, Q, 60, [this, P, Q, Out] {
         const promise_reply Reply =
@@ -650,7 +655,7 @@
     });
   }
 
-  void startWrite(std::size_t P, share_write Write) {
+  void startWrite(std::size_t P, const share_write &Write) {
     ++PlatformWrites;
     const std::uint64_t Life = Processes[P].Life;
     const auto Finish = [this](process &Each,
--- a/packages/steering/src/region.cpp
+++ b/packages/steering/src/region.cpp
@@ -142,6 +142,7 @@
 
 template <class Rows> std::vector<std::string> sortedNames(const Rows &Table) {
   std::vector<std::string> Names;
+  Names.reserve(Table.size());
   for (const auto &Row : Table)
     Names.push_back(Row.Name);
   std::sort(Names.begin(), Names.end());
@@ -169,26 +170,25 @@
           std::clamp(Time, LeastRetryAfter, LargestRetryAfter)};
 }
 
-/// The usable region other than \p Former with the largest wanted share; the
-/// own region, then a random one, among equals.
+/// A usable region other than \p Former: the own one if it has no weight to go
+/// by, otherwise drawn by wanted share, or evenly when none has a share.
 std::size_t alternative(const region_plan &Plan, const weight_set &Set,
-                        const region_mask &Usable, std::size_t Former,
-                        double Draw) {
+                        region_mask Usable, std::size_t Former, double Draw) {
+  Usable.reset(Former);
   double Sum = 0;
   for (std::size_t I = 0; I < Plan.Regions; ++I)
-    if (Usable[I] && I != Former)
-      Sum += Set.Wanted.Share[I];
-  double Point = Draw * Sum;
+    Sum += Usable[I] ? Set.Wanted.Share[I] : 0;
+  if (Sum <= 0 && Usable[Plan.Own.Index])
+    return Plan.Own.Index;
+  double Point = Draw * (Sum > 0 ? Sum : static_cast<double>(Usable.count()));
   std::size_t Last = MaxRegions;
   for (std::size_t I = 0; I < Plan.Regions; ++I) {
-    if (!Usable[I] || I == Former)
+    if (!Usable[I])
       continue;
-    if (Sum <= 0 && I == Plan.Own.Index)
-      return I;
     Last = I;
-    if (Sum > 0 && Point < Set.Wanted.Share[I])
+    Point -= Sum > 0 ? Set.Wanted.Share[I] : 1;
+    if (Point < 0)
       return I;
-    Point -= Set.Wanted.Share[I];
   }
   return Last;
 }
@@ -197,6 +197,19 @@
   return {static_cast<std::uint16_t>(Index)};
 }
 
+/// Regions that the former or the wanted weights, or a fail-over, may choose.
+region_mask servingRegions(const weight_set &Set) {
+  region_mask Regions = Set.Candidates;
+  for (std::size_t I = 0; I < MaxRegions; ++I)
+    if (Set.Former.Share[I] > 0)
+      Regions.set(I);
+  return Regions;
+}
+
+error noRegion() {
+  return {error_kind::NoCapacity, "no region can take the request", {}};
+}
+
 double fraction(double Value) { return Value - std::floor(Value); }
 
 } // namespace
@@ -269,19 +282,22 @@
   if (Service.Index >= Plan.Shifts.size())
     return error{error_kind::NoCapacity, "unknown service", {}};
   State.PlatformNow = std::max(State.PlatformNow, PlatformNow);
-  noteGap(State, Service, Now);
   const std::uint16_t SetIndex = weightSetOf(Plan, Service, Request.Workspace);
   const weight_set &Set = Plan.Sets[SetIndex];
+  const region_mask Usable = Request.Available & Plan.Active;
+  if ((Usable & servingRegions(Set)).none())
+    return noRegion();
+  noteGap(State, Service, Now);
   const shift_row &Shift = Plan.Shifts[Service.Index];
   shift_budget &Budget = State.Budgets[Service.Index];
-  countDecision(Budget, Shift);
+  if (!Request.Repeated)
+    countDecision(Budget, Shift);
   const auto SinceEdit =
       duration_cast<milliseconds>(State.PlatformNow - Plan.EditedAt);
   const double Draw = draw(State.Draws[SetIndex]);
   const coupled_choice Choice = chooseCoupled(
       Set.Former, sharesInForce(Set.Former, Set.Wanted, Shift, SinceEdit),
       Draw);
-  const region_mask Usable = Request.Available & Plan.Active;
   const region_handle Former = regionAt(Choice.Former);
   if (Choice.InForce != Choice.Former && Usable[Choice.InForce] &&
       tryMove(Budget, move_cause::Weights))
@@ -291,7 +307,7 @@
   const std::size_t Other = alternative(Plan, Set, Usable & Set.Candidates,
                                         Choice.Former, fraction(Draw * 4096));
   if (Other >= Plan.Regions)
-    return error{error_kind::NoCapacity, "no region can take the request", {}};
+    return noRegion();
   if (tryMove(Budget, move_cause::Forced))
     return region_decision{regionAt(Other), Former, true};
   return shiftCapped(Plan, State, Service);
--- a/packages/traffic/src/lane.cpp
+++ b/packages/traffic/src/lane.cpp
@@ -2,8 +2,8 @@
 
 namespace magnoliaspread {
 
-asio::awaitable<result<placement>> lane::wait(fairq_entry Entry,
-                                              const place_finder &Find) {
+asio::awaitable<result<dispatch_place>> lane::wait(fairq_entry Entry,
+                                                   const place_finder &Find) {
   const status Pushed = push(Queue, Entry, Clock.now());
   if (failed(Pushed))
     co_return errorOf(Pushed);
@@ -37,7 +37,7 @@
   std::vector<fairq_entry> Expired;
   expire(Queue, Now, Expired);
   while (waiting(Queue) > 0) {
-    std::optional<placement> Place = Find();
+    std::optional<dispatch_place> Place = Find();
     if (!Place)
       break;
     const std::optional<fairq_grant> Grant = pop(Queue, Now, Expired);
--- a/packages/traffic/src/lane_p.h
+++ b/packages/traffic/src/lane_p.h
@@ -24,12 +24,12 @@
       : Context(Context), Clock(Clock), Queue(Limits) {}
 
   /// Finds a place that is free now; empty when there is none.
-  using place_finder = std::function<std::optional<placement>()>;
+  using place_finder = std::function<std::optional<dispatch_place>()>;
 
   /// Waits for a place. Errors, all not run: those of push(), or
   /// DeadlineExpired.
-  asio::awaitable<result<placement>> wait(fairq_entry Entry,
-                                          const place_finder &Find);
+  asio::awaitable<result<dispatch_place>> wait(fairq_entry Entry,
+                                               const place_finder &Find);
 
   /// Gives places that are free now to those that wait.
   void pump(const place_finder &Find);
@@ -47,7 +47,7 @@
   struct waiter {
     explicit waiter(asio::io_context &Context) : Signal(Context) {}
     asio::steady_timer Signal;
-    std::optional<placement> Place;
+    std::optional<dispatch_place> Place;
     bool Expired = false;
   };
 
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -14,6 +14,8 @@
 
 /// Pause between two asks for credits to the same peer.
 constexpr milliseconds AskPause{50};
+/// Longest wait of a forwarded request; its sender places it again then.
+constexpr milliseconds ForwardedWait{500};
 /// Peers of a region that are asked for credits at a time.
 constexpr std::size_t MaxAskPeers = 4;
 
@@ -96,6 +98,9 @@
       for (const auto &Lane : Service.Lanes)
         if (Lane != nullptr)
           setWeight(Lane->queue(), Workspace, Row.Weight);
+    for (service_state &Service : Services)
+      if (Service.Forwarded != nullptr)
+        setWeight(Service.Forwarded->queue(), Workspace, Row.Weight);
   }
 }
 
@@ -197,7 +202,14 @@
 }
 
 lane &steerer::laneOf(service_handle Service, region_handle Region) {
-  std::unique_ptr<lane> &Lane = Services[Service.Index].Lanes[Region.Index];
+  return openLane(Services[Service.Index].Lanes[Region.Index]);
+}
+
+lane &steerer::forwardedLaneOf(service_handle Service) {
+  return openLane(Services[Service.Index].Forwarded);
+}
+
+lane &steerer::openLane(std::unique_ptr<lane> &Lane) {
   if (Lane == nullptr) {
     Lane = std::make_unique<lane>(Context, Clock, laneLimits());
     for (const workspace_row &Row : Config->Table.Workspaces)
@@ -214,6 +226,7 @@
   Wanted.Workspace =
       handleOf<workspace_handle>(PlanNames.Workspaces, workspaceName(Request));
   Wanted.Available = availableRegions(serviceOf(Request), Now);
+  Wanted.Repeated = Request.Attempt > 0;
   const result<region_decision> Decided =
       chooseRegion(Plan, Regions, Wanted, Now, platformNow(Now));
   if (failed(Decided))
@@ -221,13 +234,13 @@
   return valueOf(Decided).Region;
 }
 
-asio::awaitable<result<placement>>
+asio::awaitable<result<dispatch_place>>
 steerer::place(const placement_request &Request) {
   const service_handle Service = serviceOf(Request);
   if (!Service.valid() || !Plan.Own.valid())
     co_return noCapacity("the service has no plan here");
   if (Request.Forwarded)
-    co_return placeForwarded(Request, Service);
+    co_return co_await placeForwarded(Request, Service);
   const steady_time Deadline = Request.Request->Deadline;
   const std::string Workspace = workspaceName(Request);
   if (!Workspace.empty() && Request.Attempt == 0) {
@@ -246,28 +259,34 @@
   });
 }
 
-/// A forwarded request takes a slot here or is refused; it never waits, since
-/// its sender queues it.
-result<placement> steerer::placeForwarded(const placement_request &Request,
-                                          service_handle Service) {
+/// A forwarded request with a credit takes a slot here or waits for one; it is
+/// never forwarded again. One without a credit takes a free slot or is refused,
+/// and its sender queues it.
+asio::awaitable<result<dispatch_place>>
+steerer::placeForwarded(placement_request Request, service_handle Service) {
   const steady_time Now = Clock.now();
   const instance_handle Peer = PeerNames.intern(Request.Forwarded->Peer);
   const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  const status Admitted =
-      admit(Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
+  const status Admitted = admitCredited(
+      Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
   if (failed(Admitted))
-    return errorOf(Admitted);
-  const result<target_handle> Target = pick(Targets, Service, Now, Random());
-  if (failed(Target))
-    return errorOf(Target);
-  return useTarget(Service, valueOf(Target), Now);
+    co_return errorOf(Admitted);
+  updateSlots(Service, Now);
+  const steady_time Deadline = Request.Request->Deadline;
+  const fairq_entry Entry{++NextTicket, workspaceOf(Request),
+                          std::min(Deadline, Now + ForwardedWait)};
+  const result<dispatch_place> Place = co_await forwardedLaneOf(Service).wait(
+      Entry, [=, this] { return findTarget(Service, Clock.now()); });
+  if (failed(Place) && Clock.now() < Deadline)
+    co_return noCapacity("no slot came free for a forwarded request");
+  co_return Place;
 }
 
-placement steerer::useTarget(service_handle Service, target_handle Target,
-                             steady_time Now) {
+dispatch_place steerer::useTarget(service_handle Service, target_handle Target,
+                                  steady_time Now) {
   started(Targets, Target, Now);
   const target_row &Row = TargetRows[Target.Index];
-  placement Place;
+  dispatch_place Place;
   Place.Name = Row.Name;
   Place.Address = {Row.Address, Row.Port};
   Place.Service = Service;
@@ -277,26 +296,23 @@
   return Place;
 }
 
-std::optional<placement> steerer::findTarget(service_handle Service,
-                                             steady_time Now) {
-  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  if (Free <= reservedSlots(Grantor, Service, Now))
-    return std::nullopt;
+std::optional<dispatch_place> steerer::findTarget(service_handle Service,
+                                                  steady_time Now) {
   const result<target_handle> Target = pick(Targets, Service, Now, Random());
   if (failed(Target))
     return std::nullopt;
   return useTarget(Service, valueOf(Target), Now);
 }
 
-std::optional<placement> steerer::findPeer(service_handle Service,
-                                           region_handle Region,
-                                           steady_time Now) {
+std::optional<dispatch_place> steerer::findPeer(service_handle Service,
+                                                region_handle Region,
+                                                steady_time Now) {
   const result<credit> Spent =
       spendCredit(Wallet, peersOf(Region), Service, Now, Random());
   if (failed(Spent))
     return std::nullopt;
   const instance_view &Peer = Peers[valueOf(Spent).Peer.Index].View;
-  placement Place;
+  dispatch_place Place;
   Place.Kind = upstream_kind::Peer;
   Place.Name = Peer.Name;
   Place.Address = Peer.Internal;
@@ -308,11 +324,11 @@
   return Place;
 }
 
-std::optional<placement> steerer::findPlace(service_handle Service,
-                                            region_handle Region) {
+std::optional<dispatch_place> steerer::findPlace(service_handle Service,
+                                                 region_handle Region) {
   const steady_time Now = Clock.now();
   if (Region == Plan.Own) {
-    std::optional<placement> Target = findTarget(Service, Now);
+    std::optional<dispatch_place> Target = findTarget(Service, Now);
     if (Target)
       return Target;
   }
@@ -322,6 +338,8 @@
 /// Tells the queues how many requests run at a time, for their estimates.
 void steerer::updateSlots(service_handle Service, steady_time Now) {
   const std::uint32_t Own = countSlots(Targets, Service, Now).Usable;
+  if (Services[Service.Index].Forwarded != nullptr)
+    setSlots(forwardedLaneOf(Service).queue(), Own);
   for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
     const region_handle Region{I};
     const auto Peers = static_cast<std::uint32_t>(peersOf(Region).size());
@@ -331,6 +349,9 @@
 }
 
 void steerer::pumpService(service_handle Service) {
+  const auto &Forwarded = Services[Service.Index].Forwarded;
+  if (Forwarded != nullptr)
+    Forwarded->pump([&] { return findTarget(Service, Clock.now()); });
   for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
     const region_handle Region{I};
     const auto &Lane = Services[Service.Index].Lanes[I];
@@ -369,10 +390,25 @@
   }
 }
 
+/// What this instance offers its peers: nothing while own requests wait.
+offered_slots steerer::offeredSlots(service_handle Service,
+                                    steady_time Now) const {
+  const service_state &State = Services[Service.Index];
+  const auto &Own = State.Lanes[Plan.Own.Index];
+  const bool OwnWait = Own != nullptr && Own->waitingCount() > 0;
+  const bool PeersWait =
+      State.Forwarded != nullptr && State.Forwarded->waitingCount() > 0;
+  offered_slots Offer;
+  if (!OwnWait && !PeersWait)
+    Offer.Free = countSlots(Targets, Service, Now).Free;
+  if (Own != nullptr)
+    Offer.SlotTime = meanSlotTime(Own->queue());
+  return Offer;
+}
+
 void steerer::grantCreditsOf(service_handle Service, steady_time Now) {
-  const std::uint32_t Free = countSlots(Targets, Service, Now).Free;
-  for (const addressed_grant &Row :
-       grantCredits(Grantor, Service, Free, Now, Random()))
+  for (const addressed_grant &Row : grantCredits(
+           Grantor, Service, offeredSlots(Service, Now), Now, Random()))
     Outgoing.push_back(
         {PeerNames.name(Row.Peer),
          credit_grant_message{stableId(Services[Service.Index].Name),
@@ -401,6 +437,8 @@
     for (const auto &Lane : Services[I].Lanes)
       if (Lane != nullptr)
         Frame.Waiting += Lane->waitingCount();
+    if (Services[I].Forwarded != nullptr)
+      Frame.Waiting += Services[I].Forwarded->waitingCount();
   }
   Frame.Credits = std::exchange(Outgoing, {});
 }
@@ -434,8 +472,8 @@
 }
 
 /// Tells the target's row how its request ended.
-void steerer::endTarget(const placement &Place, const relay_outcome &Outcome,
-                        steady_time Now) {
+void steerer::endTarget(const dispatch_place &Place,
+                        const relay_outcome &Outcome, steady_time Now) {
   if (Outcome.LoadRunning)
     reportLoad(Targets, Place.Target, *Outcome.LoadRunning, Now);
   if (Outcome.Answered)
@@ -453,17 +491,23 @@
   }
 }
 
-void steerer::endPeer(const placement &Place, const relay_outcome &Outcome) {
+void steerer::endPeer(const dispatch_place &Place,
+                      const relay_outcome &Outcome) {
   if (!Outcome.Answered && Outcome.Error.Kind != error_kind::CallerGone)
     dropCredits(Wallet, Place.Peer, Place.Service);
 }
 
-void steerer::finished(const placement &Place, const relay_outcome &Outcome) {
+void steerer::finished(const dispatch_place &Place,
+                       const relay_outcome &Outcome) {
   const steady_time Now = Clock.now();
   if (Place.Kind == upstream_kind::Target)
     endTarget(Place, Outcome, Now);
   else
     endPeer(Place, Outcome);
+  // Tickets are unique, and a lane ignores those of others.
+  const auto &Forwarded = Services[Place.Service.Index].Forwarded;
+  if (Forwarded != nullptr)
+    Forwarded->settlePlace(Place.Ticket, Now - Place.Since);
   if (Place.Ticket != 0)
     laneOf(Place.Service, Place.Region)
         .settlePlace(Place.Ticket, Now - Place.Since);
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -860,6 +860,7 @@
 
 void Summary::__set_speaker(const int64_t val) {
   this->speaker = val;
+__isset.speaker = true;
 }
 
 void Summary::__set_sequence(const int64_t val) {
@@ -1010,10 +1011,11 @@
   xfer += oprot->writeI64(this->rowsHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("speaker", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->speaker);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.speaker) {
+    xfer += oprot->writeFieldBegin("speaker", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->speaker);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
@@ -1087,7 +1089,7 @@
   out << "Summary(";
   out << "dataCentre=" << to_string(dataCentre);
   out << ", " << "rowsHash=" << to_string(rowsHash);
-  out << ", " << "speaker=" << to_string(speaker);
+  out << ", " << "speaker="; (__isset.speaker ? (out << to_string(speaker)) : (out << "<null>"));
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "lowestVersion=" << to_string(lowestVersion);
   out << ", " << "config=" << to_string(config);
@@ -1104,6 +1106,7 @@
 
 void Heartbeat::__set_incarnation(const int64_t val) {
   this->incarnation = val;
+__isset.incarnation = true;
 }
 
 void Heartbeat::__set_report(const Report& val) {
@@ -1233,10 +1236,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Heartbeat");
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 2);
   xfer += this->report.write(oprot);
   xfer += oprot->writeFieldEnd();
@@ -1307,7 +1311,7 @@
 void Heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Heartbeat(";
-  out << "incarnation=" << to_string(incarnation);
+  out << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
   out << ", " << "report=" << to_string(report);
   out << ", " << "speaker="; (__isset.speaker ? (out << to_string(speaker)) : (out << "<null>"));
   out << ", " << "summaries="; (__isset.summaries ? (out << to_string(summaries)) : (out << "<null>"));
@@ -1704,6 +1708,10 @@
   this->want = val;
 }
 
+void AskRow::__set_urgent(const int64_t val) {
+  this->urgent = val;
+}
+
 void AskRow::__set_held(const int64_t val) {
   this->held = val;
 }
@@ -1756,6 +1764,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->urgent);
+          this->__isset.urgent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->held);
           this->__isset.held = true;
@@ -1763,7 +1779,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->returned);
           this->__isset.returned = true;
@@ -1796,11 +1812,15 @@
   xfer += oprot->writeI64(this->want);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("urgent", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->urgent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->held);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->returned);
   xfer += oprot->writeFieldEnd();
 
@@ -1813,6 +1833,7 @@
   using ::std::swap;
   swap(a.limit, b.limit);
   swap(a.want, b.want);
+  swap(a.urgent, b.urgent);
   swap(a.held, b.held);
   swap(a.returned, b.returned);
   swap(a.__isset, b.__isset);
@@ -1821,6 +1842,7 @@
 AskRow::AskRow(const AskRow& other46) noexcept {
   limit = other46.limit;
   want = other46.want;
+  urgent = other46.urgent;
   held = other46.held;
   returned = other46.returned;
   __isset = other46.__isset;
@@ -1828,6 +1850,7 @@
 AskRow& AskRow::operator=(const AskRow& other47) noexcept {
   limit = other47.limit;
   want = other47.want;
+  urgent = other47.urgent;
   held = other47.held;
   returned = other47.returned;
   __isset = other47.__isset;
@@ -1838,6 +1861,7 @@
   out << "AskRow(";
   out << "limit=" << to_string(limit);
   out << ", " << "want=" << to_string(want);
+  out << ", " << "urgent=" << to_string(urgent);
   out << ", " << "held=" << to_string(held);
   out << ", " << "returned=" << to_string(returned);
   out << ")";
@@ -2035,6 +2059,10 @@
 void GrantRow::__set_sparePerSecond(const int64_t val) {
   this->sparePerSecond = val;
 }
+
+void GrantRow::__set_mintedPerSecond(const int64_t val) {
+  this->mintedPerSecond = val;
+}
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj)
 {
   obj.printTo(out);
@@ -2095,6 +2123,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->mintedPerSecond);
+          this->__isset.mintedPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2128,6 +2164,10 @@
   xfer += oprot->writeI64(this->sparePerSecond);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mintedPerSecond", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->mintedPerSecond);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2139,6 +2179,7 @@
   swap(a.tokens, b.tokens);
   swap(a.left, b.left);
   swap(a.sparePerSecond, b.sparePerSecond);
+  swap(a.mintedPerSecond, b.mintedPerSecond);
   swap(a.__isset, b.__isset);
 }
 
@@ -2147,6 +2188,7 @@
   tokens = other56.tokens;
   left = other56.left;
   sparePerSecond = other56.sparePerSecond;
+  mintedPerSecond = other56.mintedPerSecond;
   __isset = other56.__isset;
 }
 GrantRow& GrantRow::operator=(const GrantRow& other57) noexcept {
@@ -2154,6 +2196,7 @@
   tokens = other57.tokens;
   left = other57.left;
   sparePerSecond = other57.sparePerSecond;
+  mintedPerSecond = other57.mintedPerSecond;
   __isset = other57.__isset;
   return *this;
 }
@@ -2164,6 +2207,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "left=" << to_string(left);
   out << ", " << "sparePerSecond=" << to_string(sparePerSecond);
+  out << ", " << "mintedPerSecond=" << to_string(mintedPerSecond);
   out << ")";
 }
 
@@ -2180,6 +2224,10 @@
   this->sequence = val;
 }
 
+void TokenGrant::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
 void TokenGrant::__set_shares(const int32_t val) {
   this->shares = val;
 }
@@ -2232,6 +2280,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->shares);
           this->__isset.shares = true;
@@ -2239,7 +2295,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
@@ -2284,11 +2340,15 @@
   xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->shares);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
     std::vector<GrantRow> ::const_iterator _iter63;
@@ -2309,6 +2369,7 @@
   using ::std::swap;
   swap(a.incarnation, b.incarnation);
   swap(a.sequence, b.sequence);
+  swap(a.configVersion, b.configVersion);
   swap(a.shares, b.shares);
   swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
@@ -2317,6 +2378,7 @@
 TokenGrant::TokenGrant(const TokenGrant& other64) {
   incarnation = other64.incarnation;
   sequence = other64.sequence;
+  configVersion = other64.configVersion;
   shares = other64.shares;
   rows = other64.rows;
   __isset = other64.__isset;
@@ -2324,6 +2386,7 @@
 TokenGrant& TokenGrant::operator=(const TokenGrant& other65) {
   incarnation = other65.incarnation;
   sequence = other65.sequence;
+  configVersion = other65.configVersion;
   shares = other65.shares;
   rows = other65.rows;
   __isset = other65.__isset;
@@ -2334,6 +2397,7 @@
   out << "TokenGrant(";
   out << "incarnation=" << to_string(incarnation);
   out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "configVersion=" << to_string(configVersion);
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "rows=" << to_string(rows);
   out << ")";
@@ -3000,6 +3064,310 @@
 }
 
 
+CreditAsk::~CreditAsk() noexcept {
+}
+
+
+void CreditAsk::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+}
+
+void CreditAsk::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void CreditAsk::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditAsk");
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditAsk &a, CreditAsk &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.wanted, b.wanted);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+CreditAsk::CreditAsk(const CreditAsk& other88) noexcept {
+  serviceId = other88.serviceId;
+  wanted = other88.wanted;
+  sequence = other88.sequence;
+  __isset = other88.__isset;
+}
+CreditAsk& CreditAsk::operator=(const CreditAsk& other89) noexcept {
+  serviceId = other89.serviceId;
+  wanted = other89.wanted;
+  sequence = other89.sequence;
+  __isset = other89.__isset;
+  return *this;
+}
+void CreditAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditAsk(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+CreditGrant::~CreditGrant() noexcept {
+}
+
+
+void CreditGrant::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+}
+
+void CreditGrant::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void CreditGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CreditGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void CreditGrant::__set_lifetimeMs(const int32_t val) {
+  this->lifetimeMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lifetimeMs);
+          this->__isset.lifetimeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditGrant");
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifetimeMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->lifetimeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditGrant &a, CreditGrant &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.count, b.count);
+  swap(a.id, b.id);
+  swap(a.sequence, b.sequence);
+  swap(a.lifetimeMs, b.lifetimeMs);
+  swap(a.__isset, b.__isset);
+}
+
+CreditGrant::CreditGrant(const CreditGrant& other90) noexcept {
+  serviceId = other90.serviceId;
+  count = other90.count;
+  id = other90.id;
+  sequence = other90.sequence;
+  lifetimeMs = other90.lifetimeMs;
+  __isset = other90.__isset;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other91) noexcept {
+  serviceId = other91.serviceId;
+  count = other91.count;
+  id = other91.id;
+  sequence = other91.sequence;
+  lifetimeMs = other91.lifetimeMs;
+  __isset = other91.__isset;
+  return *this;
+}
+void CreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditGrant(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "lifetimeMs=" << to_string(lifetimeMs);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -3048,6 +3416,16 @@
   this->quarantine = val;
 __isset.quarantine = true;
 }
+
+void Datagram::__set_creditAsk(const CreditAsk& val) {
+  this->creditAsk = val;
+__isset.creditAsk = true;
+}
+
+void Datagram::__set_creditGrant(const CreditGrant& val) {
+  this->creditGrant = val;
+__isset.creditGrant = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -3148,6 +3526,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->creditAsk.read(iprot);
+          this->__isset.creditAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->creditGrant.read(iprot);
+          this->__isset.creditGrant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3210,6 +3604,16 @@
     xfer += this->quarantine.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.creditAsk) {
+    xfer += oprot->writeFieldBegin("creditAsk", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->creditAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.creditGrant) {
+    xfer += oprot->writeFieldBegin("creditGrant", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->creditGrant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3226,32 +3630,38 @@
   swap(a.promiseRequest, b.promiseRequest);
   swap(a.promiseReply, b.promiseReply);
   swap(a.quarantine, b.quarantine);
+  swap(a.creditAsk, b.creditAsk);
+  swap(a.creditGrant, b.creditGrant);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other88) {
-  heartbeat = other88.heartbeat;
-  summary = other88.summary;
-  rows = other88.rows;
-  rowsRequest = other88.rowsRequest;
-  tokenAsk = other88.tokenAsk;
-  tokenGrant = other88.tokenGrant;
-  promiseRequest = other88.promiseRequest;
-  promiseReply = other88.promiseReply;
-  quarantine = other88.quarantine;
-  __isset = other88.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other89) {
-  heartbeat = other89.heartbeat;
-  summary = other89.summary;
-  rows = other89.rows;
-  rowsRequest = other89.rowsRequest;
-  tokenAsk = other89.tokenAsk;
-  tokenGrant = other89.tokenGrant;
-  promiseRequest = other89.promiseRequest;
-  promiseReply = other89.promiseReply;
-  quarantine = other89.quarantine;
-  __isset = other89.__isset;
+Datagram::Datagram(const Datagram& other92) {
+  heartbeat = other92.heartbeat;
+  summary = other92.summary;
+  rows = other92.rows;
+  rowsRequest = other92.rowsRequest;
+  tokenAsk = other92.tokenAsk;
+  tokenGrant = other92.tokenGrant;
+  promiseRequest = other92.promiseRequest;
+  promiseReply = other92.promiseReply;
+  quarantine = other92.quarantine;
+  creditAsk = other92.creditAsk;
+  creditGrant = other92.creditGrant;
+  __isset = other92.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other93) {
+  heartbeat = other93.heartbeat;
+  summary = other93.summary;
+  rows = other93.rows;
+  rowsRequest = other93.rowsRequest;
+  tokenAsk = other93.tokenAsk;
+  tokenGrant = other93.tokenGrant;
+  promiseRequest = other93.promiseRequest;
+  promiseReply = other93.promiseReply;
+  quarantine = other93.quarantine;
+  creditAsk = other93.creditAsk;
+  creditGrant = other93.creditGrant;
+  __isset = other93.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3266,6 +3676,8 @@
   out << ", " << "promiseRequest="; (__isset.promiseRequest ? (out << to_string(promiseRequest)) : (out << "<null>"));
   out << ", " << "promiseReply="; (__isset.promiseReply ? (out << to_string(promiseReply)) : (out << "<null>"));
   out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
+  out << ", " << "creditAsk="; (__isset.creditAsk ? (out << to_string(creditAsk)) : (out << "<null>"));
+  out << ", " << "creditGrant="; (__isset.creditGrant ? (out << to_string(creditGrant)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -61,6 +61,10 @@
 
 class QuarantineNotice;
 
+class CreditAsk;
+
+class CreditGrant;
+
 class Datagram;
 
 typedef struct _Address__isset {
@@ -478,7 +482,9 @@
       return false;
     if (!(rowsHash == rhs.rowsHash))
       return false;
-    if (!(speaker == rhs.speaker))
+    if (__isset.speaker != rhs.__isset.speaker)
+      return false;
+    else if (__isset.speaker && !(speaker == rhs.speaker))
       return false;
     if (!(sequence == rhs.sequence))
       return false;
@@ -550,7 +556,9 @@
 
   bool operator == (const Heartbeat & rhs) const
   {
-    if (!(incarnation == rhs.incarnation))
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
       return false;
     if (!(report == rhs.report))
       return false;
@@ -731,9 +739,10 @@
 std::ostream& operator<<(std::ostream& out, const RowsRequest& obj);
 
 typedef struct _AskRow__isset {
-  _AskRow__isset() : limit(false), want(false), held(false), returned(false) {}
+  _AskRow__isset() : limit(false), want(false), urgent(false), held(false), returned(false) {}
   bool limit :1;
   bool want :1;
+  bool urgent :1;
   bool held :1;
   bool returned :1;
 } _AskRow__isset;
@@ -746,6 +755,7 @@
   AskRow() noexcept
          : limit(0),
            want(0),
+           urgent(0),
            held(0),
            returned(0) {
   }
@@ -753,6 +763,7 @@
   virtual ~AskRow() noexcept;
   int64_t limit;
   int64_t want;
+  int64_t urgent;
   int64_t held;
   int64_t returned;
 
@@ -762,6 +773,8 @@
 
   void __set_want(const int64_t val);
 
+  void __set_urgent(const int64_t val);
+
   void __set_held(const int64_t val);
 
   void __set_returned(const int64_t val);
@@ -772,6 +785,8 @@
       return false;
     if (!(want == rhs.want))
       return false;
+    if (!(urgent == rhs.urgent))
+      return false;
     if (!(held == rhs.held))
       return false;
     if (!(returned == rhs.returned))
@@ -858,11 +873,12 @@
 std::ostream& operator<<(std::ostream& out, const TokenAsk& obj);
 
 typedef struct _GrantRow__isset {
-  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false) {}
+  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false), mintedPerSecond(false) {}
   bool limit :1;
   bool tokens :1;
   bool left :1;
   bool sparePerSecond :1;
+  bool mintedPerSecond :1;
 } _GrantRow__isset;
 
 class GrantRow : public virtual ::apache::thrift::TBase {
@@ -874,7 +890,8 @@
            : limit(0),
              tokens(0),
              left(0),
-             sparePerSecond(0) {
+             sparePerSecond(0),
+             mintedPerSecond(0) {
   }
 
   virtual ~GrantRow() noexcept;
@@ -882,6 +899,7 @@
   int64_t tokens;
   int64_t left;
   int64_t sparePerSecond;
+  int64_t mintedPerSecond;
 
   _GrantRow__isset __isset;
 
@@ -893,6 +911,8 @@
 
   void __set_sparePerSecond(const int64_t val);
 
+  void __set_mintedPerSecond(const int64_t val);
+
   bool operator == (const GrantRow & rhs) const
   {
     if (!(limit == rhs.limit))
@@ -903,6 +923,8 @@
       return false;
     if (!(sparePerSecond == rhs.sparePerSecond))
       return false;
+    if (!(mintedPerSecond == rhs.mintedPerSecond))
+      return false;
     return true;
   }
   bool operator != (const GrantRow &rhs) const {
@@ -922,9 +944,10 @@
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj);
 
 typedef struct _TokenGrant__isset {
-  _TokenGrant__isset() : incarnation(false), sequence(false), shares(false), rows(false) {}
+  _TokenGrant__isset() : incarnation(false), sequence(false), configVersion(false), shares(false), rows(false) {}
   bool incarnation :1;
   bool sequence :1;
+  bool configVersion :1;
   bool shares :1;
   bool rows :1;
 } _TokenGrant__isset;
@@ -937,12 +960,14 @@
   TokenGrant() noexcept
              : incarnation(0),
                sequence(0),
+               configVersion(0),
                shares(0) {
   }
 
   virtual ~TokenGrant() noexcept;
   int64_t incarnation;
   int64_t sequence;
+  int64_t configVersion;
   int32_t shares;
   std::vector<GrantRow>  rows;
 
@@ -952,6 +977,8 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_configVersion(const int64_t val);
+
   void __set_shares(const int32_t val);
 
   void __set_rows(const std::vector<GrantRow> & val);
@@ -962,6 +989,8 @@
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
     if (!(shares == rhs.shares))
       return false;
     if (!(rows == rhs.rows))
@@ -1251,8 +1280,136 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
 
+typedef struct _CreditAsk__isset {
+  _CreditAsk__isset() : serviceId(false), wanted(false), sequence(false) {}
+  bool serviceId :1;
+  bool wanted :1;
+  bool sequence :1;
+} _CreditAsk__isset;
+
+class CreditAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditAsk(const CreditAsk&) noexcept;
+  CreditAsk& operator=(const CreditAsk&) noexcept;
+  CreditAsk() noexcept
+            : serviceId(0),
+              wanted(0),
+              sequence(0) {
+  }
+
+  virtual ~CreditAsk() noexcept;
+  int64_t serviceId;
+  int32_t wanted;
+  int64_t sequence;
+
+  _CreditAsk__isset __isset;
+
+  void __set_serviceId(const int64_t val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const CreditAsk & rhs) const
+  {
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditAsk &a, CreditAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditAsk& obj);
+
+typedef struct _CreditGrant__isset {
+  _CreditGrant__isset() : serviceId(false), count(false), id(false), sequence(false), lifetimeMs(false) {}
+  bool serviceId :1;
+  bool count :1;
+  bool id :1;
+  bool sequence :1;
+  bool lifetimeMs :1;
+} _CreditGrant__isset;
+
+class CreditGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditGrant(const CreditGrant&) noexcept;
+  CreditGrant& operator=(const CreditGrant&) noexcept;
+  CreditGrant() noexcept
+              : serviceId(0),
+                count(0),
+                id(0),
+                sequence(0),
+                lifetimeMs(0) {
+  }
+
+  virtual ~CreditGrant() noexcept;
+  int64_t serviceId;
+  int32_t count;
+  int64_t id;
+  int64_t sequence;
+  int32_t lifetimeMs;
+
+  _CreditGrant__isset __isset;
+
+  void __set_serviceId(const int64_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_id(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_lifetimeMs(const int32_t val);
+
+  bool operator == (const CreditGrant & rhs) const
+  {
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(lifetimeMs == rhs.lifetimeMs))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditGrant &a, CreditGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -1262,6 +1419,8 @@
   bool promiseRequest :1;
   bool promiseReply :1;
   bool quarantine :1;
+  bool creditAsk :1;
+  bool creditGrant :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -1282,6 +1441,8 @@
   PromiseRequest promiseRequest;
   PromiseReply promiseReply;
   QuarantineNotice quarantine;
+  CreditAsk creditAsk;
+  CreditGrant creditGrant;
 
   _Datagram__isset __isset;
 
@@ -1303,6 +1464,10 @@
 
   void __set_quarantine(const QuarantineNotice& val);
 
+  void __set_creditAsk(const CreditAsk& val);
+
+  void __set_creditGrant(const CreditGrant& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1341,6 +1506,14 @@
       return false;
     else if (__isset.quarantine && !(quarantine == rhs.quarantine))
       return false;
+    if (__isset.creditAsk != rhs.__isset.creditAsk)
+      return false;
+    else if (__isset.creditAsk && !(creditAsk == rhs.creditAsk))
+      return false;
+    if (__isset.creditGrant != rhs.__isset.creditGrant)
+      return false;
+    else if (__isset.creditGrant && !(creditGrant == rhs.creditGrant))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint64_t SenderId = 42;
+
 fleet_key keyOf(unsigned char Fill) {
   fleet_key Key;
   Key.fill(Fill);
@@ -57,6 +59,11 @@
       member_message(summary_message{sampleSummary(), {Row, Row}}),
       member_message(rows_message{{Row, Row, Row}, true}),
       member_message(rows_request{Row, "dc3"}),
+      quota_message(
+          token_ask{9, 8, 7, {{0xffffffff, 5000, 4000, 300, 20}, {}}}),
+      quota_message(token_grant{9, 8, 77, 2, {{1, 5000, 40, 3, 1ll << 50}}}),
+      quota_message(promise_request{{"a", 9}, 8, {{65535, 77}, {1, 2}}}),
+      quota_message(promise_reply{{"a", 9}, 8, {0, 1, 65535}}),
       quarantine_notice{0xffffffffffffffffull, 90000ms, 3},
   };
 }
@@ -162,6 +169,7 @@
     for (std::uint64_t I = 10; I < 10 + 2 * MaxReplaySenders; ++I) {
       Filter.accept(I, 1);
       CPPUNIT_ASSERT(!Filter.accept(1, 5000));
+      CPPUNIT_ASSERT(Filter.senderCount() <= MaxReplaySenders);
     }
   });
 }
@@ -196,19 +204,44 @@
                              error_kind::BadDatagram));
   });
   section("an empty body has no kind", [&] {
+    CPPUNIT_ASSERT(isError(decodeBody(std::string(1, '\0'), SenderId),
+                           error_kind::BadDatagram));
+    CPPUNIT_ASSERT(isError(decodeBody("", SenderId), error_kind::BadDatagram));
+  });
+  section("bytes after the body are refused", [&] {
+    const std::string Body = valueOf(encodeBody(samples().front(), SenderId));
+    CPPUNIT_ASSERT(!failed(decodeBody(Body, SenderId)));
+    CPPUNIT_ASSERT(
+        isError(decodeBody(Body + '\0', SenderId), error_kind::BadDatagram));
+  });
+  section("states outside the list are refused", [&] {
+    member_row Row = sampleRow();
+    Row.Report.State = static_cast<member_state>(9);
+    const member_message Message = rows_message{{Row}, true};
     CPPUNIT_ASSERT(
-        isError(decodeBody(std::string(1, '\0')), error_kind::BadDatagram));
-    CPPUNIT_ASSERT(isError(decodeBody(""), error_kind::BadDatagram));
+        isError(decodeBody(valueOf(encodeBody(Message, SenderId)), SenderId),
+                error_kind::BadDatagram));
+  });
+  section("token amounts below zero are refused", [&] {
+    const quota_message Grant = token_grant{9, 8, 77, 2, {{1, -1, 0, 0, 0}}};
+    const quota_message Ask = token_ask{9, 8, 7, {{1, 0, 0, 0, -1}}};
+    for (const quota_message &Message : {Grant, Ask})
+      CPPUNIT_ASSERT(
+          isError(decodeBody(valueOf(encodeBody(Message, SenderId)), SenderId),
+                  error_kind::BadDatagram));
   });
   section("names beyond their length are refused", [&] {
     const auto Body = encodeBody(
-        member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}));
-    CPPUNIT_ASSERT(isError(decodeBody(valueOf(Body)), error_kind::BadDatagram));
+        member_message(rows_request{sampleRow(MaxNameBytes + 1), ""}),
+        SenderId);
+    CPPUNIT_ASSERT(
+        isError(decodeBody(valueOf(Body), SenderId), error_kind::BadDatagram));
   });
   section("a list that claims more rows than fit is refused", [&] {
     // Datagram.rows.rows: a list of two thousand million structures.
     const std::string Body("\x3c\x19\xfc\xff\xff\xff\xff\x07", 8);
-    CPPUNIT_ASSERT(isError(decodeBody(Body), error_kind::BadDatagram));
+    CPPUNIT_ASSERT(
+        isError(decodeBody(Body, SenderId), error_kind::BadDatagram));
   });
 }
 
@@ -225,12 +258,12 @@
   std::mt19937_64 Random(20261204);
   std::vector<std::string> Bodies;
   for (const control_message &Message : samples())
-    Bodies.push_back(valueOf(encodeBody(Message)));
+    Bodies.push_back(valueOf(encodeBody(Message, SenderId)));
   section("mutated bodies are read or refused", [&] {
     int Refused = 0;
     for (int I = 0; I < Rounds; ++I) {
       const std::string &Base = Bodies[Random() % Bodies.size()];
-      const auto Read = decodeBody(mutated(Base, Random));
+      const auto Read = decodeBody(mutated(Base, Random), SenderId);
       CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
       Refused += failed(Read) ? 1 : 0;
     }
@@ -239,10 +272,11 @@
   section("what is read can be written and read again", [&] {
     for (int I = 0; I < Rounds / 4; ++I) {
       const std::string &Base = Bodies[Random() % Bodies.size()];
-      const auto Read = decodeBody(mutated(Base, Random));
+      const auto Read = decodeBody(mutated(Base, Random), SenderId);
       if (failed(Read))
         continue;
-      const auto Again = decodeBody(valueOf(encodeBody(valueOf(Read))));
+      const auto Again =
+          decodeBody(valueOf(encodeBody(valueOf(Read), SenderId)), SenderId);
       CPPUNIT_ASSERT(!failed(Again));
       CPPUNIT_ASSERT(valueOf(Again) == valueOf(Read));
     }
@@ -252,15 +286,15 @@
       std::string Bytes(Random() % 200, '\0');
       std::generate(Bytes.begin(), Bytes.end(),
                     [&] { return static_cast<char>(Random()); });
-      const auto Read = decodeBody(Bytes);
+      const auto Read = decodeBody(Bytes, SenderId);
       CPPUNIT_ASSERT(!failed(Read) || isError(Read, error_kind::BadDatagram));
     }
   });
   section("every truncation is refused", [&] {
     for (const std::string &Body : Bodies)
       for (std::size_t Size = 0; Size < Body.size(); ++Size)
-        CPPUNIT_ASSERT(
-            isError(decodeBody(Body.substr(0, Size)), error_kind::BadDatagram));
+        CPPUNIT_ASSERT(isError(decodeBody(Body.substr(0, Size), SenderId),
+                               error_kind::BadDatagram));
   });
 }
 
@@ -268,8 +302,10 @@
   std::mt19937_64 Random(20261205);
   datagram_codec Sender(keyOf(1), 1001);
   datagram_codec Receiver(keyOf(1), 1002);
+  const std::vector<control_message> Messages = samples();
   for (int I = 0; I < 20000; ++I) {
-    const std::string Good = encoded(Sender, samples()[Random() % 6]);
+    const std::string Good =
+        encoded(Sender, Messages[Random() % Messages.size()]);
     const std::string Bad = mutated(Good, Random);
     if (Bad == Good)
       continue;
