--- a/bench/steering.cpp
+++ b/bench/steering.cpp
@@ -56,6 +56,7 @@
     Sum.Breaches += Run.Breaches;
     Sum.Offered += Run.Offered;
     Sum.Served += Run.Served;
+    Sum.Refused += Run.Refused;
     Sum.Waited += Run.Waited;
     Sum.Messages += Run.Messages;
   }
@@ -72,7 +73,9 @@
         Most);
   print(Report, "overrun_moments_" + Name, static_cast<double>(Result.Breaches),
         "instance ms", None);
-  print(Report, "served_" + Name, Result.servedPart(), "of offered");
+  const double Refused =
+      static_cast<double>(Result.Refused) / static_cast<double>(Result.Offered);
+  print(Report, "refused_" + Name, Refused, "of offered");
   print(Report, "mean_wait_" + Name, Result.meanWaitMs(), "ms");
 }
 
--- a/packages/steering/include/magnoliaspread/credit.h
+++ b/packages/steering/include/magnoliaspread/credit.h
@@ -197,7 +197,8 @@
                                     std::uint32_t Waiting, steady_time Now,
                                     std::uint64_t Random);
 
-/// Makes an ask to send to \p Peer; replaces an earlier one.
+/// Makes an ask to send to \p Peer. A grant may answer this one or the one
+/// before it.
 credit_ask makeAsk(credit_wallet &Wallet, instance_handle Peer,
                    service_handle Service, std::uint32_t Wanted,
                    steady_time Now);
--- a/packages/steering/src/credit.cpp
+++ b/packages/steering/src/credit.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Asks to one peer for one service that a grant may still answer.
+constexpr std::size_t AsksKept = 2;
 /// Time constant of the decaying demand.
 constexpr duration<double> DemandMemory{1.0};
 /// Credits wished for over the demand that is expected.
@@ -95,8 +97,9 @@
 bool awaits(const credit_wallet &Wallet, instance_handle Peer,
             service_handle Service, steady_time Now) {
   for (const sent_ask &Row : Wallet.Sent)
-    if (Row.Peer == Peer && Row.Ask.Service == Service)
-      return !Row.Answered && Now - Row.AskedAt < Wallet.Policy.Round;
+    if (Row.Peer == Peer && Row.Ask.Service == Service && !Row.Answered &&
+        Now - Row.AskedAt < Wallet.Policy.Round)
+      return true;
   return false;
 }
 
@@ -259,11 +262,18 @@
                    service_handle Service, std::uint32_t Wanted,
                    steady_time Now) {
   const credit_ask Ask{Service, Wanted, Wallet.NextSequence++};
+  sent_ask *Oldest = nullptr;
+  std::size_t Count = 0;
   for (sent_ask &Row : Wallet.Sent) {
-    if (Row.Peer == Peer && Row.Ask.Service == Service) {
-      Row = {Peer, Ask, Now, false};
-      return Ask;
-    }
+    if (Row.Peer != Peer || Row.Ask.Service != Service)
+      continue;
+    ++Count;
+    if (!Oldest || Row.Ask.Sequence < Oldest->Ask.Sequence)
+      Oldest = &Row;
+  }
+  if (Count >= AsksKept) {
+    *Oldest = {Peer, Ask, Now, false};
+    return Ask;
   }
   if (Wallet.Sent.size() < Wallet.Policy.Capacity)
     Wallet.Sent.push_back({Peer, Ask, Now, false});
--- a/packages/steering/tests/credit.cpp
+++ b/packages/steering/tests/credit.cpp
@@ -72,6 +72,17 @@
     const auto None = spendCredit(Wallet, {Receiver}, Service, Start, 3);
     CPPUNIT_ASSERT(errorOf(None).Kind == error_kind::NoCapacity);
   });
+  section("a grant that crosses the next ask counts, once", [&] {
+    credit_wallet Wallet(testPolicy(), 1);
+    const credit_ask First = makeAsk(Wallet, Receiver, Service, 3, Start);
+    const credit_ask Next = makeAsk(Wallet, Receiver, Service, 3, Start);
+    const credit_grant Grant{Service, 2, 9, First.Sequence, milliseconds(500)};
+    CPPUNIT_ASSERT(noteGrant(Wallet, Receiver, Grant, Start));
+    CPPUNIT_ASSERT(!noteGrant(Wallet, Receiver, Grant, Start));
+    const credit_grant Other{Service, 1, 10, Next.Sequence, milliseconds(500)};
+    CPPUNIT_ASSERT(noteGrant(Wallet, Receiver, Other, Start));
+    CPPUNIT_ASSERT_EQUAL(3U, creditsAt(Wallet, Receiver, Service, Start));
+  });
   section("the sender's time runs from its ask", [&] {
     credit_wallet Wallet(testPolicy(), 1);
     const credit_ask Ask = makeAsk(Wallet, Receiver, Service, 3, Start);
