--- a/packages/coordination/include/magnoliaspread/quota.h
+++ b/packages/coordination/include/magnoliaspread/quota.h
@@ -109,7 +109,7 @@
     double MintRate = 0;
     milli_tokens Lent = 0;
     std::vector<token_pot> Pots;
-    /// Asked of peers and not yet answered.
+    /// Likely to come from asks that aren't answered yet.
     milli_tokens OnOrder = 0;
     double Demand = 0;
     /// Borrowed per second.
@@ -150,6 +150,8 @@
     steady_time SeenAt;
     steady_time NotBefore;
     milli_tokens Ordered = 0;
+    /// Part of Ordered that is likely to come.
+    milli_tokens Likely = 0;
     milli_tokens Returned = 0;
     milli_tokens ReturnedSent = 0;
     milli_tokens ReturnedKnown = 0;
@@ -171,8 +173,8 @@
     /// Holds no share, so there is nothing to ask for before.
     steady_time EmptyUntil;
     std::uint32_t Failures = 0;
-    /// Lent tokens were spent or given back since the last ask.
-    bool ReportDue = false;
+    /// When to report tokens that were spent or given back since the last ask.
+    std::optional<steady_time> ReportAt;
     bool Sending = false;
     std::vector<peer_view> Views;
     std::vector<ask_row> Rows;
@@ -194,6 +196,7 @@
   void lower(limit_state &Limit, const limit_row &Row);
   void expirePots(limit_state &Limit, steady_time Now);
   void spendPots(limit_state &Limit, milli_tokens Tokens);
+  void noteReport(peer_state &Peer, const limit_state &Limit) const;
   void expireLent(steady_time Now);
   void expireRow(lent_row &Row, steady_time Now);
   void credit(limit_state &Limit, lent_row &Row, milli_tokens Tokens);
@@ -229,7 +232,8 @@
   static double mintedOf(const peer_view &View);
   void noteShortage(peer_view &View, const grant_row &Row, steady_time Now);
   static double horizon(const limit_state &Limit);
-  static double prefetch(const limit_state &Limit);
+  double prefetch(const limit_state &Limit) const;
+  double spareToken(const limit_state &Limit) const;
   double position(const limit_state &Limit) const;
   static peer_view &view(peer_state &Peer, std::uint16_t Limit);
   ask_row &rowFor(peer_state &Peer, std::uint16_t Limit);
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -51,8 +51,8 @@
   asio::awaitable<bool> steer(const admitted_request &Request);
   asio::awaitable<relay_outcome> attempt(const admitted_request &Request,
                                          caller_side &Caller,
-                                         const placement &Place);
-  asio::awaitable<upstream_ptr> reach(const placement &Place,
+                                         const dispatch_place &Place);
+  asio::awaitable<upstream_ptr> reach(const dispatch_place &Place,
                                       const admitted_request &Request,
                                       relay_outcome &Outcome);
   result<admitted_request> admit();
@@ -205,7 +205,7 @@
 
 /// Finds a connection to \p Place; null with the outcome's error when none
 /// could be opened.
-asio::awaitable<upstream_ptr> session::reach(const placement &Place,
+asio::awaitable<upstream_ptr> session::reach(const dispatch_place &Place,
                                              const admitted_request &Request,
                                              relay_outcome &Outcome) {
   upstream_ptr Idle = State.Pool.takeIdle(Place.Address);
@@ -222,7 +222,7 @@
 
 asio::awaitable<relay_outcome> session::attempt(const admitted_request &Request,
                                                 caller_side &Caller,
-                                                const placement &Place) {
+                                                const dispatch_place &Place) {
   relay_outcome Outcome;
   upstream_ptr Connection = co_await reach(Place, Request, Outcome);
   if (Connection == nullptr)
@@ -293,7 +293,8 @@
   for (unsigned Attempts = 1;; ++Attempts) {
     const placement_request Wanted{&Request, View->Config, Origin,
                                    Attempts - 1};
-    const result<placement> Place = co_await State.Dispatcher.place(Wanted);
+    const result<dispatch_place> Place =
+        co_await State.Dispatcher.place(Wanted);
     if (failed(Place)) {
       if (Attempts == 1)
         Outcome.Error = errorOf(Place);
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -234,7 +234,7 @@
   return valueOf(Decided).Region;
 }
 
-asio::awaitable<result<placement>>
+asio::awaitable<result<dispatch_place>>
 steerer::place(const placement_request &Request) {
   const service_handle Service = serviceOf(Request);
   if (!Service.valid() || !Plan.Own.valid())
@@ -262,7 +262,7 @@
 /// A forwarded request with a credit takes a slot here or waits for one; it is
 /// never forwarded again. One without a credit takes a free slot or is refused,
 /// and its sender queues it.
-asio::awaitable<result<placement>>
+asio::awaitable<result<dispatch_place>>
 steerer::placeForwarded(placement_request Request, service_handle Service) {
   const steady_time Now = Clock.now();
   const instance_handle Peer = PeerNames.intern(Request.Forwarded->Peer);
@@ -275,18 +275,18 @@
   const steady_time Deadline = Request.Request->Deadline;
   const fairq_entry Entry{++NextTicket, workspaceOf(Request),
                           std::min(Deadline, Now + ForwardedWait)};
-  const result<placement> Place = co_await forwardedLaneOf(Service).wait(
+  const result<dispatch_place> Place = co_await forwardedLaneOf(Service).wait(
       Entry, [=, this] { return findTarget(Service, Clock.now()); });
   if (failed(Place) && Clock.now() < Deadline)
     co_return noCapacity("no slot came free for a forwarded request");
   co_return Place;
 }
 
-placement steerer::useTarget(service_handle Service, target_handle Target,
-                             steady_time Now) {
+dispatch_place steerer::useTarget(service_handle Service, target_handle Target,
+                                  steady_time Now) {
   started(Targets, Target, Now);
   const target_row &Row = TargetRows[Target.Index];
-  placement Place;
+  dispatch_place Place;
   Place.Name = Row.Name;
   Place.Address = {Row.Address, Row.Port};
   Place.Service = Service;
@@ -296,23 +296,23 @@
   return Place;
 }
 
-std::optional<placement> steerer::findTarget(service_handle Service,
-                                             steady_time Now) {
+std::optional<dispatch_place> steerer::findTarget(service_handle Service,
+                                                  steady_time Now) {
   const result<target_handle> Target = pick(Targets, Service, Now, Random());
   if (failed(Target))
     return std::nullopt;
   return useTarget(Service, valueOf(Target), Now);
 }
 
-std::optional<placement> steerer::findPeer(service_handle Service,
-                                           region_handle Region,
-                                           steady_time Now) {
+std::optional<dispatch_place> steerer::findPeer(service_handle Service,
+                                                region_handle Region,
+                                                steady_time Now) {
   const result<credit> Spent =
       spendCredit(Wallet, peersOf(Region), Service, Now, Random());
   if (failed(Spent))
     return std::nullopt;
   const instance_view &Peer = Peers[valueOf(Spent).Peer.Index].View;
-  placement Place;
+  dispatch_place Place;
   Place.Kind = upstream_kind::Peer;
   Place.Name = Peer.Name;
   Place.Address = Peer.Internal;
@@ -324,11 +324,11 @@
   return Place;
 }
 
-std::optional<placement> steerer::findPlace(service_handle Service,
-                                            region_handle Region) {
+std::optional<dispatch_place> steerer::findPlace(service_handle Service,
+                                                 region_handle Region) {
   const steady_time Now = Clock.now();
   if (Region == Plan.Own) {
-    std::optional<placement> Target = findTarget(Service, Now);
+    std::optional<dispatch_place> Target = findTarget(Service, Now);
     if (Target)
       return Target;
   }
@@ -472,8 +472,8 @@
 }
 
 /// Tells the target's row how its request ended.
-void steerer::endTarget(const placement &Place, const relay_outcome &Outcome,
-                        steady_time Now) {
+void steerer::endTarget(const dispatch_place &Place,
+                        const relay_outcome &Outcome, steady_time Now) {
   if (Outcome.LoadRunning)
     reportLoad(Targets, Place.Target, *Outcome.LoadRunning, Now);
   if (Outcome.Answered)
@@ -491,12 +491,14 @@
   }
 }
 
-void steerer::endPeer(const placement &Place, const relay_outcome &Outcome) {
+void steerer::endPeer(const dispatch_place &Place,
+                      const relay_outcome &Outcome) {
   if (!Outcome.Answered && Outcome.Error.Kind != error_kind::CallerGone)
     dropCredits(Wallet, Place.Peer, Place.Service);
 }
 
-void steerer::finished(const placement &Place, const relay_outcome &Outcome) {
+void steerer::finished(const dispatch_place &Place,
+                       const relay_outcome &Outcome) {
   const steady_time Now = Clock.now();
   if (Place.Kind == upstream_kind::Target)
     endTarget(Place, Outcome, Now);
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -29,12 +29,13 @@
           const instance_settings &Settings, purse &Purse, std::uint64_t Seed);
 
   void publish(traffic_view_ptr NewView) override;
-  asio::awaitable<result<placement>>
+  asio::awaitable<result<dispatch_place>>
   place(const placement_request &Request) override;
   void tick() override;
   void fillFrame(traffic_frame &Frame) override;
   void receive(const peer_credit_message &Message) override;
-  void finished(const placement &Place, const relay_outcome &Outcome) override;
+  void finished(const dispatch_place &Place,
+                const relay_outcome &Outcome) override;
 
 private:
   /// Handles by the names of the configuration in force; see stable_names.
@@ -67,26 +68,27 @@
   void adoptWeights();
 
   result<region_handle> decideRegion(const placement_request &Request);
-  asio::awaitable<result<placement>> placeForwarded(placement_request Request,
-                                                    service_handle Service);
+  asio::awaitable<result<dispatch_place>>
+  placeForwarded(placement_request Request, service_handle Service);
   region_mask availableRegions(service_handle Service, steady_time Now) const;
   lane &laneOf(service_handle Service, region_handle Region);
   lane &forwardedLaneOf(service_handle Service);
   lane &openLane(std::unique_ptr<lane> &Lane);
   offered_slots offeredSlots(service_handle Service, steady_time Now) const;
-  std::optional<placement> findPlace(service_handle Service,
-                                     region_handle Region);
-  std::optional<placement> findTarget(service_handle Service, steady_time Now);
-  std::optional<placement> findPeer(service_handle Service,
-                                    region_handle Region, steady_time Now);
-  placement useTarget(service_handle Service, target_handle Target,
-                      steady_time Now);
+  std::optional<dispatch_place> findPlace(service_handle Service,
+                                          region_handle Region);
+  std::optional<dispatch_place> findTarget(service_handle Service,
+                                           steady_time Now);
+  std::optional<dispatch_place> findPeer(service_handle Service,
+                                         region_handle Region, steady_time Now);
+  dispatch_place useTarget(service_handle Service, target_handle Target,
+                           steady_time Now);
   void pumpService(service_handle Service);
   void askForCredits(service_handle Service, region_handle Region);
   void grantCreditsOf(service_handle Service, steady_time Now);
-  void endTarget(const placement &Place, const relay_outcome &Outcome,
+  void endTarget(const dispatch_place &Place, const relay_outcome &Outcome,
                  steady_time Now);
-  void endPeer(const placement &Place, const relay_outcome &Outcome);
+  void endPeer(const dispatch_place &Place, const relay_outcome &Outcome);
   std::vector<instance_handle> peersOf(region_handle Region) const;
   void updateSlots(service_handle Service, steady_time Now);
   service_handle serviceOf(const placement_request &Request) const;
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -482,7 +482,9 @@
       return false;
     if (!(rowsHash == rhs.rowsHash))
       return false;
-    if (!(speaker == rhs.speaker))
+    if (__isset.speaker != rhs.__isset.speaker)
+      return false;
+    else if (__isset.speaker && !(speaker == rhs.speaker))
       return false;
     if (!(sequence == rhs.sequence))
       return false;
@@ -554,7 +556,9 @@
 
   bool operator == (const Heartbeat & rhs) const
   {
-    if (!(incarnation == rhs.incarnation))
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
       return false;
     if (!(report == rhs.report))
       return false;
@@ -735,9 +739,10 @@
 std::ostream& operator<<(std::ostream& out, const RowsRequest& obj);
 
 typedef struct _AskRow__isset {
-  _AskRow__isset() : limit(false), want(false), held(false), returned(false) {}
+  _AskRow__isset() : limit(false), want(false), urgent(false), held(false), returned(false) {}
   bool limit :1;
   bool want :1;
+  bool urgent :1;
   bool held :1;
   bool returned :1;
 } _AskRow__isset;
@@ -750,6 +755,7 @@
   AskRow() noexcept
          : limit(0),
            want(0),
+           urgent(0),
            held(0),
            returned(0) {
   }
@@ -757,6 +763,7 @@
   virtual ~AskRow() noexcept;
   int64_t limit;
   int64_t want;
+  int64_t urgent;
   int64_t held;
   int64_t returned;
 
@@ -766,6 +773,8 @@
 
   void __set_want(const int64_t val);
 
+  void __set_urgent(const int64_t val);
+
   void __set_held(const int64_t val);
 
   void __set_returned(const int64_t val);
@@ -776,6 +785,8 @@
       return false;
     if (!(want == rhs.want))
       return false;
+    if (!(urgent == rhs.urgent))
+      return false;
     if (!(held == rhs.held))
       return false;
     if (!(returned == rhs.returned))
@@ -862,11 +873,12 @@
 std::ostream& operator<<(std::ostream& out, const TokenAsk& obj);
 
 typedef struct _GrantRow__isset {
-  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false) {}
+  _GrantRow__isset() : limit(false), tokens(false), left(false), sparePerSecond(false), mintedPerSecond(false) {}
   bool limit :1;
   bool tokens :1;
   bool left :1;
   bool sparePerSecond :1;
+  bool mintedPerSecond :1;
 } _GrantRow__isset;
 
 class GrantRow : public virtual ::apache::thrift::TBase {
@@ -878,7 +890,8 @@
            : limit(0),
              tokens(0),
              left(0),
-             sparePerSecond(0) {
+             sparePerSecond(0),
+             mintedPerSecond(0) {
   }
 
   virtual ~GrantRow() noexcept;
@@ -886,6 +899,7 @@
   int64_t tokens;
   int64_t left;
   int64_t sparePerSecond;
+  int64_t mintedPerSecond;
 
   _GrantRow__isset __isset;
 
@@ -897,6 +911,8 @@
 
   void __set_sparePerSecond(const int64_t val);
 
+  void __set_mintedPerSecond(const int64_t val);
+
   bool operator == (const GrantRow & rhs) const
   {
     if (!(limit == rhs.limit))
@@ -907,6 +923,8 @@
       return false;
     if (!(sparePerSecond == rhs.sparePerSecond))
       return false;
+    if (!(mintedPerSecond == rhs.mintedPerSecond))
+      return false;
     return true;
   }
   bool operator != (const GrantRow &rhs) const {
@@ -926,12 +944,12 @@
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj);
 
 typedef struct _TokenGrant__isset {
-  _TokenGrant__isset() : incarnation(false), sequence(false), shares(false), rows(false), configVersion(false) {}
+  _TokenGrant__isset() : incarnation(false), sequence(false), configVersion(false), shares(false), rows(false) {}
   bool incarnation :1;
   bool sequence :1;
+  bool configVersion :1;
   bool shares :1;
   bool rows :1;
-  bool configVersion :1;
 } _TokenGrant__isset;
 
 class TokenGrant : public virtual ::apache::thrift::TBase {
@@ -942,16 +960,16 @@
   TokenGrant() noexcept
              : incarnation(0),
                sequence(0),
-               shares(0),
-               configVersion(0) {
+               configVersion(0),
+               shares(0) {
   }
 
   virtual ~TokenGrant() noexcept;
   int64_t incarnation;
   int64_t sequence;
+  int64_t configVersion;
   int32_t shares;
   std::vector<GrantRow>  rows;
-  int64_t configVersion;
 
   _TokenGrant__isset __isset;
 
@@ -959,24 +977,24 @@
 
   void __set_sequence(const int64_t val);
 
+  void __set_configVersion(const int64_t val);
+
   void __set_shares(const int32_t val);
 
   void __set_rows(const std::vector<GrantRow> & val);
 
-  void __set_configVersion(const int64_t val);
-
   bool operator == (const TokenGrant & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(sequence == rhs.sequence))
       return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
     if (!(shares == rhs.shares))
       return false;
     if (!(rows == rhs.rows))
       return false;
-    if (!(configVersion == rhs.configVersion))
-      return false;
     return true;
   }
   bool operator != (const TokenGrant &rhs) const {
