Traffic: spill to other regions on long waits; drain whole data centres

A request whose region was full waited there although others had free slots. It turns to a region with a shorter wait now, under the shift cap. Targets and peers of a draining data centre got new work; they get none now.

--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds AskPause{50};
 /// Longest wait of a forwarded request; its sender places it again then.
 constexpr milliseconds ForwardedWait{500};
+/// Expected wait from which requests turn to another region, a few times the
+/// delay between regions.
+constexpr milliseconds SpillWait{250};
 /// Peers of a region that are asked for credits at a time.
 constexpr std::size_t MaxAskPeers = 4;
 
@@ -104,6 +107,18 @@
   }
 }
 
+/// Whether a data centre and its region take work; one that the table doesn't
+/// name does.
+bool steerer::activePlace(std::string_view DataCentre) const {
+  const auto Place =
+      handleOf<data_centre_handle>(PlanNames.DataCentres, DataCentre);
+  if (!Place.valid())
+    return true;
+  const region_handle Region = Plan.RegionOfDataCentre[Place.Index];
+  return Plan.DataCentreActive[Place.Index] && Region.valid() &&
+         Plan.Active[Region.Index];
+}
+
 void steerer::adoptTargets() {
   const steady_time Now = Clock.now();
   std::vector<bool> Named(MaxTargets, false);
@@ -116,8 +131,10 @@
       continue;
     Named[Target.Index] = true;
     TargetRows[Target.Index] = Row;
-    const target_info Info{ServiceNames.find(Row.Service), Row.Slots,
-                           Row.State};
+    // A data centre that drains drains its targets.
+    const drain_state Drain =
+        activePlace(Row.DataCentre) ? Row.State : drain_state::Draining;
+    const target_info Info{ServiceNames.find(Row.Service), Row.Slots, Drain};
     setTarget(Targets, Target, Info, Now);
     setOwned(Targets, Target, I < View->Owned.size() && View->Owned[I], Now);
   }
@@ -136,7 +153,7 @@
     peer_state &Peer = Peers[Handle.Index];
     Peer.View = Row;
     Peer.Region = handleOf<region_handle>(PlanNames.Regions, Row.Region);
-    Peer.Present = Peer.Region.valid();
+    Peer.Present = Peer.Region.valid() && activePlace(Row.DataCentre);
   }
 }
 
@@ -201,6 +218,20 @@
   return Mask;
 }
 
+/// Leaves out the regions for which requests wait longer than a hop to another
+/// is worth, unless they do so for all.
+region_mask steerer::quickRegions(const region_mask &Regions,
+                                  service_handle Service,
+                                  workspace_handle Workspace) const {
+  region_mask Quick = Regions;
+  for (std::uint16_t I = 0; I < Plan.Regions; ++I) {
+    const auto &Lane = Services[Service.Index].Lanes[I];
+    if (Lane != nullptr && expectedWait(Lane->queue(), Workspace) > SpillWait)
+      Quick.reset(I);
+  }
+  return Quick.any() ? Quick : Regions;
+}
+
 lane &steerer::laneOf(service_handle Service, region_handle Region) {
   return openLane(Services[Service.Index].Lanes[Region.Index]);
 }
@@ -225,7 +256,9 @@
       handleOf<service_handle>(PlanNames.Services, serviceName(Request));
   Wanted.Workspace =
       handleOf<workspace_handle>(PlanNames.Workspaces, workspaceName(Request));
-  Wanted.Available = availableRegions(serviceOf(Request), Now);
+  const service_handle Service = serviceOf(Request);
+  Wanted.Available = quickRegions(availableRegions(Service, Now), Service,
+                                  workspaceOf(Request));
   Wanted.Repeated = Request.Attempt > 0;
   const result<region_decision> Decided =
       chooseRegion(Plan, Regions, Wanted, Now, platformNow(Now));
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -63,6 +63,7 @@
   };
 
   void adoptNames();
+  bool activePlace(std::string_view DataCentre) const;
   void adoptTargets();
   void adoptPeers();
   void adoptWeights();
@@ -71,6 +72,8 @@
   asio::awaitable<result<dispatch_place>>
   placeForwarded(placement_request Request, service_handle Service);
   region_mask availableRegions(service_handle Service, steady_time Now) const;
+  region_mask quickRegions(const region_mask &Regions, service_handle Service,
+                           workspace_handle Workspace) const;
   lane &laneOf(service_handle Service, region_handle Region);
   lane &forwardedLaneOf(service_handle Service);
   lane &openLane(std::unique_ptr<lane> &Lane);
