coordination: traffic threads aren't refused while the bank moves tokens

The purse was empty from the settling of all limits until the end of the tick. The bank now holds the purse for each limit only, from collect() to offer().

--- a/packages/coordination/include/magnoliaspread/purse.h
+++ b/packages/coordination/include/magnoliaspread/purse.h
@@ -44,6 +44,12 @@
   /// Adds to what waiting callers need, or with a negative number takes away.
   void addWaiting(limit_id Limit, milli_tokens Tokens);
 
+  /// Keeps the traffic threads out while the token bank moves tokens, so that
+  /// none is refused between collect() and offer().
+  std::unique_lock<std::recursive_mutex> hold() {
+    return std::unique_lock(Mutex);
+  }
+
   /// Takes back what is left of \p Limit. For the token bank.
   purse_report collect(limit_id Limit);
 
@@ -58,7 +64,7 @@
 
   static bool take(purse_slot &Slot, milli_tokens Tokens, steady_time Now);
 
-  std::mutex Mutex;
+  std::recursive_mutex Mutex;
   std::unordered_map<limit_id, purse_slot> Slots;
 };
 
--- a/packages/coordination/src/bank.cpp
+++ b/packages/coordination/src/bank.cpp
@@ -73,6 +73,7 @@
   // A limit that is gone stays with nothing to mint, since its lent tokens
   // still count if it comes back.
   for (limit_state &Limit : Limits) {
+    const auto Lock = Purse.hold();
     refill(Limit, Now);
     settle(Limit);
     const auto Found = Rows.find(Limit.Id);
@@ -121,6 +122,7 @@
     return true;
   });
   for (limit_state &Limit : Limits) {
+    const auto Lock = Purse.hold();
     refill(Limit, Now);
     settle(Limit);
     offer(Limit, Now);
@@ -339,6 +341,7 @@
     if (Asked.Want <= 0 || Found == LimitIndex.end())
       continue;
     limit_state &Limit = Limits[Found->second];
+    const auto Lock = Purse.hold();
     refill(Limit, Now);
     settle(Limit);
     const milli_tokens Granted =
--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -86,20 +86,19 @@
   timeOut(Now);
   expireLent(Now);
   for (limit_state &Limit : Limits) {
+    const auto Lock = Purse.hold();
     refill(Limit, Now);
     settle(Limit);
     expirePots(Limit, Now);
     updateDemand(Limit, Span);
     giveBack(Limit, Now);
+    offer(Limit, Now);
   }
   orderAll(true, Now);
   markReports(Now);
   orderAll(false, Now);
   addReports();
-  std::vector<outgoing_ask> Asks = send(Now);
-  for (limit_state &Limit : Limits)
-    offer(Limit, Now);
-  return Asks;
+  return send(Now);
 }
 
 void quota_bank::updateDemand(limit_state &Limit, double Span) {
@@ -406,6 +405,7 @@
   const bool Outdated = Grant.ConfigVersion < Limit.LoweredIn;
   if (Row.Tokens <= 0 || Outdated || Now >= Expires)
     return;
+  const auto Lock = Purse.hold();
   settle(Limit);
   Limit.Pots.push_back({PeerNumber, Row.Tokens, Expires});
   Limit.Granted += Row.Tokens;
--- a/packages/coordination/tests/quota.cpp
+++ b/packages/coordination/tests/quota.cpp
@@ -3,6 +3,7 @@
 #include <magnoliaspread/story.h>
 
 #include <sstream>
+#include <thread>
 
 using namespace magnoliaspread;
 
@@ -184,3 +185,29 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Borrower.counts().GrantsLate);
   });
 }
+
+STORY(traffic_threads_share_one_purse) {
+  constexpr int Tokens = 20000;
+  const limit_id Limit = workspaceLimit("clube");
+  steady_time Now{std::chrono::hours(1)};
+  purse Purse;
+  quota_bank Bank({1, 1}, Purse, Now);
+  Bank.setLimits(1, {{Limit, Tokens, Tokens}}, Now);
+  Bank.setShares({{0, 1000000, Now, steady_time::max()}}, Now);
+  Now += milliseconds(1000);
+  Bank.tick(Now);
+  section("no token is spent twice or refused while the bank ticks", [&] {
+    std::vector<int> Spent(3, 0);
+    std::vector<std::thread> Threads;
+    for (int &Count : Spent)
+      Threads.emplace_back([&Purse, &Count, Limit, Now] {
+        while (Purse.spend(Limit, MilliPerToken, Now))
+          ++Count;
+      });
+    for (int I = 0; I < 200; ++I)
+      Bank.tick(Now);
+    for (std::thread &Thread : Threads)
+      Thread.join();
+    CPPUNIT_ASSERT_EQUAL(Tokens, Spent[0] + Spent[1] + Spent[2]);
+  });
+}
