--- a/packages/coordination/src/quota.cpp
+++ b/packages/coordination/src/quota.cpp
@@ -44,6 +44,8 @@
 constexpr milliseconds MostShortage{200};
 constexpr milliseconds LeastRetryAfter{20};
 constexpr milliseconds MostRetryAfter{10000};
+/// For an instance that neither mints nor has borrowed of late.
+constexpr milliseconds UnknownRetryAfter{1000};
 
 milliseconds toMillis(double Seconds) {
   return milliseconds(static_cast<std::int64_t>(std::ceil(Seconds * 1000)));
@@ -438,7 +440,7 @@
       static_cast<double>(Limit->Backlog + Tokens - available(Id));
   const double Inflow = Limit->MintRate + Limit->Inflow;
   if (Inflow <= 0)
-    return MostRetryAfter;
+    return Limit->Rate > 0 ? UnknownRetryAfter : MostRetryAfter;
   const double Wait = std::max(Limit->LeadTime, Missing / Inflow);
   return std::clamp(toMillis(std::min(Wait, seconds(MostRetryAfter))),
                     LeastRetryAfter, MostRetryAfter);
--- a/packages/coordination/tests/quota.cpp
+++ b/packages/coordination/tests/quota.cpp
@@ -211,3 +211,25 @@
     CPPUNIT_ASSERT_EQUAL(Tokens, Spent[0] + Spent[1] + Spent[2]);
   });
 }
+
+STORY(time_to_come_back) {
+  const limit_id Limit = workspaceLimit("clube");
+  steady_time Now{std::chrono::hours(1)};
+  purse Purse;
+  quota_bank Bank({1, 1}, Purse, Now);
+  Bank.setLimits(1, {{Limit, 10, 5}}, Now);
+  section("unknown without minting or borrowing: a second", [&] {
+    CPPUNIT_ASSERT(Bank.retryAfter(Limit, MilliPerToken, Now) ==
+                   milliseconds(1000));
+  });
+  section("the missing tokens at the rate that is minted here", [&] {
+    Bank.setShares({{0, 1000000, Now, steady_time::max()}}, Now);
+    Bank.tick(Now);
+    CPPUNIT_ASSERT(Bank.retryAfter(Limit, 4 * MilliPerToken, Now) ==
+                   milliseconds(400));
+  });
+  section("a limit that isn't configured: the longest time", [&] {
+    CPPUNIT_ASSERT(Bank.retryAfter(1, MilliPerToken, Now) ==
+                   milliseconds(10000));
+  });
+}
