Keep late summaries from a data centre that is gone from counting as life

Cause: summaries of two speakers have no common order, so relayed old ones took turns and renewed each other; a lost data centre was named for half a minute. Sequences are now kept for each speaker, only summaries from the data centre itself count as heard, and a speaker's word ends when it says otherwise.

--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -8,6 +8,7 @@
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/membertable.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -138,15 +139,27 @@
   const member_counts &counts() const { return Counts; }
 
 private:
+  struct summary_mark {
+    std::uint64_t Speaker = 0;
+    std::uint64_t Sequence = 0;
+  };
+
   /// State of the exchange with one other data centre.
   struct peer_centre {
     std::string Name;
     data_centre_summary Summary;
-    /// Last summary, direct or passed on.
+    /// Newest summaries taken, by speaker, so that late ones are dropped.
+    std::array<summary_mark, 2 * SpeakersPerDataCentre> Marks;
+    std::size_t NextMark = 0;
+    /// Last summary that came from the data centre itself.
     steady_time LastHeard;
-    /// When a speaker last said that the data centre is silent, or isn't.
+    /// Last summary that a mate passed on.
+    steady_time LastRelayed;
+    /// When a speaker last said that the data centre is silent.
     std::optional<steady_time> SaidSilentAt;
+    /// When one last said that it isn't, and which.
     std::optional<steady_time> SaidHeardAt;
+    std::uint64_t SaidHeardBy = 0;
     steady_time NextSummary;
     steady_time NextRequest;
     std::optional<steady_time> MismatchSince;
@@ -179,6 +192,7 @@
   void takeHeartbeat(steady_time Now, member_entry &Entry,
                      const member_report &Report);
   void takeSilence(steady_time Now, const heartbeat_message &Message);
+  static bool isNews(peer_centre &Centre, const data_centre_summary &Summary);
   void takeSummary(steady_time Now, const data_centre_summary &Summary,
                    bool Direct);
   void takeRow(steady_time Now, const endpoint_address &From,
@@ -205,7 +219,7 @@
   void sendSummary(steady_time Now, peer_centre &Centre, outbox &Out);
   void sendJoin(steady_time Now, outbox &Out);
   void sendRequests(steady_time Now, outbox &Out);
-  void sendRequest(peer_centre &Centre, outbox &Out);
+  void sendRequest(steady_time Now, peer_centre &Centre, outbox &Out);
   void appendRows(steady_time Now, std::string_view DataCentre,
                   const endpoint_address &To, bool Relayed, outbox &Out) const;
   void appendSummaries(const endpoint_address &To, outbox &Out) const;
@@ -226,7 +240,8 @@
   const peer_centre *centre(std::string_view Name) const;
   /// Null for a name that can't be added.
   peer_centre *centreOrNew(steady_time Now, std::string_view Name);
-  std::optional<endpoint_address> pickAddress(peer_centre &Centre);
+  std::optional<endpoint_address> pickAddress(steady_time Now,
+                                              peer_centre &Centre);
   std::optional<endpoint_address> pickMate();
   std::chrono::milliseconds summaryPeriod() const;
   std::size_t randomBelow(std::size_t Bound);
@@ -249,6 +264,7 @@
   steady_time NextJoin;
   steady_time NextRequests;
   steady_time NextHurry;
+  std::optional<steady_time> SpeakerSince;
   std::optional<steady_time> LeftAt;
   std::uint64_t SummarySequence = 0;
   std::uint64_t HeartbeatCount = 0;
--- a/packages/coordination/src/member.cpp
+++ b/packages/coordination/src/member.cpp
@@ -173,7 +173,14 @@
     const bool Silent =
         std::find(Message.SilentCentres.begin(), Message.SilentCentres.end(),
                   Centre.Name) != Message.SilentCentres.end();
-    (Silent ? Centre.SaidSilentAt : Centre.SaidHeardAt) = Now;
+    if (Silent) {
+      Centre.SaidSilentAt = Now;
+      if (Centre.SaidHeardBy == Message.Incarnation)
+        Centre.SaidHeardAt.reset();
+      continue;
+    }
+    Centre.SaidHeardAt = Now;
+    Centre.SaidHeardBy = Message.Incarnation;
   }
 }
 
@@ -186,21 +193,34 @@
   takeSummary(Now, Message.Summary, true);
 }
 
+/// Notes the sequence of \p Summary; false if it is no later than one taken
+/// from the same speaker.
+bool membership::isNews(peer_centre &Centre,
+                        const data_centre_summary &Summary) {
+  for (summary_mark &Mark : Centre.Marks) {
+    if (Mark.Speaker != Summary.Speaker)
+      continue;
+    const bool Later = Summary.Sequence > Mark.Sequence;
+    Mark.Sequence = std::max(Mark.Sequence, Summary.Sequence);
+    return Later;
+  }
+  Centre.Marks[Centre.NextMark++ % Centre.Marks.size()] = {Summary.Speaker,
+                                                           Summary.Sequence};
+  return true;
+}
+
 void membership::takeSummary(steady_time Now,
                              const data_centre_summary &Summary, bool Direct) {
   peer_centre *Found = centreOrNew(Now, Summary.DataCentre);
   if (Found == nullptr)
     return;
   peer_centre &Centre = *Found;
-  const data_centre_summary Before = Centre.Summary;
-  if (Summary.Speaker == Before.Speaker &&
-      Summary.Sequence <= Before.Sequence) {
-    if (Summary.Sequence < Before.Sequence)
-      ++Counts.StaleDropped;
+  if (!isNews(Centre, Summary)) {
+    ++Counts.StaleDropped;
     return;
   }
-  Centre.Summary = Summary;
-  Centre.LastHeard = Now;
+  (Direct ? Centre.LastHeard : Centre.LastRelayed) = Now;
+  const data_centre_summary Before = std::exchange(Centre.Summary, Summary);
   const bool News = Before.RowsHash != Summary.RowsHash ||
                     Before.LowestVersion != Summary.LowestVersion ||
                     Before.Config != Summary.Config;
@@ -399,11 +419,17 @@
     if (Entry.eligible())
       Entry.Row.Report.State = member_state::Suspect;
   }
-  for (peer_centre &Centre : Centres)
+  for (peer_centre &Centre : Centres) {
     Centre.LastHeard += Pause;
+    Centre.LastRelayed += Pause;
+  }
 }
 
 void membership::age(steady_time Now) {
+  if (!isSpeaker())
+    SpeakerSince.reset();
+  else if (!SpeakerSince)
+    SpeakerSince = Now;
   ageMates(Now);
   dropUnconfirmed(Now);
   forgetDead(Now);
--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -42,8 +42,11 @@
 constexpr milliseconds RequestBackoff{3000};
 /// Dead rows this fresh are part of an answer.
 constexpr milliseconds DeadTold{60000};
-/// Every so many summaries one goes to any instance, not only to speakers.
+/// Every so many messages one goes to any instance, not only to speakers, as
+/// long as the others bring no answer.
 constexpr std::uint32_t RandomEvery = 4;
+/// Without a summary for this long the speakers known here may be wrong.
+constexpr milliseconds SpeakersDoubtedAfter{6000};
 
 std::size_t addressBytes(const endpoint_address &Address) {
   return Address.Address.size();
@@ -223,16 +226,18 @@
   const milliseconds Period = summaryPeriod();
   const auto Jitter = milliseconds(randomBelow(Period.count() / 5));
   Centre.NextSummary = Now + Period - Jitter;
-  const std::optional<endpoint_address> To = pickAddress(Centre);
+  const std::optional<endpoint_address> To = pickAddress(Now, Centre);
   if (!To)
     return;
   Out.push_back({{*To}, summary_message{ownSummary(), changedRows(Now)}});
 }
 
-std::optional<endpoint_address> membership::pickAddress(peer_centre &Centre) {
+std::optional<endpoint_address> membership::pickAddress(steady_time Now,
+                                                        peer_centre &Centre) {
   const std::uint32_t Turn = Centre.SummaryCount++;
   const std::vector<member_row> Speakers = speakers(Centre.Name);
-  if (!Speakers.empty() && Turn % RandomEvery != RandomEvery - 1)
+  const bool Doubted = Now - Centre.LastHeard >= SpeakersDoubtedAfter;
+  if (!Speakers.empty() && !(Doubted && Turn % RandomEvery == 0))
     return Speakers[Turn % Speakers.size()].Identity.Internal;
   std::vector<endpoint_address> Choices;
   for (const instance_handle Handle : Table.ofDataCentre(Centre.Name))
@@ -339,17 +344,18 @@
       continue;
     Centre.NextRequest = Now + RequestBackoff;
     ++Sent;
-    sendRequest(Centre, Out);
+    sendRequest(Now, Centre, Out);
   }
 }
 
 /// Speakers ask the other data centre; the rest mostly ask a mate.
-void membership::sendRequest(peer_centre &Centre, outbox &Out) {
+void membership::sendRequest(steady_time Now, peer_centre &Centre,
+                             outbox &Out) {
   const bool AskMate =
       !isSpeaker() && Centre.RequestCount++ % RandomEvery != RandomEvery - 1;
   std::optional<endpoint_address> To = AskMate ? pickMate() : std::nullopt;
   if (!To)
-    To = pickAddress(Centre);
+    To = pickAddress(Now, Centre);
   if (To)
     Out.push_back({{*To}, rows_request{self(), Centre.Name}});
 }
@@ -407,6 +413,7 @@
   peer_centre Fresh;
   Fresh.Name = Name;
   Fresh.LastHeard = Now;
+  Fresh.LastRelayed = Now;
   Fresh.NextRequest = Now;
   const auto Delay = milliseconds(randomBelow(SummaryPeriodMin.count()));
   Fresh.NextSummary = Now + Delay;
--- a/packages/coordination/src/memberviews.cpp
+++ b/packages/coordination/src/memberviews.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds SpeakerSayHolds{3000};
+/// What a speaker said counts until several of its heartbeats were lost.
+constexpr std::chrono::milliseconds SpeakerSayHolds{5300};
 /// Rounds of summaries without one from a data centre that make it silent.
-constexpr int SilentRounds = 3;
+constexpr int SilentRounds = 2;
 /// An instance that isn't a speaker hears summaries less often.
 constexpr std::chrono::milliseconds RelayedSilentAfter{120000};
 
@@ -70,7 +71,9 @@
 bool membership::isUnheard(steady_time Now, const peer_centre &Centre) const {
   const std::chrono::milliseconds Limit =
       std::max(SilentAfter, SilentRounds * summaryPeriod());
-  return Now - Centre.LastHeard >= Limit;
+  const steady_time Since =
+      std::max(Centre.LastHeard, SpeakerSince.value_or(Now));
+  return Now - Since >= Limit;
 }
 
 bool membership::isSilent(steady_time Now, const peer_centre &Centre) const {
@@ -82,7 +85,8 @@
   if (isSpeaker())
     return isUnheard(Now, Centre);
   return Recent(Centre.SaidSilentAt) ||
-         Now - Centre.LastHeard >= RelayedSilentAfter;
+         Now - std::max(Centre.LastHeard, Centre.LastRelayed) >=
+             RelayedSilentAfter;
 }
 
 std::vector<member_row>
