At most once, quarantine, retry budgets and metrics on the path

A request marked as not repeatable needs a ticket that names this process; its outcome is remembered and it runs on when its caller is gone. Requests that were in flight on dying targets are told apart by the quarantine. Retries come out of a budget per service. /metrics and /slo are served.

--- a/packages/base/include/magnoliaspread/error.h
+++ b/packages/base/include/magnoliaspread/error.h
@@ -32,6 +32,7 @@
   TargetFailed,
   TargetTimeout,
   OutcomeUnknown,
+  TicketNeeded,
   RequestStalled,
   CallerGone,
   PeerUnreachable,
--- a/packages/base/src/error.cpp
+++ b/packages/base/src/error.cpp
@@ -38,6 +38,7 @@
     {TargetFailed, "target_failed", 502, MayHaveRun, Later},
     {TargetTimeout, "target_timeout", 504, MayHaveRun, Later},
     {OutcomeUnknown, "outcome_unknown", 409, MayHaveRun, {}},
+    {TicketNeeded, "ticket_needed", 428, NotRun, milliseconds(0)},
     {RequestStalled, "request_stalled", 408, MayHaveRun, Soon},
     {CallerGone, "caller_gone", 499, MayHaveRun, {}},
     {PeerUnreachable, "peer_unreachable", 503, NotRun, Later},
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -29,6 +29,10 @@
 constexpr milliseconds LookupGrace{500};
 /// Pause between two views when no new configuration has come in force.
 constexpr milliseconds PublishPeriod{100};
+/// Pause between two samples of the metrics for the service-level windows.
+constexpr milliseconds MeasurePeriod{1000};
+/// An instance without quota shares borrows; it is ready after this.
+constexpr milliseconds ReadyWithoutShares{5000};
 /// Longest wait for the quota shares to be released at the end of a drain.
 constexpr milliseconds ReleaseTimeout{2000};
 
@@ -71,11 +75,15 @@
   void publish();
   void receive(const endpoint_address &From, const received_datagram &Datagram);
   void take(traffic_frame Frame);
+  std::vector<endpoint_address> everyPeer() const;
   std::size_t inFlight() const;
   void beginDrain();
   void watchDrain();
   admin_answer healthPage() const;
   admin_answer statusPage() const;
+  admin_answer metricsPage() const;
+  admin_answer sloPage() const;
+  void measure(steady_time Now);
 
   const instance_settings &Settings;
   const clock &Clock;
@@ -84,6 +92,8 @@
   asio::io_context Context{1};
   http_store Store;
   purse Tokens;
+  instance_metrics Metrics;
+  slo_window Slo;
   datagram_port Datagrams;
   member_system Members;
   quota_system Quota;
@@ -95,7 +105,9 @@
   asio::steady_timer Timer;
   asio::signal_set Signals;
   config_index_ptr InForce;
+  steady_time StartedAt;
   steady_time NextPublish;
+  steady_time NextMeasure;
   bool Draining = false;
   steady_time DrainingSince;
 };
@@ -105,6 +117,7 @@
     : Settings(Settings), Clock(Clock), Secret(std::move(FleetSecret)),
       Identity(identityOf(Settings, Clock)),
       Store(Context, storeSettings(Settings), Clock, randomNumber()),
+      Slo(Clock.now()),
       Datagrams(Context, Key, Identity.Incarnation,
                 [this](const endpoint_address &From,
                        const received_datagram &Row) { receive(From, Row); }),
@@ -115,15 +128,18 @@
             Identity.Incarnation, randomNumber(), Tokens),
       Config(Context, Store, Clock, Secret, randomNumber(),
              [this](const config_index_ptr &Index) { adopt(Index); }),
-      Traffic(Settings, Clock, Secret, Tokens,
+      Traffic(Settings, Clock, Secret, Tokens, Metrics,
               [this](traffic_frame Frame) {
                 asio::post(Context,
                            [this, Frame = std::move(Frame)] { take(Frame); });
               }),
       Frames(Settings.TrafficThreads),
       Admin(Context, {{"/healthz", [this] { return healthPage(); }},
-                      {"/status", [this] { return statusPage(); }}}),
-      Timer(Context), Signals(Context, SIGTERM, SIGINT) {}
+                      {"/status", [this] { return statusPage(); }},
+                      {"/metrics", [this] { return metricsPage(); }},
+                      {"/slo", [this] { return sloPage(); }}}),
+      Timer(Context), Signals(Context, SIGTERM, SIGINT),
+      StartedAt(Clock.now()) {}
 
 std::size_t instance::inFlight() const {
   std::size_t Sum = 0;
@@ -133,7 +149,9 @@
 }
 
 admin_answer instance::healthPage() const {
-  const bool Ready = InForce != nullptr && !Draining;
+  const bool Limits =
+      Quota.minting() || Clock.now() - StartedAt >= ReadyWithoutShares;
+  const bool Ready = InForce != nullptr && Limits && !Draining;
   return {Ready ? 200U : 503U, "application/json",
           Ready ? "{\"ready\":true}" : "{\"ready\":false}"};
 }
@@ -158,6 +176,31 @@
   return {200, "application/json", boost::json::serialize(Status)};
 }
 
+admin_answer instance::metricsPage() const {
+  return {200, "text/plain; version=0.0.4", Metrics.exposition()};
+}
+
+admin_answer instance::sloPage() const {
+  return {200, "application/json", formatSlo(Slo)};
+}
+
+void instance::measure(steady_time Now) {
+  NextMeasure = Now + MeasurePeriod;
+  instance_gauges Gauges;
+  Gauges.InFlight = inFlight();
+  for (const traffic_frame &Frame : Frames) {
+    Gauges.QueueLength += Frame.Waiting;
+    Gauges.Connections += Frame.Connections;
+  }
+  Gauges.ConfigVersion = Config.inForce().Version;
+  Gauges.ConfigStaleness = Config.sync().staleness(Now);
+  Gauges.PlatformReachable = Store.reachable();
+  if (Draining)
+    Gauges.Draining = duration_cast<milliseconds>(Now - DrainingSince);
+  Metrics.setGauges(Gauges);
+  Slo.add(Now, Metrics.sums());
+}
+
 void instance::adopt(const config_index_ptr &Index) {
   InForce = Index;
   std::vector<std::string> Centres;
@@ -199,6 +242,8 @@
   const auto Row = Members.members().findIncarnation(Sender);
   if (!Row)
     return;
+  if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
+    return Traffic.deliver(*Notice);
   if (const auto *Credit = std::get_if<credit_message>(&Message))
     return Traffic.deliver({Row->Identity.Name, *Credit});
 }
@@ -209,10 +254,23 @@
     if (Peer)
       Datagrams.send({Peer->Identity.Internal}, Row.Message);
   }
+  for (const quarantine_notice &Notice : Frame.Notices)
+    Datagrams.send(everyPeer(), Notice);
   Frame.Credits.clear();
+  Frame.Notices.clear();
   Frames[Frame.Thread] = std::move(Frame);
 }
 
+std::vector<endpoint_address> instance::everyPeer() const {
+  std::vector<endpoint_address> Addresses;
+  if (InForce == nullptr)
+    return Addresses;
+  for (const instance_view &Row :
+       peersOf(Members.members(), InForce->Table, Clock.now()))
+    Addresses.push_back(Row.Internal);
+  return Addresses;
+}
+
 void instance::tick() {
   const steady_time Now = Clock.now();
   load_summary Load;
@@ -227,6 +285,8 @@
   Quota.tick();
   if (Now >= NextPublish)
     publish();
+  if (Now >= NextMeasure)
+    measure(Now);
   if (Draining)
     watchDrain();
   Timer.expires_after(Settings.ControlTick);
--- a/packages/daemon/src/quotasys.cpp
+++ b/packages/daemon/src/quotasys.cpp
@@ -4,6 +4,8 @@
 
 #include <magnoliaspread/log.h>
 
+#include <algorithm>
+
 namespace magnoliaspread {
 
 using std::chrono::milliseconds;
@@ -190,6 +192,15 @@
   Keeper.declareDead(Incarnation, Clock.now());
 }
 
+bool quota_system::minting() const {
+  const steady_time Now = Clock.now();
+  const std::vector<minted_share> Shares = Keeper.minted(Now);
+  return std::any_of(Shares.begin(), Shares.end(),
+                     [&](const minted_share &Share) {
+                       return Share.MintsFrom <= Now && Now < Share.Fence;
+                     });
+}
+
 std::vector<token_wait> quota_system::waits() const {
   const steady_time Now = Clock.now();
   std::vector<token_wait> Waits;
--- a/packages/daemon/src/quotasys_p.h
+++ b/packages/daemon/src/quotasys_p.h
@@ -41,6 +41,9 @@
   /// True when no share is held any more.
   bool released() const { return Keeper.heldCount() == 0; }
 
+  /// True when a held share mints tokens.
+  bool minting() const;
+
   /// Workspaces whose tokens run short here.
   std::vector<token_wait> waits() const;
 
--- a/packages/traffic/include/magnoliaspread/fleetauth.h
+++ b/packages/traffic/include/magnoliaspread/fleetauth.h
@@ -39,6 +39,9 @@
 /// Reads 64 hex digits; BadSettings otherwise.
 result<fleet_secret> parseFleetSecret(std::string_view Hex);
 
+/// Message authentication code of any text, in hex.
+std::string macOf(const fleet_secret &Secret, std::string_view Text);
+
 /// Message authentication code over every field, in hex.
 std::string signForwarded(const fleet_secret &Secret,
                           const forwarded_head &Head);
--- a/packages/traffic/include/magnoliaspread/lookup.h
+++ b/packages/traffic/include/magnoliaspread/lookup.h
@@ -22,10 +22,12 @@
 /// Reads the query of a look-up, such as "/v1/lookup?service=calendar".
 result<lookup_query> parseLookup(std::string_view Target);
 
-/// JSON: instances in order of preference, and how long to keep the answer.
+/// JSON: instances in order of preference, how long to keep the answer, and a
+/// ticket of the answering instance for requests that may run only once.
 result<std::string> answerLookup(const traffic_view &View,
                                  const lookup_query &Query,
-                                 std::chrono::milliseconds TimeToLive);
+                                 std::chrono::milliseconds TimeToLive,
+                                 std::string_view Ticket);
 
 } // namespace magnoliaspread
 
--- a/packages/traffic/include/magnoliaspread/traffic.h
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -5,6 +5,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/metrics.h>
 #include <magnoliaspread/purse.h>
 #include <magnoliaspread/settings.h>
 #include <magnoliaspread/view.h>
@@ -22,9 +23,10 @@
 
 class traffic_threads {
 public:
-  /// \p Tokens outlives the threads.
+  /// \p Tokens and \p Metrics outlive the threads.
   traffic_threads(const instance_settings &Settings, const clock &Clock,
-                  fleet_secret Secret, purse &Tokens, frame_handler OnFrame);
+                  fleet_secret Secret, purse &Tokens, instance_metrics &Metrics,
+                  frame_handler OnFrame);
   ~traffic_threads();
   traffic_threads(const traffic_threads &) = delete;
   traffic_threads &operator=(const traffic_threads &) = delete;
@@ -38,6 +40,7 @@
 
   /// Hands a peer's message to the threads.
   void deliver(const peer_credit_message &Message);
+  void deliver(const quarantine_notice &Notice);
 
   /// Ends the threads; connections still open are cut.
   void stop();
--- a/packages/traffic/include/magnoliaspread/view.h
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -7,6 +7,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/creditmsg.h>
 #include <magnoliaspread/index.h>
+#include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/settings.h>
 
 #include <chrono>
@@ -65,6 +66,8 @@
   std::uint32_t FreeSlots = 0;
   /// To be sent to peers.
   std::vector<peer_credit_message> Credits;
+  /// To be sent to every instance.
+  std::vector<quarantine_notice> Notices;
 };
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/answer.cpp
+++ b/packages/traffic/src/answer.cpp
@@ -43,6 +43,20 @@
   return Response;
 }
 
+text_response keptResponse(const once_answer &Answer,
+                           std::string_view RequestId, bool KeepAlive) {
+  text_response Response(http::int_to_status(Answer.Status), HttpVersion11);
+  if (!Answer.ContentType.empty())
+    Response.set(http::field::content_type, Answer.ContentType);
+  Response.set("X-Run-State", nameOf(run_state::Ran));
+  Response.set("X-Repeated-Answer", Answer.HasBody ? "whole" : "status only");
+  Response.set("X-Request-Id", RequestId);
+  Response.body() = Answer.Body;
+  Response.keep_alive(KeepAlive);
+  Response.prepare_payload();
+  return Response;
+}
+
 text_response jsonResponse(std::string Body, bool KeepAlive) {
   text_response Response(http::status::ok, HttpVersion11);
   Response.set(http::field::content_type, "application/json");
--- a/packages/traffic/src/answer_p.h
+++ b/packages/traffic/src/answer_p.h
@@ -5,6 +5,7 @@
 #include "net_p.h"
 
 #include <magnoliaspread/error.h>
+#include <magnoliaspread/once.h>
 
 #include <string>
 #include <string_view>
@@ -18,6 +19,10 @@
 text_response errorResponse(const error &Error, std::string_view RequestId,
                             bool KeepAlive);
 
+/// The remembered answer to a repeated request.
+text_response keptResponse(const once_answer &Answer,
+                           std::string_view RequestId, bool KeepAlive);
+
 text_response jsonResponse(std::string Body, bool KeepAlive);
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/dispatch_p.h
+++ b/packages/traffic/src/dispatch_p.h
@@ -6,6 +6,7 @@
 #include "relay_p.h"
 
 #include <magnoliaspread/admit.h>
+#include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/view.h>
 
 #include <optional>
@@ -21,6 +22,8 @@
   std::uint64_t CreditGrant = 0;
   /// Names the place in its lane; 0 when it came from none.
   std::uint64_t Ticket = 0;
+  /// Names the attempt on a target.
+  attempt_id Attempt = 0;
   /// The dispatcher's own handles.
   service_handle Service;
   region_handle Region;
@@ -41,6 +44,7 @@
   config_index_ptr Config;
   /// Set when a peer instance sent it: it is not forwarded again.
   std::optional<forwarded_origin> Forwarded;
+  request_fingerprint Fingerprint = 0;
   /// Number of attempts already made.
   unsigned Attempt = 0;
 };
@@ -68,6 +72,7 @@
 
   /// Takes in a message of a peer.
   virtual void receive(const peer_credit_message &Message) = 0;
+  virtual void receive(const quarantine_notice &Notice) = 0;
 
   /// Gives the place back.
   virtual void finished(const dispatch_place &Place,
--- a/packages/traffic/src/fleetauth.cpp
+++ b/packages/traffic/src/fleetauth.cpp
@@ -51,9 +51,7 @@
   return Secret;
 }
 
-std::string signForwarded(const fleet_secret &Secret,
-                          const forwarded_head &Head) {
-  const std::string Text = signedText(Head);
+std::string macOf(const fleet_secret &Secret, std::string_view Text) {
   unsigned char Mac[crypto_auth_BYTES];
   crypto_auth(Mac, reinterpret_cast<const unsigned char *>(Text.data()),
               Text.size(), Secret.data());
@@ -61,6 +59,11 @@
   return sodium_bin2hex(Hex, sizeof(Hex), Mac, sizeof(Mac));
 }
 
+std::string signForwarded(const fleet_secret &Secret,
+                          const forwarded_head &Head) {
+  return macOf(Secret, signedText(Head));
+}
+
 status verifyForwarded(const fleet_secret &Secret, const forwarded_head &Head,
                        std::string_view Mac, wall_time Now) {
   const std::string Expected = signForwarded(Secret, Head);
--- a/packages/traffic/src/lookup.cpp
+++ b/packages/traffic/src/lookup.cpp
@@ -52,7 +52,8 @@
 
 result<std::string> answerLookup(const traffic_view &View,
                                  const lookup_query &Query,
-                                 std::chrono::milliseconds TimeToLive) {
+                                 std::chrono::milliseconds TimeToLive,
+                                 std::string_view Ticket) {
   if (View.Config == nullptr)
     return error{error_kind::NoCapacity, "no configuration is in force", {}};
   if (!Query.Service.empty() &&
@@ -63,6 +64,7 @@
     Instances.push_back(instanceJson(Instance));
   const boost::json::object Answer{{"instances", std::move(Instances)},
                                    {"ttl_ms", TimeToLive.count()},
+                                   {"ticket", Ticket},
                                    {"version", View.Config->Table.Version}};
   return boost::json::serialize(Answer);
 }
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -56,8 +56,13 @@
   bool checkAnswer();
   asio::awaitable<void> readRefusal();
   asio::awaitable<void> sendAnswer();
+  asio::awaitable<error_code>
+  sendPiece(http::response_serializer<http::buffer_body> &Serializer,
+            bool HeadOnly);
   asio::awaitable<bool>
   readAnswerChunk(http::response<http::buffer_body> &Answer);
+  asio::awaitable<void> readRest(http::response<http::buffer_body> &Answer);
+  void keep(std::string_view Bytes);
   void allowProgress();
   void fail(error_kind Kind, std::string Detail);
   void explainLoss(const error_code &Failure);
@@ -157,7 +162,7 @@
 }
 
 asio::awaitable<bool> exchange::readAnswerHead() {
-  if (RequestEnded)
+  if (RequestEnded && !Request.OutlivesCaller)
     Dog.watchCaller();
   Dog.expireAt(RequestEnded ? Request.Deadline
                             : std::min(Request.Deadline,
@@ -250,9 +255,32 @@
   Message.body().data = AnswerChunk.data();
   Message.body().size = AnswerChunk.size() - Answer->get().body().size;
   Message.body().more = !Answer->is_done();
+  keep(std::string_view(AnswerChunk.data(), Message.body().size));
   co_return true;
 }
 
+void exchange::keep(std::string_view Bytes) {
+  if (Request.KeepBytes == 0 || Outcome.Kept.Cut)
+    return;
+  if (Outcome.Kept.Body.size() + Bytes.size() > Request.KeepBytes) {
+    Outcome.Kept.Cut = true;
+    Outcome.Kept.Body.clear();
+    return;
+  }
+  Outcome.Kept.Body += Bytes;
+}
+
+/// Takes in the rest of an answer whose caller is gone.
+asio::awaitable<void>
+exchange::readRest(http::response<http::buffer_body> &Message) {
+  while (!Answer->is_done()) {
+    allowProgress();
+    if (!co_await readAnswerChunk(Message))
+      co_return;
+  }
+  Outcome.Ran = true;
+}
+
 void removeHopFields(http::fields &Head) {
   for (const char *Name : {"Connection", "Keep-Alive", "Proxy-Connection",
                            "Proxy-Authenticate", "Upgrade", "Trailer"})
@@ -264,35 +292,51 @@
       http::response_header<>(Answer->get().base()));
   removeHopFields(Message);
   Message.set("X-Request-Id", Request.Id);
+  Outcome.Kept.ContentType = Message[http::field::content_type];
   const bool KeepCaller = Caller.Parser.keep_alive() && RequestEnded;
   Message.keep_alive(KeepCaller);
   http::response_serializer<http::buffer_body> Serializer(Message);
   const bool HeadOnly = Request.Head.method() == http::verb::head;
-  Serializer.split(HeadOnly);
   while (!Serializer.is_done()) {
     allowProgress();
     if (!co_await readAnswerChunk(Message))
       co_return;
     allowProgress();
     Caller.AnswerStarted = true;
-    if (HeadOnly) {
-      auto [Failure, Count] =
-          co_await http::async_write_header(Caller.Socket, Serializer, Awaited);
-      if (Failure)
-        co_return fail(error_kind::CallerGone, Failure.message());
-      break;
+    const error_code Failure = co_await sendPiece(Serializer, HeadOnly);
+    if (Failure) {
+      fail(error_kind::CallerGone, Failure.message());
+      if (Request.OutlivesCaller)
+        co_await readRest(Message);
+      co_return;
     }
-    auto [Failure, Count] =
-        co_await http::async_write(Caller.Socket, Serializer, Awaited);
-    if (Failure && Failure != http::error::need_buffer)
-      co_return fail(error_kind::CallerGone, Failure.message());
+    if (HeadOnly)
+      break;
   }
   Outcome.Answered = true;
+  Outcome.Ran = true;
   Outcome.CallerReusable = KeepCaller;
   Outcome.UpstreamReusable =
       RequestEnded && Answer->keep_alive() && Up.Buffer.size() == 0;
 }
 
+/// Sends what the serializer holds, or only the head of it.
+asio::awaitable<error_code>
+exchange::sendPiece(http::response_serializer<http::buffer_body> &Serializer,
+                    bool HeadOnly) {
+  if (HeadOnly) {
+    Serializer.split(true);
+    auto [Failure, Count] =
+        co_await http::async_write_header(Caller.Socket, Serializer, Awaited);
+    co_return Failure;
+  }
+  auto [Failure, Count] =
+      co_await http::async_write(Caller.Socket, Serializer, Awaited);
+  if (Failure == http::error::need_buffer)
+    co_return error_code();
+  co_return Failure;
+}
+
 asio::awaitable<relay_outcome> exchange::run() {
   const http::verb Method = Request.Head.method();
   if (!co_await sendRequest())
@@ -360,6 +404,16 @@
   co_return chunk{Read, {}};
 }
 
+asio::awaitable<error_code> caller_side::prefetch(std::size_t Bytes) {
+  while (!Parser.is_done() && Replay.size() < Bytes) {
+    const chunk Chunk = co_await next();
+    if (Chunk.Failure)
+      co_return Chunk.Failure;
+  }
+  rewind();
+  co_return error_code();
+}
+
 asio::awaitable<relay_outcome> relayExchange(caller_side &Caller, upstream &Up,
                                              relay_request Request) {
   exchange Exchange(Caller, Up, std::move(Request));
--- a/packages/traffic/src/relay_p.h
+++ b/packages/traffic/src/relay_p.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace magnoliaspread {
@@ -36,6 +37,13 @@
   /// The next piece of the body; empty at its end.
   asio::awaitable<chunk> next();
 
+  /// Reads the body up to \p Bytes ahead, so that held() has its start; the
+  /// next() after it begins at the start again.
+  asio::awaitable<error_code> prefetch(std::size_t Bytes);
+
+  /// The start of the body, as far as it was read and is still kept.
+  std::string_view held() const { return {Replay.data(), Replay.size()}; }
+
   /// True when all that was read can still be given again.
   bool canRewind() const { return !Overflowed; }
   void rewind() { Position = 0; }
@@ -72,11 +80,26 @@
   upstream_kind To = upstream_kind::Target;
   steady_time Deadline;
   std::chrono::milliseconds ProgressTimeout{};
+  /// Goes on to the end of the answer when the caller is gone.
+  bool OutlivesCaller = false;
+  /// Longest body of an answer that is kept for repeats, in bytes.
+  std::size_t KeepBytes = 0;
+};
+
+/// The answer as it passed through, for repeats of its request.
+struct kept_answer {
+  std::string ContentType;
+  std::string Body;
+  /// The body was longer than what is kept.
+  bool Cut = false;
 };
 
 struct relay_outcome {
   /// The caller has the whole answer.
   bool Answered = false;
+  /// The upstream gave its whole answer, whether or not the caller has it.
+  bool Ran = false;
+  kept_answer Kept;
   /// What went wrong; meaningful when not Answered. Its kind's run state is
   /// true of this attempt.
   error Error;
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -18,8 +18,12 @@
 
 namespace {
 
-constexpr unsigned MaxAttempts = 3;
+constexpr retry_settings RetrySettings;
 constexpr milliseconds IdleTimeout{60000};
+/// Answers that take longer count as slow.
+constexpr milliseconds LatencyTarget{1000};
+/// Longest body of an answer that is kept for repeats.
+constexpr std::size_t MaxKeptAnswerBytes = 4096;
 constexpr milliseconds LingerTime{1000};
 constexpr std::size_t MaxLingerBytes = 1u << 20;
 
@@ -49,6 +53,16 @@
   asio::awaitable<bool> serveLookup();
   asio::awaitable<bool> serveConfig();
   asio::awaitable<bool> steer(const admitted_request &Request);
+  asio::awaitable<std::optional<once_id>>
+  admitOnce(const admitted_request &Request, bool &Keep);
+  std::uint64_t contentHash() const;
+  void endOnce(once_id Id, const relay_outcome &Outcome);
+  asio::awaitable<result<request_fingerprint>>
+  fingerprint(const admitted_request &Request, caller_side &Caller);
+  asio::awaitable<relay_outcome> runAttempts(const admitted_request &Request,
+                                             caller_side &Caller,
+                                             std::optional<once_id> Once);
+  void countEnd(const admitted_request &Request, const relay_outcome &Outcome);
   asio::awaitable<relay_outcome> attempt(const admitted_request &Request,
                                          caller_side &Caller,
                                          const dispatch_place &Place);
@@ -60,7 +74,8 @@
   asio::awaitable<bool> send(text_response Response);
   asio::awaitable<void> linger();
   bool mayRetry(const admitted_request &Request, const caller_side &Caller,
-                const relay_outcome &Outcome, unsigned Attempts) const;
+                const relay_outcome &Outcome, unsigned Attempts);
+  retry_budget &budgetOf(const admitted_request &Request);
   void logEnd(const admitted_request &Request, const relay_outcome &Outcome,
               std::string_view Place, unsigned Attempts) const;
 
@@ -157,7 +172,8 @@
   if (failed(Query))
     co_return co_await refuse(errorOf(Query), {});
   const result<std::string> Answer =
-      answerLookup(*View, valueOf(Query), State.Settings.LookupTtl);
+      answerLookup(*View, valueOf(Query), State.Settings.LookupTtl,
+                   State.Once.issue(State.Clock.now()));
   if (failed(Answer))
     co_return co_await refuse(errorOf(Answer), {});
   co_return co_await send(
@@ -240,6 +256,8 @@
   Relay.Id = Request.Id;
   Relay.To = Place.Kind;
   Relay.Deadline = Request.Deadline;
+  Relay.OutlivesCaller = Request.AtMostOnce;
+  Relay.KeepBytes = Request.AtMostOnce ? MaxKeptAnswerBytes : 0;
   Relay.ProgressTimeout =
       Index.Table.Services[Request.Service.Index].ProgressTimeout;
   Outcome = co_await relayExchange(Caller, *Connection, std::move(Relay));
@@ -250,15 +268,29 @@
 
 bool session::mayRetry(const admitted_request &Request,
                        const caller_side &Caller, const relay_outcome &Outcome,
-                       unsigned Attempts) const {
-  if (Attempts >= MaxAttempts || Caller.AnswerStarted || !Caller.canRewind())
-    return false;
+                       unsigned Attempts) {
+  const steady_time Now = State.Clock.now();
   if (Outcome.Error.Kind == error_kind::CallerGone ||
-      Outcome.Error.Kind == error_kind::RequestStalled ||
-      State.Clock.now() >= Request.Deadline)
+      Outcome.Error.Kind == error_kind::RequestStalled)
     return false;
-  const bool NotRun = answerOf(Outcome.Error.Kind).Run == run_state::NotRun;
-  return NotRun || Request.Repeatable;
+  attempt_facts Facts;
+  Facts.Repeatable = Request.Repeatable;
+  Facts.FirstByteSent = Outcome.Sent;
+  Facts.ReportedNotRun = answerOf(Outcome.Error.Kind).Run == run_state::NotRun;
+  Facts.BodyHeld = Caller.canRewind();
+  Facts.AnswerStarted = Caller.AnswerStarted;
+  Facts.Attempts = Attempts;
+  Facts.TimeLeft = Request.Deadline - Now;
+  return magnoliaspread::mayRetry(Facts, RetrySettings, budgetOf(Request),
+                                  Now) == retry_verdict::Retry;
+}
+
+retry_budget &session::budgetOf(const admitted_request &Request) {
+  const std::string &Service =
+      View->Config->Table.Services[Request.Service.Index].Name;
+  return State.RetryBudgets
+      .try_emplace(Service, RetrySettings, State.Clock.now())
+      .first->second;
 }
 
 void session::logEnd(const admitted_request &Request,
@@ -283,38 +315,168 @@
             {"us", Elapsed.count()}});
 }
 
+/// Decides whether a request that may run only once is run here; empty when it
+/// has been answered already.
+asio::awaitable<std::optional<once_id>>
+session::admitOnce(const admitted_request &Request, bool &Keep) {
+  const once_request Wanted{
+      View->Config->Table.Workspaces[Request.Workspace.Index].Name,
+      Request.IdempotencyKey, Request.Ticket, contentHash()};
+  const once_decision Decision = State.Once.admit(Wanted, State.Clock.now());
+  switch (Decision.Verdict) {
+  case once_verdict::Run:
+    co_return Decision.Id;
+  case once_verdict::Answered:
+    Keep =
+        co_await send(keptResponse(*Decision.Answer, Request.Id,
+                                   Parser->is_done() && Parser->keep_alive()));
+    break;
+  case once_verdict::TicketNeeded: {
+    text_response Response = errorResponse(
+        {error_kind::TicketNeeded, "send it again with this X-Ticket", {}},
+        Request.Id, Parser->is_done() && Parser->keep_alive());
+    Response.set("X-Ticket", Decision.NewTicket);
+    Keep = co_await send(std::move(Response));
+    break;
+  }
+  case once_verdict::Elsewhere:
+    Keep = co_await refuse({error_kind::OutcomeUnknown,
+                            "only " + Decision.Ticket->Instance +
+                                " can tell; ask it with the same ticket",
+                            {}},
+                           Request.Id);
+    co_return std::nullopt;
+  case once_verdict::Refused:
+    Keep = co_await refuse(*Decision.Error, Request.Id);
+    co_return std::nullopt;
+  }
+  if (!Keep)
+    co_await linger();
+  co_return std::nullopt;
+}
+
+/// Tells a repeat from another request under the same idempotency key.
+std::uint64_t session::contentHash() const {
+  const auto &Head = Parser->get();
+  const std::uint64_t Length = Parser->content_length().value_or(0);
+  return fingerprintOf(
+      {{}, Head.method_string(), Head.target(), std::to_string(Length)});
+}
+
+void session::endOnce(once_id Id, const relay_outcome &Outcome) {
+  const steady_time Now = State.Clock.now();
+  if (Outcome.Ran)
+    return State.Once.finish(Id,
+                             {Outcome.Status, Outcome.Kept.ContentType,
+                              Outcome.Kept.Body, !Outcome.Kept.Cut},
+                             Now);
+  if (answerOf(Outcome.Error.Kind).Run == run_state::NotRun)
+    return State.Once.finishNotRun(Id);
+  State.Once.finishUnknown(Id, Now);
+}
+
 asio::awaitable<bool> session::steer(const admitted_request &Request) {
   caller_side Caller(Socket, Buffer, *Parser);
   Caller.ContinueOwed = Parser->get()[http::field::expect] == "100-continue";
-  std::optional<forwarded_origin> Origin;
-  if (Port == entry_port::Internal)
-    Origin = originOf(Parser->get().base());
+  std::optional<once_id> Once;
+  if (Request.AtMostOnce && Port == entry_port::Public) {
+    bool Keep = false;
+    Once = co_await admitOnce(Request, Keep);
+    if (!Once)
+      co_return Keep;
+  }
+  const relay_outcome Outcome = co_await runAttempts(Request, Caller, Once);
+  if (Once)
+    endOnce(*Once, Outcome);
+  countEnd(Request, Outcome);
+  if (Outcome.Answered)
+    co_return Outcome.CallerReusable;
+  if (Caller.AnswerStarted || Outcome.Error.Kind == error_kind::CallerGone)
+    co_return false;
+  co_return co_await refuse(Outcome.Error, Request.Id);
+}
+
+/// Identifies the request for the quarantine, by its head and the start of its
+/// body. A body that the caller holds back doesn't count.
+asio::awaitable<result<request_fingerprint>>
+session::fingerprint(const admitted_request &Request, caller_side &Caller) {
+  if (!Caller.ContinueOwed && !Parser->is_done()) {
+    const service_row &Service =
+        View->Config->Table.Services[Request.Service.Index];
+    read_timer Timer(Socket, Service.ProgressTimeout);
+    const error_code Failure = co_await Caller.prefetch(FingerprintBodyBytes);
+    if (Failure == asio::error::operation_aborted)
+      co_return error{error_kind::RequestStalled, "the body did not come", {}};
+    if (Failure)
+      co_return error{error_kind::CallerGone, Failure.message(), {}};
+  }
+  const std::string Workspace =
+      Request.Workspace.valid()
+          ? View->Config->Table.Workspaces[Request.Workspace.Index].Name
+          : std::string();
+  const auto &Head = Parser->get();
+  co_return fingerprintOf(
+      {Workspace, Head.method_string(), Head.target(), Caller.held()});
+}
+
+asio::awaitable<relay_outcome>
+session::runAttempts(const admitted_request &Request, caller_side &Caller,
+                     std::optional<once_id> Once) {
   relay_outcome Outcome;
-  for (unsigned Attempts = 1;; ++Attempts) {
-    const placement_request Wanted{&Request, View->Config, Origin,
-                                   Attempts - 1};
+  const auto Fingerprint = co_await fingerprint(Request, Caller);
+  if (failed(Fingerprint)) {
+    Outcome.Error = errorOf(Fingerprint);
+    co_return Outcome;
+  }
+  placement_request Wanted{&Request, View->Config, {}, valueOf(Fingerprint), 0};
+  if (Port == entry_port::Internal)
+    Wanted.Forwarded = originOf(Parser->get().base());
+  for (;; ++Wanted.Attempt) {
     const result<dispatch_place> Place =
         co_await State.Dispatcher.place(Wanted);
     if (failed(Place)) {
-      if (Attempts == 1)
+      if (Wanted.Attempt == 0)
         Outcome.Error = errorOf(Place);
-      logEnd(Request, Outcome, "-", Attempts - 1);
+      logEnd(Request, Outcome, "-", Wanted.Attempt);
       break;
     }
+    if (Once)
+      State.Once.sent(*Once);
     Outcome = co_await attempt(Request, Caller, valueOf(Place));
     State.Dispatcher.finished(valueOf(Place), Outcome);
-    if (!Outcome.Answered && mayRetry(Request, Caller, Outcome, Attempts)) {
-      Caller.rewind();
-      continue;
+    if (Outcome.Answered)
+      budgetOf(Request).succeeded(State.Clock.now());
+    if (Outcome.Answered ||
+        !mayRetry(Request, Caller, Outcome, Wanted.Attempt + 1)) {
+      logEnd(Request, Outcome, valueOf(Place).Name, Wanted.Attempt + 1);
+      break;
     }
-    logEnd(Request, Outcome, valueOf(Place).Name, Attempts);
-    break;
+    Caller.rewind();
   }
-  if (Outcome.Answered)
-    co_return Outcome.CallerReusable;
-  if (Caller.AnswerStarted || Outcome.Error.Kind == error_kind::CallerGone)
-    co_return false;
-  co_return co_await refuse(Outcome.Error, Request.Id);
+  co_return Outcome;
+}
+
+/// Counts the end of a request of a caller; the instance that the caller chose
+/// counts it, not the peer that it was forwarded to.
+void session::countEnd(const admitted_request &Request,
+                       const relay_outcome &Outcome) {
+  if (Port == entry_port::Internal)
+    return;
+  const config_table &Table = View->Config->Table;
+  const std::string Workspace =
+      Request.Workspace.valid() ? Table.Workspaces[Request.Workspace.Index].Name
+                                : std::string();
+  request_end End;
+  if (!Outcome.Answered)
+    End.Error = Outcome.Error.Kind;
+  End.Status = Outcome.Status;
+  End.Latency = duration_cast<microseconds>(State.Clock.now() - ArrivedAt);
+  // Every refusal but that of the rate comes after the token was taken.
+  End.WithinRate =
+      !Outcome.Answered && Outcome.Error.Kind != error_kind::RateLimited;
+  const service_row &Service = Table.Services[Request.Service.Index];
+  State.Metrics.count(
+      State.Metrics.meterOf(Workspace, Service.Name, LatencyTarget), End);
 }
 
 asio::awaitable<void> session::run() {
--- a/packages/traffic/src/session_p.h
+++ b/packages/traffic/src/session_p.h
@@ -8,10 +8,14 @@
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/metrics.h>
+#include <magnoliaspread/once.h>
+#include <magnoliaspread/retry.h>
 #include <magnoliaspread/settings.h>
 #include <magnoliaspread/view.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace magnoliaspread {
@@ -24,6 +28,9 @@
   const fleet_secret &Secret;
   upstream_pool &Pool;
   dispatcher &Dispatcher;
+  once_registry &Once;
+  instance_metrics &Metrics;
+  std::map<std::string, retry_budget> RetryBudgets;
   traffic_view_ptr View;
   /// Makes request ids unique: the thread's random prefix and a counter.
   std::string IdPrefix;
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -35,6 +35,18 @@
   return static_cast<std::uint64_t>(Seconds.count()) << 24U;
 }
 
+/// Longest wait for a target to run nothing else.
+constexpr milliseconds IsolationWait{2000};
+/// Tries to find a target that is not kept for a suspect.
+constexpr unsigned MaxPicks = 8;
+constexpr milliseconds NoticePeriod{1000};
+constexpr std::size_t NoticesAtOnce = 8;
+
+error quarantined(const placement_decision &Decision) {
+  return {error_kind::Quarantined, "targets died while this request ran",
+          Decision.RetryAfter};
+}
+
 error noCapacity(const char *Detail) {
   return {error_kind::NoCapacity, Detail, {}};
 }
@@ -272,21 +284,100 @@
   const service_handle Service = serviceOf(Request);
   if (!Service.valid() || !Plan.Own.valid())
     co_return noCapacity("the service has no plan here");
+  const placement_decision Before =
+      Quarantine.place(Request.Fingerprint, Clock.now());
+  if (Before.Placement == placement::Quarantined ||
+      Before.Placement == placement::Later)
+    co_return quarantined(Before);
+  if (Before.Placement == placement::Alone) {
+    result<dispatch_place> Place =
+        co_await placeAlone(Service, Request.Request->Deadline);
+    if (failed(Place))
+      co_return errorOf(Place);
+    co_return begin(Request, std::move(valueOf(Place)));
+  }
+  result<dispatch_place> Place = co_await placeUnchecked(Request, Service);
+  if (failed(Place))
+    co_return errorOf(Place);
+  const placement_decision After =
+      Quarantine.place(Request.Fingerprint, Clock.now());
+  if (After.Placement == placement::Any)
+    co_return begin(Request, std::move(valueOf(Place)));
+  // It became a suspect while it waited.
+  relay_outcome Unsent;
+  Unsent.Error = quarantined(After);
+  finished(valueOf(Place), Unsent);
+  co_return Unsent.Error;
+}
+
+/// Notes that the request begins on its target; a peer notes that itself.
+result<dispatch_place> steerer::begin(const placement_request &Request,
+                                      dispatch_place Place) {
+  if (Place.Kind == upstream_kind::Target) {
+    Place.Attempt = ++NextAttempt;
+    Quarantine.started(Place.Attempt, Request.Fingerprint, Place.Target);
+  }
+  return Place;
+}
+
+target_handle steerer::leastLoaded(service_handle Service) const {
+  target_handle Best;
+  for (const target_handle Target : Targets.Owned[Service.Index]) {
+    if (usableSlots(Targets, Target, Clock.now()) == 0)
+      continue;
+    if (!Best.valid() ||
+        Targets.Rows[Target.Index].InFlight < Targets.Rows[Best.Index].InFlight)
+      Best = Target;
+  }
+  return Best;
+}
+
+/// Empties a target and takes it for one suspect.
+asio::awaitable<result<dispatch_place>>
+steerer::placeAlone(service_handle Service, steady_time Deadline) {
+  const steady_time End = std::min(Deadline, Clock.now() + IsolationWait);
+  if (Isolated.valid())
+    co_return noCapacity("another suspect runs alone");
+  const target_handle Target = leastLoaded(Service);
+  if (!Target.valid())
+    co_return noCapacity("no target can run a suspect alone");
+  Isolated = Target;
+  asio::steady_timer Timer(Context);
+  while (Targets.Rows[Target.Index].InFlight > 0) {
+    if (Clock.now() >= End) {
+      Isolated = {};
+      co_return noCapacity("no target came free for a suspect");
+    }
+    Timer.expires_after(Settings.ControlTick);
+    co_await Timer.async_wait(Awaited);
+  }
+  co_return useTarget(Service, Target, Clock.now());
+}
+
+asio::awaitable<result<dispatch_place>>
+steerer::placeUnchecked(const placement_request &Request,
+                        service_handle Service) {
   if (Request.Forwarded)
     co_return co_await placeForwarded(Request, Service);
-  const steady_time Deadline = Request.Request->Deadline;
   const std::string Workspace = workspaceName(Request);
   if (!Workspace.empty() && Request.Attempt == 0) {
-    const status Passed = co_await Tokens.pass(Workspace, Deadline);
+    const status Passed =
+        co_await Tokens.pass(Workspace, Request.Request->Deadline);
     if (failed(Passed))
       co_return errorOf(Passed);
   }
+  co_return co_await placeChosen(Request, Service);
+}
+
+asio::awaitable<result<dispatch_place>>
+steerer::placeChosen(const placement_request &Request, service_handle Service) {
   const result<region_handle> Region = decideRegion(Request);
   if (failed(Region))
     co_return errorOf(Region);
   updateSlots(Service, Clock.now());
   const region_handle Chosen = valueOf(Region);
-  const fairq_entry Entry{++NextTicket, workspaceOf(Request), Deadline};
+  const fairq_entry Entry{++NextTicket, workspaceOf(Request),
+                          Request.Request->Deadline};
   co_return co_await laneOf(Service, Chosen).wait(Entry, [=, this] {
     return findPlace(Service, Chosen);
   });
@@ -331,10 +422,14 @@
 
 std::optional<dispatch_place> steerer::findTarget(service_handle Service,
                                                   steady_time Now) {
-  const result<target_handle> Target = pick(Targets, Service, Now, Random());
-  if (failed(Target))
-    return std::nullopt;
-  return useTarget(Service, valueOf(Target), Now);
+  for (unsigned I = 0; I < MaxPicks; ++I) {
+    const result<target_handle> Target = pick(Targets, Service, Now, Random());
+    if (failed(Target))
+      return std::nullopt;
+    if (valueOf(Target) != Isolated)
+      return useTarget(Service, valueOf(Target), Now);
+  }
+  return std::nullopt;
 }
 
 std::optional<dispatch_place> steerer::findPeer(service_handle Service,
@@ -474,6 +569,10 @@
       Frame.Waiting += Services[I].Forwarded->waitingCount();
   }
   Frame.Credits = std::exchange(Outgoing, {});
+  if (Now >= NextNotices) {
+    NextNotices = Now + NoticePeriod;
+    Frame.Notices = Quarantine.notices(NoticesAtOnce, Now);
+  }
 }
 
 void steerer::receive(const peer_credit_message &Message) {
@@ -530,13 +629,35 @@
     dropCredits(Wallet, Place.Peer, Place.Service);
 }
 
+/// Tells the quarantine how an attempt on a target ended. A connection that
+/// breaks before any answer counts as the death of its target.
+void steerer::endAttempt(const dispatch_place &Place,
+                         const relay_outcome &Outcome, steady_time Now) {
+  if (Place.Target == Isolated)
+    Isolated = {};
+  if (Outcome.Ran)
+    return Quarantine.succeeded(Place.Attempt, Now);
+  if (!Outcome.Died || !Outcome.Sent)
+    return Quarantine.ended(Place.Attempt);
+  for (const request_fingerprint Found :
+       Quarantine.targetDied(Place.Target, Now))
+    logEvent(log_level::Warning, "request_quarantined",
+             {{"fingerprint", Found}, {"target", Place.Name}});
+}
+
+void steerer::receive(const quarantine_notice &Notice) {
+  Quarantine.merge(Notice, Clock.now());
+}
+
 void steerer::finished(const dispatch_place &Place,
                        const relay_outcome &Outcome) {
   const steady_time Now = Clock.now();
-  if (Place.Kind == upstream_kind::Target)
+  if (Place.Kind == upstream_kind::Target) {
+    endAttempt(Place, Outcome, Now);
     endTarget(Place, Outcome, Now);
-  else
+  } else {
     endPeer(Place, Outcome);
+  }
   // Tickets are unique, and a lane ignores those of others.
   const auto &Forwarded = Services[Place.Service.Index].Forwarded;
   if (Forwarded != nullptr)
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -34,6 +34,7 @@
   void tick() override;
   void fillFrame(traffic_frame &Frame) override;
   void receive(const peer_credit_message &Message) override;
+  void receive(const quarantine_notice &Notice) override;
   void finished(const dispatch_place &Place,
                 const relay_outcome &Outcome) override;
 
@@ -70,6 +71,17 @@
 
   result<region_handle> decideRegion(const placement_request &Request);
   asio::awaitable<result<dispatch_place>>
+  placeUnchecked(const placement_request &Request, service_handle Service);
+  asio::awaitable<result<dispatch_place>>
+  placeChosen(const placement_request &Request, service_handle Service);
+  asio::awaitable<result<dispatch_place>> placeAlone(service_handle Service,
+                                                     steady_time Deadline);
+  target_handle leastLoaded(service_handle Service) const;
+  result<dispatch_place> begin(const placement_request &Request,
+                               dispatch_place Place);
+  void endAttempt(const dispatch_place &Place, const relay_outcome &Outcome,
+                  steady_time Now);
+  asio::awaitable<result<dispatch_place>>
   placeForwarded(placement_request Request, service_handle Service);
   region_mask availableRegions(service_handle Service, steady_time Now) const;
   region_mask quickRegions(const region_mask &Regions, service_handle Service,
@@ -124,6 +136,12 @@
   credit_wallet Wallet;
   credit_grantor Grantor;
   std::vector<ask_time> Asks;
+
+  quarantine Quarantine{quarantine_settings{}};
+  /// Runs a suspect alone, or is being emptied for one.
+  target_handle Isolated;
+  attempt_id NextAttempt = 0;
+  steady_time NextNotices;
   std::vector<peer_credit_message> Outgoing;
 
   std::uint64_t NextTicket = 0;
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -26,6 +26,15 @@
 using reuse_port =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+mac_function ticketMac(const fleet_secret &Secret) {
+  return [Secret](std::string_view Text) { return macOf(Secret, Text); };
+}
+
 std::string randomPrefix() {
   std::random_device Device;
   char Text[24];
@@ -57,18 +66,32 @@
 
 } // namespace
 
+struct traffic_threads::state {
+  const instance_settings &Settings;
+  const clock &Clock;
+  fleet_secret Secret;
+  purse &Tokens;
+  instance_metrics &Metrics;
+  frame_handler OnFrame;
+  std::vector<std::unique_ptr<thread>> Threads;
+};
+
 struct traffic_threads::thread {
-  thread(std::uint32_t Number, const instance_settings &Settings,
-         const clock &Clock, const fleet_secret &Secret, purse &Tokens,
-         const frame_handler &OnFrame)
-      : Number(Number), OnFrame(OnFrame), Pool(Context, Clock),
-        Dispatcher(Context, Clock, Settings, Tokens, std::random_device()()),
+  thread(std::uint32_t Number, const traffic_threads::state &Shared)
+      : Number(Number), OnFrame(Shared.OnFrame), Pool(Context, Shared.Clock),
+        Dispatcher(Context, Shared.Clock, Shared.Settings, Shared.Tokens,
+                   randomNumber()),
+        Once(Shared.Settings.Name, randomNumber(), once_settings{},
+             ticketMac(Shared.Secret), Shared.Clock.now(), Shared.Clock.wall()),
         State{Context,
-              Clock,
-              Settings,
-              Secret,
+              Shared.Clock,
+              Shared.Settings,
+              Shared.Secret,
               Pool,
               Dispatcher,
+              Once,
+              Shared.Metrics,
+              {},
               std::make_shared<traffic_view>(),
               randomPrefix()},
         Public(Context), Internal(Context) {}
@@ -85,21 +108,13 @@
   asio::io_context Context{1};
   upstream_pool Pool;
   steerer Dispatcher;
+  once_registry Once;
   thread_state State;
   tcp::acceptor Public;
   tcp::acceptor Internal;
   std::thread Thread;
 };
 
-struct traffic_threads::state {
-  const instance_settings &Settings;
-  const clock &Clock;
-  fleet_secret Secret;
-  purse &Tokens;
-  frame_handler OnFrame;
-  std::vector<std::unique_ptr<thread>> Threads;
-};
-
 asio::awaitable<void>
 traffic_threads::thread::acceptAll(tcp::acceptor &Acceptor, entry_port Port) {
   for (;;) {
@@ -163,11 +178,13 @@
 
 traffic_threads::traffic_threads(const instance_settings &Settings,
                                  const clock &Clock, fleet_secret Secret,
-                                 purse &Tokens, frame_handler OnFrame)
+                                 purse &Tokens, instance_metrics &Metrics,
+                                 frame_handler OnFrame)
     : State(std::make_unique<state>(state{Settings,
                                           Clock,
                                           std::move(Secret),
                                           Tokens,
+                                          Metrics,
                                           std::move(OnFrame),
                                           {}})) {}
 
@@ -175,9 +192,7 @@
 
 status traffic_threads::start() {
   for (std::uint32_t I = 0; I < State->Settings.TrafficThreads; ++I) {
-    auto Thread =
-        std::make_unique<thread>(I, State->Settings, State->Clock,
-                                 State->Secret, State->Tokens, State->OnFrame);
+    auto Thread = std::make_unique<thread>(I, *State);
     const status Public = openPort(Thread->Public, State->Settings.Public);
     if (failed(Public))
       return Public;
@@ -208,6 +223,13 @@
     });
 }
 
+void traffic_threads::deliver(const quarantine_notice &Notice) {
+  for (const auto &Thread : State->Threads)
+    asio::post(Thread->Context, [Thread = Thread.get(), Notice] {
+      Thread->Dispatcher.receive(Notice);
+    });
+}
+
 void traffic_threads::stop() {
   for (const auto &Thread : State->Threads)
     Thread->Context.stop();
