--- a/packages/report/src/burn.cpp
+++ b/packages/report/src/burn.cpp
@@ -161,7 +161,7 @@
   burn_map Rows;
   burn_report Report;
   Report.Instances = Pages.size();
-  Report.Covered = LongWindow;
+  Report.Covered = Pages.empty() ? std::chrono::seconds{0} : LongWindow;
   for (const slo_page &Page : Pages) {
     for (const slo_row &R : Page.Short)
       rowOf(Rows, R).Short += R.Counts;
--- a/packages/report/tests/slo.cpp
+++ b/packages/report/tests/slo.cpp
@@ -162,6 +162,8 @@
     CPPUNIT_ASSERT(
         makeBurnReport({Page(980, 20), Page(1000, 0)}, Settings).Rows[0].Alert);
   });
+  section("nothing is covered without instances",
+          [&] { CPPUNIT_ASSERT(makeBurnReport({}, {}).Covered == 0s); });
   section("refusals for the caller's fault burn nothing", [&] {
     slo_page Refused;
     slo_row Row = row("vela", 0, 0);
