--- a/bench/blocks.cpp
+++ b/bench/blocks.cpp
@@ -82,9 +82,11 @@
 block_table load(const std::vector<byte_buffer> &Encoded) {
   std::vector<block_chunk_pointer> Chunks;
   Chunks.reserve(Encoded.size());
-  for (const byte_buffer &Bytes : Encoded)
-    Chunks.push_back(std::make_shared<const block_chunk>(
-        std::move(valueOf(decodeChunk(Bytes)).Chunk)));
+  for (const byte_buffer &Bytes : Encoded) {
+    result<numbered_chunk> Decoded = decodeChunk(Bytes);
+    Chunks.push_back(
+        std::make_shared<const block_chunk>(std::move(valueOf(Decoded).Chunk)));
+  }
   return valueOf(makeTable(1, Chunks));
 }
 
@@ -207,8 +209,8 @@
 } // namespace
 
 int main() {
-  bench_report Report;
-  for (const std::size_t Count : {10000U, 100000U, 680000U})
-    measure(Report, Count);
-  return Report.AllOk ? 0 : 1;
+  return runBench([](bench_report &Report) {
+    for (const std::size_t Count : {10000U, 100000U, 680000U})
+      measure(Report, Count);
+  });
 }
--- a/bench/measures.h
+++ b/bench/measures.h
@@ -3,6 +3,7 @@
 #define MAGNOLIASPREAD_BENCH_REPORT_H
 
 #include <cstdio>
+#include <exception>
 #include <optional>
 #include <string>
 
@@ -33,6 +34,19 @@
   std::fflush(stdout);
 }
 
+/// Runs \p Body and returns the program's exit code: 0 when every measure kept
+/// its bound.
+template <class Body> int runBench(const Body &Measure) noexcept {
+  bench_report Report;
+  try {
+    Measure(Report);
+  } catch (const std::exception &Error) {
+    std::fprintf(stderr, "%s\n", Error.what());
+    return 2;
+  }
+  return Report.AllOk ? 0 : 1;
+}
+
 } // namespace magnoliaspread
 
 #endif
--- a/bench/steering.cpp
+++ b/bench/steering.cpp
@@ -48,6 +48,18 @@
   print(Report, "expired_in_queue_" + Name, Expired, "of served");
 }
 
+void measureFloods(bench_report &Report) {
+  measureFairness(Report, "ventania_media",
+                  floodedShape(12 * 3, milliseconds(100), 0.95));
+  measureFairness(Report, "ventania_calendar",
+                  floodedShape(28 * 4, milliseconds(40), 0.95));
+  measureFairness(Report, "licencias_registry",
+                  floodedShape(32 * 6, milliseconds(40), 0.95));
+  fairness_shape Slow = floodedShape(12 * 3, milliseconds(100), 0.95);
+  Slow.Workspaces.back().SlotTime = milliseconds(500);
+  measureFairness(Report, "licencias_documents_slow", Slow);
+}
+
 headroom_result worstOf(const headroom_shape &Shape, headroom_policy Policy) {
   headroom_result Sum;
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
@@ -214,21 +226,13 @@
 } // namespace
 
 int main() {
-  bench_report Report;
-  measureFairness(Report, "ventania_media",
-                  floodedShape(12 * 3, milliseconds(100), 0.95));
-  measureFairness(Report, "ventania_calendar",
-                  floodedShape(28 * 4, milliseconds(40), 0.95));
-  measureFairness(Report, "licencias_registry",
-                  floodedShape(32 * 6, milliseconds(40), 0.95));
-  fairness_shape Slow = floodedShape(12 * 3, milliseconds(100), 0.95);
-  Slow.Workspaces.back().SlotTime = milliseconds(500);
-  measureFairness(Report, "licencias_documents_slow", Slow);
-  measureDeployments(Report);
-  measureShift(Report);
-  for (const std::size_t Workspaces : {8U, 64U, 1024U})
-    measureQueueCost(Report, Workspaces);
-  for (const std::uint16_t Targets : {3, 30, 300})
-    measurePickCost(Report, Targets);
-  return Report.AllOk ? 0 : 1;
+  return runBench([](bench_report &Report) {
+    measureFloods(Report);
+    measureDeployments(Report);
+    measureShift(Report);
+    for (const std::size_t Workspaces : {8U, 64U, 1024U})
+      measureQueueCost(Report, Workspaces);
+    for (const std::uint16_t Targets : {3, 30, 300})
+      measurePickCost(Report, Targets);
+  });
 }
