--- a/packages/coordination/tests/confsyncfaults.cpp
+++ b/packages/coordination/tests/confsyncfaults.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t Seeds[] = {1, 2, 3, 4, 5, 6};
+constexpr std::uint64_t Seeds[] = {1, 2, 3, 4, 5, 6, 116};
 constexpr std::chrono::seconds InForceEverywhere{7};
 
 std::string seedText(std::uint64_t Seed) {
@@ -74,7 +74,7 @@
           Fleet.Nodes[I].PlatformBlocked = I != 0;
         Fleet.Platform.Current = {4, 4};
         CPPUNIT_ASSERT(
-            Fleet.runUntil(90s, [&] { return Fleet.everyoneHolds(4); }));
+            Fleet.runUntil(20s, [&] { return Fleet.everyoneHolds(4); }));
       });
     });
 }
@@ -120,6 +120,27 @@
   });
 }
 
+STORY(who_reaches_the_platform) {
+  fleet Fleet(3, 4, 23);
+  startCalm(Fleet);
+  const auto Reached = [&](std::size_t Index) {
+    return fleetReachesPlatform(*Fleet.Nodes[Index].Members, Fleet.Now);
+  };
+  section("one data centre that does is enough for all", [&] {
+    for (fleet_node &Node : Fleet.Nodes)
+      Node.PlatformBlocked = Node.Centre != 1;
+    Fleet.run(20s);
+    CPPUNIT_ASSERT(Reached(0) && Reached(4) && Reached(11));
+  });
+  section("but not for one that is cut off", [&] {
+    Fleet.Blocked = [&](std::size_t A, std::size_t B) {
+      return (Fleet.Nodes[A].Centre == 2) != (Fleet.Nodes[B].Centre == 2);
+    };
+    Fleet.run(40s);
+    CPPUNIT_ASSERT(Reached(0) && !Reached(11));
+  });
+}
+
 STORY(lowest_version_of_the_fleet) {
   fleet Fleet(3, 4, 22);
   startCalm(Fleet);
