Bound answers by rows a second, and ask only while rows still differ

A speaker of 27x20 sent 10175 B/s half a minute after a start of the whole fleet: answers were bounded by number, not by size, and questions went on after relayed rows had settled the difference.

--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -208,7 +208,7 @@
   void noteEnded(std::uint64_t Incarnation);
   void markDead(steady_time Now, member_entry &Entry);
   void checkHash(steady_time Now, peer_centre &Centre);
-  bool mayAnswer(steady_time Now);
+  bool mayAnswer(steady_time Now, std::string_view DataCentre);
 
   void noticePause(steady_time Now);
   void age(steady_time Now);
@@ -271,7 +271,7 @@
   std::optional<steady_time> SpeakerSince;
   std::optional<steady_time> LeftAt;
   steady_time AnswersRenewed;
-  std::uint32_t AnswersGiven = 0;
+  std::size_t RowsAnswered = 0;
   std::uint64_t SummarySequence = 0;
   std::uint64_t HeartbeatCount = 0;
   std::size_t RelayCursor = 0;
--- a/packages/coordination/src/member.cpp
+++ b/packages/coordination/src/member.cpp
@@ -34,8 +34,9 @@
 constexpr milliseconds MismatchSpread{300};
 /// Pause between two questions to unknown speakers of a data centre.
 constexpr milliseconds IntroductionPeriod{1000};
-/// Answers with the rows of a data centre in a second, to bound a surge.
-constexpr std::uint32_t AnswersPerSecond = 3;
+/// Once an instance has answered with this many rows within a second it leaves
+/// further questions to others, to bound a surge.
+constexpr std::size_t RowsPerSecond = 20;
 
 } // namespace
 
@@ -405,19 +406,22 @@
     return;
   }
   const bool Join = Mate && Message.DataCentre == Self.DataCentre;
-  if (!Join && !mayAnswer(Now))
+  if (!Join && !mayAnswer(Now, Message.DataCentre))
     return;
   appendRows(Now, Message.DataCentre, From, Mate, Out);
   if (Join)
     appendSummaries(From, Out);
 }
 
-bool membership::mayAnswer(steady_time Now) {
+bool membership::mayAnswer(steady_time Now, std::string_view DataCentre) {
   if (Now >= AnswersRenewed + HeartbeatPeriod) {
     AnswersRenewed = Now;
-    AnswersGiven = 0;
+    RowsAnswered = 0;
   }
-  return AnswersGiven++ < AnswersPerSecond;
+  if (RowsAnswered >= RowsPerSecond)
+    return false;
+  RowsAnswered += Table.ofDataCentre(DataCentre).size();
+  return true;
 }
 
 void membership::noteEnded(std::uint64_t Incarnation) {
--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -342,6 +342,9 @@
     if (!Centre.MismatchSince || Now < Centre.NextRequest ||
         Sent == RequestsPerRound)
       continue;
+    checkHash(Now, Centre);
+    if (!Centre.MismatchSince)
+      continue;
     Centre.NextRequest = Now + RequestBackoff;
     ++Sent;
     sendRequest(Now, Centre, Out);
