Doubt silent connections, meter links, and reload on SIGHUP

The pool judges each connection on its own, and a repeatable request on a reused one waits two seconds for a first byte before it is sent on a fresh one. Bytes between regions take tokens of the link's limit. One traffic thread only, since slots, tickets and credits belong to it.

--- a/packages/daemon/src/configsys.cpp
+++ b/packages/daemon/src/configsys.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr milliseconds WatchWait{20000};
+constexpr milliseconds WatchWait{4000};
 constexpr milliseconds WatchRetry{500};
 constexpr std::size_t StampDigits = 8;
 
--- a/packages/daemon/src/configsys_p.h
+++ b/packages/daemon/src/configsys_p.h
@@ -30,6 +30,12 @@
   /// Starts what is due: a poll, a watch or a fetch from a peer.
   void tick(bool Speaker, std::vector<config_holder> Holders);
 
+  /// Reads the platform's table at once, unless a read is under way.
+  void refresh() {
+    if (!Polling)
+      poll();
+  }
+
   const config_sync &sync() const { return Sync; }
   config_stamp inForce() const { return Sync.inForce(); }
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -70,6 +70,7 @@
 
 private:
   status open();
+  void awaitSignal();
   void tick();
   void adopt(const config_index_ptr &Index);
   void publish();
@@ -138,7 +139,7 @@
                       {"/status", [this] { return statusPage(); }},
                       {"/metrics", [this] { return metricsPage(); }},
                       {"/slo", [this] { return sloPage(); }}}),
-      Timer(Context), Signals(Context, SIGTERM, SIGINT),
+      Timer(Context), Signals(Context, SIGTERM, SIGINT, SIGHUP),
       StartedAt(Clock.now()) {}
 
 std::size_t instance::inFlight() const {
@@ -336,14 +337,23 @@
   return Traffic.start();
 }
 
+void instance::awaitSignal() {
+  Signals.async_wait([this](boost::system::error_code Stopped, int Signal) {
+    if (Stopped)
+      return;
+    if (Signal == SIGHUP)
+      Config.refresh();
+    else
+      beginDrain();
+    awaitSignal();
+  });
+}
+
 status instance::run() {
   const status Opened = open();
   if (failed(Opened))
     return Opened;
-  Signals.async_wait([this](boost::system::error_code Stopped, int) {
-    if (!Stopped)
-      beginDrain();
-  });
+  awaitSignal();
   logEvent(log_level::Info, "started",
            {{"instance", Settings.Name},
             {"data_centre", Settings.DataCentre},
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr std::size_t SecretLength = 64;
-constexpr double MaxThreads = 256;
+/// Slots, tickets and credits belong to one traffic thread.
+constexpr double MaxThreads = 1;
 constexpr double MinHeaderBytes = 1024;
 constexpr double MaxHeaderLimit = 1 << 20;
 constexpr double MinTickMs = 1;
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -16,7 +16,7 @@
 "internal":{"address":"127.0.0.1","port":21001},
 "admin":{"address":"::1","port":21002},
 "platform":{"address":"127.0.0.1","port":21900},
-"traffic_threads":2,"lookup_ttl_ms":1500,"lease_ttl_ms":8000,
+"traffic_threads":1,"lookup_ttl_ms":1500,"lease_ttl_ms":8000,
 "peers":[{"name":"faro-1-a","region":"faro","data_centre":"faro-1",
 "internal":{"address":"127.0.0.1","port":21011},
 "public":{"address":"127.0.0.1","port":21010}}],
@@ -68,7 +68,7 @@
                 {"public", "port", "70000", "65535"});
     expectFault(with("\"lookup_ttl_ms\":1500", "\"lookup_ttl_ms\":\"1500\""),
                 {"lookup_ttl_ms", "\"1500\"", "milliseconds"});
-    expectFault(with("\"traffic_threads\":2", "\"traffic_threads\":0"),
+    expectFault(with("\"traffic_threads\":1", "\"traffic_threads\":0"),
                 {"traffic_threads", " 0,", "from 1"});
     expectFault(with("\"address\":\"127.0.0.1\"", "\"address\":\"localhost\""),
                 {"public", "address", "localhost", "IP number"});
--- /dev/null
+++ b/packages/traffic/src/meter_p.h
@@ -0,0 +1,31 @@
+/// Keeps the bytes between two regions under the link's limit.
+#ifndef MAGNOLIASPREAD_METER_P_H
+#define MAGNOLIASPREAD_METER_P_H
+
+#include "net_p.h"
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/purse.h>
+
+#include <string_view>
+
+namespace magnoliaspread {
+
+class link_meter {
+public:
+  /// Meters bytes that go from one region to another.
+  link_meter(purse &Purse, const clock &Clock, std::string_view From,
+             std::string_view To);
+
+  /// Waits until \p Bytes may be sent; false when that takes past \p End.
+  asio::awaitable<bool> charge(std::size_t Bytes, steady_time End);
+
+private:
+  purse &Purse;
+  const clock &Clock;
+  limit_id Limit;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t MaxIdlePerPeer = 64;
-constexpr milliseconds MaxIdleTime{5000};
 constexpr milliseconds ConnectTimeout{1000};
 
 std::string keyFor(const endpoint_address &Peer) {
@@ -28,17 +26,29 @@
 
 } // namespace
 
-upstream_ptr upstream_pool::takeIdle(const endpoint_address &Peer) {
-  const auto Found = Idle.find(keyFor(Peer));
-  if (Found == Idle.end())
-    return nullptr;
-  std::vector<upstream_ptr> &Connections = Found->second;
-  const steady_time Oldest = Clock.now() - MaxIdleTime;
-  while (!Connections.empty()) {
-    upstream_ptr Connection = std::move(Connections.back());
-    Connections.pop_back();
-    if (Connection->LastAnswerAt < Oldest || !isQuiet(Connection->Socket))
+void upstream_pool::peer_pool::close(connection_id Id) {
+  Table.closed(Id);
+  Idle.erase(Id);
+}
+
+upstream_pool::peer_pool &upstream_pool::poolOf(const endpoint_address &Peer) {
+  return Pools[keyFor(Peer)];
+}
+
+upstream_ptr upstream_pool::takeIdle(const endpoint_address &Peer,
+                                     bool Repeatable) {
+  peer_pool &Pool = poolOf(Peer);
+  const steady_time Now = Clock.now();
+  // A repeatable request serves as the probe of a connection that needs one.
+  while (const auto Choice = Pool.Table.pick(Repeatable, Now)) {
+    const auto Found = Pool.Idle.find(Choice->Id);
+    if (Found == Pool.Idle.end() || !isQuiet(Found->second->Socket)) {
+      Pool.close(Choice->Id);
       continue;
+    }
+    upstream_ptr Connection = std::move(Found->second);
+    Pool.Idle.erase(Found);
+    Pool.Table.sent(Connection->Id, Now);
     Connection->Reused = true;
     return Connection;
   }
@@ -67,39 +77,43 @@
     co_return error{error_kind::TargetUnreachable,
                     keyFor(Peer) + ": " + Failure.message(),
                     {}};
-  co_return std::make_unique<upstream>(std::move(Socket), Clock.now());
+  const connection_id Id = ++LastId;
+  peer_pool &Pool = poolOf(Peer);
+  Pool.Table.opened(Id, Clock.now());
+  Pool.Table.sent(Id, Clock.now());
+  co_return std::make_unique<upstream>(Id, std::move(Socket));
 }
 
 void upstream_pool::putBack(const endpoint_address &Peer,
                             upstream_ptr Connection) {
-  std::vector<upstream_ptr> &Connections = Idle[keyFor(Peer)];
-  if (Connections.size() >= MaxIdlePerPeer)
-    return;
-  Connection->LastAnswerAt = Clock.now();
-  Connections.push_back(std::move(Connection));
+  peer_pool &Pool = poolOf(Peer);
+  Pool.Table.becameIdle(Connection->Id, Clock.now());
+  Pool.Idle.emplace(Connection->Id, std::move(Connection));
 }
 
-void upstream_pool::dropSilent(const endpoint_address &Peer,
-                               steady_time Since) {
-  const auto Found = Idle.find(keyFor(Peer));
-  if (Found == Idle.end())
-    return;
-  std::erase_if(Found->second, [&](const upstream_ptr &Connection) {
-    return Connection->LastAnswerAt < Since;
-  });
+void upstream_pool::drop(const endpoint_address &Peer, upstream_ptr Connection,
+                         bool Silent) {
+  peer_pool &Pool = poolOf(Peer);
+  if (Silent)
+    for (const connection_id Doubted : Pool.Table.fellSilent(Connection->Id))
+      Pool.close(Doubted);
+  Pool.Table.closed(Connection->Id);
 }
 
 void upstream_pool::dropIdle(const endpoint_address &Peer) {
-  Idle.erase(keyFor(Peer));
+  const auto Found = Pools.find(keyFor(Peer));
+  if (Found == Pools.end())
+    return;
+  while (!Found->second.Idle.empty())
+    Found->second.close(Found->second.Idle.begin()->first);
 }
 
 void upstream_pool::sweep() {
-  const steady_time Oldest = Clock.now() - MaxIdleTime;
-  for (auto &[Key, Connections] : Idle)
-    std::erase_if(Connections, [&](const upstream_ptr &Connection) {
-      return Connection->LastAnswerAt < Oldest;
-    });
-  std::erase_if(Idle, [](const auto &Row) { return Row.second.empty(); });
+  for (auto &[Key, Pool] : Pools)
+    for (const connection_id Id : Pool.Table.expired(Clock.now()))
+      Pool.close(Id);
+  std::erase_if(
+      Pools, [](const auto &Row) { return Row.second.Table.rows().empty(); });
 }
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/pool_p.h
+++ b/packages/traffic/src/pool_p.h
@@ -7,22 +7,22 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/settings.h>
+#include <magnoliaspread/silent.h>
 
+#include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace magnoliaspread {
 
 struct upstream {
-  upstream(tcp::socket Connected, steady_time Now)
-      : Socket(std::move(Connected)), CreatedAt(Now), LastAnswerAt(Now) {}
+  upstream(connection_id Id, tcp::socket Connected)
+      : Id(Id), Socket(std::move(Connected)) {}
 
+  connection_id Id;
   tcp::socket Socket;
   beast::flat_buffer Buffer;
-  steady_time CreatedAt;
-  steady_time LastAnswerAt;
+  /// Carried a request before, so it may have gone silent since.
   bool Reused = false;
 };
 
@@ -33,8 +33,9 @@
   upstream_pool(asio::io_context &Context, const clock &Clock)
       : Context(Context), Clock(Clock) {}
 
-  /// An idle connection that may be used again, or null.
-  upstream_ptr takeIdle(const endpoint_address &Peer);
+  /// An idle connection that may carry the next request, or null. A request
+  /// that may not be repeated gets only one that has just proved itself.
+  upstream_ptr takeIdle(const endpoint_address &Peer, bool Repeatable);
 
   /// Opens a connection; fails with TargetUnreachable.
   asio::awaitable<result<upstream_ptr>> connect(endpoint_address Peer,
@@ -43,9 +44,9 @@
   /// Keeps a connection whose last exchange ended cleanly.
   void putBack(const endpoint_address &Peer, upstream_ptr Connection);
 
-  /// Closes the idle connections to \p Peer that have had no answer since
-  /// \p Since.
-  void dropSilent(const endpoint_address &Peer, steady_time Since);
+  /// Closes a connection whose last exchange did not end cleanly. When it fell
+  /// silent, idle ones that may share its fate are closed with it.
+  void drop(const endpoint_address &Peer, upstream_ptr Connection, bool Silent);
 
   /// Closes every idle connection to \p Peer.
   void dropIdle(const endpoint_address &Peer);
@@ -54,9 +55,19 @@
   void sweep();
 
 private:
+  struct peer_pool {
+    connection_table Table{silence_settings{}};
+    std::map<connection_id, upstream_ptr> Idle;
+
+    void close(connection_id Id);
+  };
+
+  peer_pool &poolOf(const endpoint_address &Peer);
+
   asio::io_context &Context;
   const clock &Clock;
-  std::unordered_map<std::string, std::vector<upstream_ptr>> Idle;
+  std::map<std::string, peer_pool> Pools;
+  connection_id LastId = 0;
 };
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -63,10 +63,12 @@
   readAnswerChunk(http::response<http::buffer_body> &Answer);
   asio::awaitable<void> readRest(http::response<http::buffer_body> &Answer);
   void keep(std::string_view Bytes);
+  asio::awaitable<bool> mayCross(link_meter *Meter, std::size_t Bytes);
   void allowProgress();
   void fail(error_kind Kind, std::string Detail);
   void explainLoss(const error_code &Failure);
   bool isNotRunAnswer() const;
+  steady_time answerTime() const;
 
   caller_side &Caller;
   upstream &Up;
@@ -87,6 +89,18 @@
   Outcome.Error = makeError(Kind, std::move(Detail));
 }
 
+/// Waits for room on the link, if one is crossed; otherwise notes the error.
+asio::awaitable<bool> exchange::mayCross(link_meter *Meter, std::size_t Bytes) {
+  if (Meter == nullptr)
+    co_return true;
+  const bool Room = co_await Meter->charge(Bytes, Request.Deadline);
+  if (Room)
+    co_return true;
+  fail(Outcome.Sent ? error_kind::TargetTimeout : error_kind::LinkFull,
+       "the link between the regions had no room before the deadline");
+  co_return false;
+}
+
 /// Names the cause after the upstream gave no answer.
 void exchange::explainLoss(const error_code &Failure) {
   if (Dog.callerGone())
@@ -116,6 +130,8 @@
            "the request's body broke off");
       co_return false;
     }
+    if (!co_await mayCross(Request.UpMeter, Chunk.Bytes.size()))
+      co_return false;
     Body.data = const_cast<char *>(Chunk.Bytes.data());
     Body.size = Chunk.Bytes.size();
     Body.more = !Caller.bodyEnded();
@@ -161,10 +177,18 @@
   co_return true;
 }
 
+/// Latest time for the first byte of the answer.
+steady_time exchange::answerTime() const {
+  if (Request.FirstByteTimeout == milliseconds(0))
+    return Request.Deadline;
+  return std::min(Request.Deadline,
+                  steady_clock::now() + Request.FirstByteTimeout);
+}
+
 asio::awaitable<bool> exchange::readAnswerHead() {
   if (RequestEnded && !Request.OutlivesCaller)
     Dog.watchCaller();
-  Dog.expireAt(RequestEnded ? Request.Deadline
+  Dog.expireAt(RequestEnded ? answerTime()
                             : std::min(Request.Deadline,
                                        steady_clock::now() + LastWordTimeout));
   for (;;) {
@@ -301,6 +325,8 @@
     allowProgress();
     if (!co_await readAnswerChunk(Message))
       co_return;
+    if (!co_await mayCross(Request.DownMeter, Message.body().size))
+      co_return;
     allowProgress();
     Caller.AnswerStarted = true;
     const error_code Failure = co_await sendPiece(Serializer, HeadOnly);
--- a/packages/traffic/src/relay_p.h
+++ b/packages/traffic/src/relay_p.h
@@ -3,6 +3,7 @@
 #ifndef MAGNOLIASPREAD_RELAY_P_H
 #define MAGNOLIASPREAD_RELAY_P_H
 
+#include "meter_p.h"
 #include "net_p.h"
 #include "pool_p.h"
 #include "watchdog_p.h"
@@ -80,6 +81,12 @@
   upstream_kind To = upstream_kind::Target;
   steady_time Deadline;
   std::chrono::milliseconds ProgressTimeout{};
+  /// Longest wait for the first byte of the answer; zero waits until the
+  /// deadline.
+  std::chrono::milliseconds FirstByteTimeout{};
+  /// Meter what crosses a link, when it does.
+  link_meter *UpMeter = nullptr;
+  link_meter *DownMeter = nullptr;
   /// Goes on to the end of the answer when the caller is gone.
   bool OutlivesCaller = false;
   /// Longest body of an answer that is kept for repeats, in bytes.
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -20,8 +20,9 @@
 
 constexpr retry_settings RetrySettings;
 constexpr milliseconds IdleTimeout{60000};
-/// Answers that take longer count as slow.
-constexpr milliseconds LatencyTarget{1000};
+/// Wait for an answer on a connection that may have gone silent, when the
+/// request can be sent again on a fresh one.
+constexpr milliseconds ReusedAnswerTimeout{2000};
 /// Longest body of an answer that is kept for repeats.
 constexpr std::size_t MaxKeptAnswerBytes = 4096;
 constexpr milliseconds LingerTime{1000};
@@ -76,6 +77,9 @@
   bool mayRetry(const admitted_request &Request, const caller_side &Caller,
                 const relay_outcome &Outcome, unsigned Attempts);
   retry_budget &budgetOf(const admitted_request &Request);
+  std::string regionOf(const dispatch_place &Place) const;
+  std::string callerRegion() const;
+  std::string regionOfPeer(std::string_view Name) const;
   void logEnd(const admitted_request &Request, const relay_outcome &Outcome,
               std::string_view Place, unsigned Attempts) const;
 
@@ -224,7 +228,7 @@
 asio::awaitable<upstream_ptr> session::reach(const dispatch_place &Place,
                                              const admitted_request &Request,
                                              relay_outcome &Outcome) {
-  upstream_ptr Idle = State.Pool.takeIdle(Place.Address);
+  upstream_ptr Idle = State.Pool.takeIdle(Place.Address, Request.Repeatable);
   if (Idle != nullptr)
     co_return Idle;
   auto Fresh = co_await State.Pool.connect(Place.Address, Request.Deadline);
@@ -236,6 +240,27 @@
   co_return std::move(valueOf(Fresh));
 }
 
+/// Region of a peer instance; empty for a target, which is in the own one.
+std::string session::regionOf(const dispatch_place &Place) const {
+  return Place.Kind == upstream_kind::Peer ? regionOfPeer(Place.Name)
+                                           : std::string();
+}
+
+/// Region of the peer instance that forwarded the request; empty when a caller
+/// sent it.
+std::string session::callerRegion() const {
+  if (Port == entry_port::Public)
+    return {};
+  return regionOfPeer(originOf(Parser->get().base()).Peer);
+}
+
+std::string session::regionOfPeer(std::string_view Name) const {
+  for (const instance_view &Row : View->Peers)
+    if (Row.Name == Name)
+      return Row.Region;
+  return {};
+}
+
 asio::awaitable<relay_outcome> session::attempt(const admitted_request &Request,
                                                 caller_side &Caller,
                                                 const dispatch_place &Place) {
@@ -260,9 +285,23 @@
   Relay.KeepBytes = Request.AtMostOnce ? MaxKeptAnswerBytes : 0;
   Relay.ProgressTimeout =
       Index.Table.Services[Request.Service.Index].ProgressTimeout;
+  if (Connection->Reused && Request.Repeatable && Caller.canRewind())
+    Relay.FirstByteTimeout = ReusedAnswerTimeout;
+  std::optional<link_meter> UpMeter;
+  std::optional<link_meter> DownMeter;
+  if (const std::string To = regionOf(Place);
+      !To.empty() && To != State.Settings.Region)
+    Relay.UpMeter =
+        &UpMeter.emplace(State.Tokens, State.Clock, State.Settings.Region, To);
+  if (const std::string To = callerRegion();
+      !To.empty() && To != State.Settings.Region)
+    Relay.DownMeter = &DownMeter.emplace(State.Tokens, State.Clock,
+                                         State.Settings.Region, To);
   Outcome = co_await relayExchange(Caller, *Connection, std::move(Relay));
   if (Outcome.UpstreamReusable)
     State.Pool.putBack(Place.Address, std::move(Connection));
+  else
+    State.Pool.drop(Place.Address, std::move(Connection), Outcome.Silent);
   co_return Outcome;
 }
 
@@ -476,7 +515,8 @@
       !Outcome.Answered && Outcome.Error.Kind != error_kind::RateLimited;
   const service_row &Service = Table.Services[Request.Service.Index];
   State.Metrics.count(
-      State.Metrics.meterOf(Workspace, Service.Name, LatencyTarget), End);
+      State.Metrics.meterOf(Workspace, Service.Name, Service.LatencyTarget),
+      End);
 }
 
 asio::awaitable<void> session::run() {
--- a/packages/traffic/src/session_p.h
+++ b/packages/traffic/src/session_p.h
@@ -10,6 +10,7 @@
 #include <magnoliaspread/fleetauth.h>
 #include <magnoliaspread/metrics.h>
 #include <magnoliaspread/once.h>
+#include <magnoliaspread/purse.h>
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/settings.h>
 #include <magnoliaspread/view.h>
@@ -27,6 +28,7 @@
   const instance_settings &Settings;
   const fleet_secret &Secret;
   upstream_pool &Pool;
+  purse &Tokens;
   dispatcher &Dispatcher;
   once_registry &Once;
   instance_metrics &Metrics;
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -88,6 +88,7 @@
               Shared.Settings,
               Shared.Secret,
               Pool,
+              Shared.Tokens,
               Dispatcher,
               Once,
               Shared.Metrics,
--- a/tests/standins/target/main.cpp
+++ b/tests/standins/target/main.cpp
@@ -113,8 +113,8 @@
 std::vector<target_row> joinByPort(const std::vector<target_row> &Rows) {
   std::vector<target_row> Joined;
   for (const target_row &Row : Rows) {
-    const auto Same =
-        std::find_if(Joined.begin(), Joined.end(), [&](const target_row &Known) {
+    const auto Same = std::find_if(
+        Joined.begin(), Joined.end(), [&](const target_row &Known) {
           return Known.Port == Row.Port && Known.Address == Row.Address;
         });
     if (Same == Joined.end())
