--- a/packages/coordination/src/member.cpp
+++ b/packages/coordination/src/member.cpp
@@ -27,7 +27,8 @@
 constexpr std::size_t MaxVersionMarks = 16;
 constexpr std::uint32_t RowRelays = 2;
 constexpr std::uint32_t SummaryRelays = 2;
-constexpr std::size_t MaxRelays = 256;
+/// Rows waiting to be passed on; mates ask for what is left out.
+constexpr std::size_t MaxRelays = 16;
 /// Time for news to come by itself before rows are asked for, and the spread
 /// for each data centre, which keeps a large fleet from asking at once.
 constexpr milliseconds MismatchGrace{2000};
--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t RowsBudgetBytes = 900;
 /// Fixed part of an encoded row: numbers, field headers and ports.
 constexpr std::size_t RowFixedBytes = 64;
+/// Bytes of rows that a heartbeat passes on to each mate.
+constexpr std::size_t RelayBudgetBytes = 200;
 constexpr std::size_t SummariesPerDatagram = 8;
 constexpr std::size_t MaxUrgentSummaries = 4;
 /// Bytes of the names of silent data centres in a heartbeat.
@@ -163,14 +165,15 @@
   return Chosen;
 }
 
-/// Passes rows of other data centres on to mates, at most one datagram a
-/// heartbeat, so that a healed partition causes no surge.
+/// Passes rows of other data centres on to mates, a few with each heartbeat,
+/// so that a healed partition causes no surge.
 void membership::sendRelays(outbox &Out) {
   rows_message Message{{}, true};
   std::size_t Bytes = 0;
   std::size_t Left = Relays.size();
   while (Left-- > 0 &&
-         Bytes + rowBytes(Relays.front().Row) <= RowsBudgetBytes) {
+         (Message.Rows.empty() ||
+          Bytes + rowBytes(Relays.front().Row) <= RelayBudgetBytes)) {
     relayed_row Next = std::move(Relays.front());
     Relays.pop_front();
     Bytes += rowBytes(Next.Row);
