Report ready once a share's tokens are at hand

The demo's first second had 15 of 1378 requests refused as over their rate: buckets of new shares begin empty.

--- a/packages/daemon/src/quotasys.cpp
+++ b/packages/daemon/src/quotasys.cpp
@@ -15,6 +15,8 @@
 /// Burst of a link, as time at its rate.
 constexpr double LinkBurstSeconds = 0.25;
 constexpr milliseconds PeerPeriod{200};
+/// A share that has minted for this long has tokens at hand.
+constexpr milliseconds FillTime{2000};
 
 share_settings keeperSettings(const instance_settings &Settings,
                               std::uint64_t Incarnation, std::uint64_t Seed) {
@@ -112,7 +114,8 @@
     for (const std::string &Centre : DataCentres)
       for (const member_row &Row : Members.lookupInstances(Now, Centre))
         if (Row.Identity.Name != Settings.Name)
-          Peers.push_back({Row.Identity.Name, Centre == Settings.DataCentre});
+          Peers.push_back(
+              {Row.Identity.Name, Row.Identity.Region == Settings.Region});
     Bank.setPeers(Peers);
   }
   Bank.setShares(Keeper.minted(Now), Now);
@@ -198,7 +201,7 @@
   const std::vector<minted_share> Shares = Keeper.minted(Now);
   return std::any_of(Shares.begin(), Shares.end(),
                      [&](const minted_share &Share) {
-                       return Share.MintsFrom <= Now && Now < Share.Fence;
+                       return Share.MintsFrom + FillTime <= Now && Now < Share.Fence;
                      });
 }
 
--- a/packages/daemon/src/quotasys_p.h
+++ b/packages/daemon/src/quotasys_p.h
@@ -41,7 +41,7 @@
   /// True when no share is held any more.
   bool released() const { return Keeper.heldCount() == 0; }
 
-  /// True when a held share mints tokens.
+  /// True when a held share has minted for long enough to have tokens.
   bool minting() const;
 
   /// Workspaces whose tokens run short here.
