--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -12,15 +12,11 @@
 
 namespace {
 
-/// Pause between two asks for credits to the same peer.
-constexpr milliseconds AskPause{50};
 /// Longest wait of a forwarded request; its sender places it again then.
 constexpr milliseconds ForwardedWait{500};
 /// Expected wait from which requests turn to another region, a few times the
 /// delay between regions.
 constexpr milliseconds SpillWait{250};
-/// Peers of a region that are asked for credits at a time.
-constexpr std::size_t MaxAskPeers = 4;
 
 fairq_limits laneLimits() {
   fairq_limits Limits;
@@ -79,111 +75,6 @@
   Tokens.publish(*View);
 }
 
-/// Builds the steering plan of a new configuration.
-void steerer::adoptNames() {
-  steering_names Names = namesOf(Config->Table);
-  result<region_plan> Fresh = makePlan(Config->Table, Names, Settings.Region);
-  if (failed(Fresh)) {
-    logEvent(log_level::Error, "plan_refused",
-             {{"detail", errorOf(Fresh).Detail}});
-    return;
-  }
-  adoptPlan(Regions, valueOf(Fresh), PlanNames, Names);
-  Plan = std::move(valueOf(Fresh));
-  PlanNames = std::move(Names);
-  for (const service_row &Row : Config->Table.Services) {
-    const service_handle Service = ServiceNames.intern(Row.Name);
-    if (!Service.valid())
-      continue;
-    if (Services.size() <= Service.Index)
-      Services.resize(Service.Index + 1U);
-    service_state &State = Services[Service.Index];
-    State.Name = Row.Name;
-    State.Planned = handleOf<service_handle>(PlanNames.Services, Row.Name);
-    State.Serving = servingRegions(Row.Name);
-    if (State.Lanes.size() < MaxRegions)
-      State.Lanes.resize(MaxRegions);
-  }
-}
-
-/// Regions with a target of the service that takes new work.
-region_mask steerer::servingRegions(const std::string &Service) const {
-  region_mask Serving;
-  for (const target_row &Row : Config->Table.Targets) {
-    const auto Centre =
-        handleOf<data_centre_handle>(PlanNames.DataCentres, Row.DataCentre);
-    if (Row.Service == Service && Row.State == drain_state::Active &&
-        Centre.valid() && Plan.DataCentreActive[Centre.Index])
-      Serving.set(Plan.RegionOfDataCentre[Centre.Index].Index);
-  }
-  return Serving;
-}
-
-void steerer::adoptWeights() {
-  for (const workspace_row &Row : Config->Table.Workspaces) {
-    const workspace_handle Workspace = WorkspaceNames.intern(Row.Name);
-    if (!Workspace.valid())
-      continue;
-    for (service_state &Service : Services)
-      for (const auto &Lane : Service.Lanes)
-        if (Lane != nullptr)
-          setWeight(Lane->queue(), Workspace, Row.Weight);
-    for (service_state &Service : Services)
-      if (Service.Forwarded != nullptr)
-        setWeight(Service.Forwarded->queue(), Workspace, Row.Weight);
-  }
-}
-
-/// Whether a data centre and its region take work; one that the table doesn't
-/// name does.
-bool steerer::activePlace(std::string_view DataCentre) const {
-  const auto Place =
-      handleOf<data_centre_handle>(PlanNames.DataCentres, DataCentre);
-  if (!Place.valid())
-    return true;
-  const region_handle Region = Plan.RegionOfDataCentre[Place.Index];
-  return Plan.DataCentreActive[Place.Index] && Region.valid() &&
-         Plan.Active[Region.Index];
-}
-
-void steerer::adoptTargets() {
-  const steady_time Now = Clock.now();
-  std::vector<bool> Named(MaxTargets, false);
-  for (std::size_t I = 0; I < Config->Table.Targets.size(); ++I) {
-    const target_row &Row = Config->Table.Targets[I];
-    if (Row.DataCentre != Settings.DataCentre)
-      continue;
-    const target_handle Target = TargetNames.intern(Row.Name);
-    if (!Target.valid())
-      continue;
-    Named[Target.Index] = true;
-    TargetRows[Target.Index] = Row;
-    // A data centre that drains drains its targets.
-    const drain_state Drain =
-        activePlace(Row.DataCentre) ? Row.State : drain_state::Draining;
-    const target_info Info{ServiceNames.find(Row.Service), Row.Slots, Drain};
-    setTarget(Targets, Target, Info, Now);
-    setOwned(Targets, Target, I < View->Owned.size() && View->Owned[I], Now);
-  }
-  for (std::size_t I = 0; I < Targets.Rows.size(); ++I)
-    if (Targets.Rows[I].Present && !Named[I])
-      removeTarget(Targets, handleAt<target_handle>(I));
-}
-
-void steerer::adoptPeers() {
-  for (peer_state &Peer : Peers)
-    Peer.Present = false;
-  for (const instance_view &Row : View->Peers) {
-    const instance_handle Handle = PeerNames.intern(Row.Name);
-    if (!Handle.valid())
-      continue;
-    peer_state &Peer = Peers[Handle.Index];
-    Peer.View = Row;
-    Peer.Region = handleOf<region_handle>(PlanNames.Regions, Row.Region);
-    Peer.Present = Peer.Region.valid() && activePlace(Row.DataCentre);
-  }
-}
-
 namespace {
 
 const std::string &serviceName(const placement_request &Request) {
@@ -537,59 +428,6 @@
   }
 }
 
-void steerer::askForCredits(service_handle Service, region_handle Region) {
-  const steady_time Now = Clock.now();
-  std::vector<instance_handle> Candidates = peersOf(Region);
-  std::shuffle(Candidates.begin(), Candidates.end(), Random);
-  if (Candidates.size() > MaxAskPeers)
-    Candidates.resize(MaxAskPeers);
-  const auto Wanted = static_cast<std::uint32_t>(
-      Services[Service.Index].Lanes[Region.Index]->waitingCount());
-  for (const instance_handle Peer : Candidates) {
-    const auto Asked =
-        std::find_if(Asks.begin(), Asks.end(), [&](const ask_time &Ask) {
-          return Ask.Peer == Peer && Ask.Service == Service;
-        });
-    if (Asked != Asks.end() && Now - Asked->At < AskPause)
-      continue;
-    if (Asked == Asks.end())
-      Asks.push_back({Peer, Service, Now});
-    else
-      Asked->At = Now;
-    const credit_ask Ask = makeAsk(Wallet, Peer, Service, Wanted, Now);
-    Outgoing.push_back(
-        {PeerNames.name(Peer),
-         credit_ask_message{stableId(Services[Service.Index].Name), Ask.Wanted,
-                            Ask.Sequence}});
-  }
-}
-
-/// What this instance offers its peers: nothing while own requests wait.
-offered_slots steerer::offeredSlots(service_handle Service,
-                                    steady_time Now) const {
-  const service_state &State = Services[Service.Index];
-  const auto &Own = State.Lanes[Plan.Own.Index];
-  const bool OwnWait = Own != nullptr && Own->waitingCount() > 0;
-  const bool PeersWait =
-      State.Forwarded != nullptr && State.Forwarded->waitingCount() > 0;
-  offered_slots Offer;
-  if (!OwnWait && !PeersWait)
-    Offer.Free = countSlots(Targets, Service, Now).Free;
-  if (Own != nullptr)
-    Offer.SlotTime = meanSlotTime(Own->queue());
-  return Offer;
-}
-
-void steerer::grantCreditsOf(service_handle Service, steady_time Now) {
-  for (const addressed_grant &Row : grantCredits(
-           Grantor, Service, offeredSlots(Service, Now), Now, Random()))
-    Outgoing.push_back(
-        {PeerNames.name(Row.Peer),
-         credit_grant_message{stableId(Services[Service.Index].Name),
-                              Row.Grant.Count, Row.Grant.Id, Row.Grant.Sequence,
-                              Row.Grant.Lifetime}});
-}
-
 void steerer::tick() {
   if (Config == nullptr)
     return;
@@ -622,34 +460,6 @@
   }
 }
 
-void steerer::receive(const peer_credit_message &Message) {
-  const instance_handle Peer = PeerNames.intern(Message.Peer);
-  if (!Peer.valid())
-    return;
-  const steady_time Now = Clock.now();
-  const auto ServiceOf = [&](std::uint64_t Id) {
-    for (std::size_t I = 0; I < Services.size(); ++I)
-      if (stableId(Services[I].Name) == Id)
-        return handleAt<service_handle>(I);
-    return service_handle{};
-  };
-  if (const auto *Ask = std::get_if<credit_ask_message>(&Message.Message)) {
-    const service_handle Service = ServiceOf(Ask->Service);
-    if (Service.valid())
-      noteAsk(Grantor, Peer, {Service, Ask->Wanted, Ask->Sequence}, Now);
-    return;
-  }
-  const auto &Grant = std::get<credit_grant_message>(Message.Message);
-  const service_handle Service = ServiceOf(Grant.Service);
-  if (!Service.valid())
-    return;
-  const bool Useful = noteGrant(
-      Wallet, Peer,
-      {Service, Grant.Count, Grant.Id, Grant.Sequence, Grant.Lifetime}, Now);
-  if (Useful && Grant.Count > 0)
-    pumpService(Service);
-}
-
 /// Tells the target's row how its request ended.
 void steerer::endTarget(const dispatch_place &Place,
                         const relay_outcome &Outcome, steady_time Now) {
