--- a/packages/daemon/src/configsys.cpp
+++ b/packages/daemon/src/configsys.cpp
@@ -16,9 +16,10 @@
 constexpr milliseconds WatchRetry{500};
 constexpr std::size_t StampDigits = 8;
 
-config_stamp stampOf(const config_table &Table, const std::string &Text) {
+/// The same for every spelling of one table.
+config_stamp stampOf(const config_table &Table) {
   config_stamp Stamp{Table.Version, 0};
-  const std::string Digest = hashKey(Text).substr(0, StampDigits);
+  const std::string Digest = hashKey(formatTable(Table)).substr(0, StampDigits);
   std::from_chars(Digest.data(), Digest.data() + Digest.size(), Stamp.Hash, 16);
   return Stamp;
 }
@@ -94,7 +95,7 @@
          {"detail", errorOf(Parsed).Detail}});
     return false;
   }
-  const config_stamp Stamp = stampOf(valueOf(Parsed), Text);
+  const config_stamp Stamp = stampOf(valueOf(Parsed));
   if (Sync.judge(Now, Stamp, Source) != config_verdict::Accept)
     return true;
   Sync.putInForce(Now, Stamp);
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -2,11 +2,13 @@
 
 #include "admin_p.h"
 #include "configsys_p.h"
+#include "datagrams_p.h"
+#include "membersys_p.h"
+#include "quotasys_p.h"
 #include "views_p.h"
 
 #include <magnoliaspread/http_store.h>
 #include <magnoliaspread/log.h>
-#include <magnoliaspread/member.h>
 #include <magnoliaspread/traffic.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -25,6 +27,10 @@
 
 /// Callers may use an answer for this long beyond its time to live.
 constexpr milliseconds LookupGrace{500};
+/// Pause between two views when no new configuration has come in force.
+constexpr milliseconds PublishPeriod{100};
+/// Longest wait for the quota shares to be released at the end of a drain.
+constexpr milliseconds ReleaseTimeout{2000};
 
 std::uint64_t randomNumber() {
   std::random_device Device;
@@ -54,14 +60,17 @@
 class instance {
 public:
   instance(const instance_settings &Settings, const clock &Clock,
-           fleet_secret Secret);
+           fleet_secret Secret, const fleet_key &Key);
 
   status run();
 
 private:
+  status open();
   void tick();
+  void adopt(const config_index_ptr &Index);
   void publish();
-  void take(const traffic_frame &Frame) { Frames[Frame.Thread] = Frame; }
+  void receive(const endpoint_address &From, const received_datagram &Datagram);
+  void take(traffic_frame Frame);
   std::size_t inFlight() const;
   void beginDrain();
   void watchDrain();
@@ -71,9 +80,13 @@
   const instance_settings &Settings;
   const clock &Clock;
   fleet_secret Secret;
+  member_identity Identity;
   asio::io_context Context{1};
   http_store Store;
-  membership Members;
+  purse Tokens;
+  datagram_port Datagrams;
+  member_system Members;
+  quota_system Quota;
   config_system Config;
   traffic_threads Traffic;
   /// The latest frame of each traffic thread.
@@ -82,24 +95,30 @@
   asio::steady_timer Timer;
   asio::signal_set Signals;
   config_index_ptr InForce;
+  steady_time NextPublish;
   bool Draining = false;
   steady_time DrainingSince;
 };
 
 instance::instance(const instance_settings &Settings, const clock &Clock,
-                   fleet_secret FleetSecret)
+                   fleet_secret FleetSecret, const fleet_key &Key)
     : Settings(Settings), Clock(Clock), Secret(std::move(FleetSecret)),
+      Identity(identityOf(Settings, Clock)),
       Store(Context, storeSettings(Settings), Clock, randomNumber()),
-      Members(identityOf(Settings, Clock), randomNumber(), Clock.now()),
+      Datagrams(Context, Key, Identity.Incarnation,
+                [this](const endpoint_address &From,
+                       const received_datagram &Row) { receive(From, Row); }),
+      Members(Context, Store, Datagrams, Clock, Settings, Identity,
+              randomNumber(),
+              [this](std::uint64_t Dead) { Quota.declareDead(Dead); }),
+      Quota(Store, Datagrams, Members.members(), Clock, Settings,
+            Identity.Incarnation, randomNumber(), Tokens),
       Config(Context, Store, Clock, Secret, randomNumber(),
-             [this](const config_index_ptr &Index) {
-               InForce = Index;
-               Members.setConfig(this->Clock.now(), Config.inForce());
-               publish();
-             }),
-      Traffic(Settings, Clock, Secret,
+             [this](const config_index_ptr &Index) { adopt(Index); }),
+      Traffic(Settings, Clock, Secret, Tokens,
               [this](traffic_frame Frame) {
-                asio::post(Context, [this, Frame] { take(Frame); });
+                asio::post(Context,
+                           [this, Frame = std::move(Frame)] { take(Frame); });
               }),
       Frames(Settings.TrafficThreads),
       Admin(Context, {{"/healthz", [this] { return healthPage(); }},
@@ -120,30 +139,107 @@
 }
 
 admin_answer instance::statusPage() const {
+  boost::json::array Mates;
+  for (const member_row &Row : Members.members().matesAlive())
+    Mates.push_back(boost::json::value(Row.Identity.Name));
   const boost::json::object Status{
       {"name", Settings.Name},
       {"data_centre", Settings.DataCentre},
       {"region", Settings.Region},
       {"config_version", Config.inForce().Version},
       {"config_staleness_ms", Config.sync().staleness(Clock.now()).count()},
+      {"lowest_config_version", Members.members().lowestVersion()},
       {"platform_reachable", Store.reachable()},
+      {"mates", std::move(Mates)},
+      {"speaker", Members.members().isSpeaker()},
+      {"quota_shares", Quota.keeper().heldCount()},
       {"draining", Draining},
       {"in_flight", inFlight()}};
   return {200, "application/json", boost::json::serialize(Status)};
 }
 
+void instance::adopt(const config_index_ptr &Index) {
+  InForce = Index;
+  std::vector<std::string> Centres;
+  for (const data_centre_row &Row : Index->Table.DataCentres)
+    Centres.push_back(Row.Name);
+  Members.members().retainDataCentres(Centres);
+  Members.members().setConfig(Clock.now(), Config.inForce());
+  Quota.adopt(Index->Table);
+  publish();
+}
+
 void instance::publish() {
+  const steady_time Now = Clock.now();
+  NextPublish = Now + PublishPeriod;
   auto View = std::make_shared<traffic_view>();
   View->Config = InForce;
   View->Leaving = Draining;
-  if (InForce != nullptr)
-    View->Instances = lookupOrder(Members, InForce->Table, Clock.now());
+  View->MadeAt = Now;
+  View->PlatformTime = Store.platformTimeAtLeast().value_or(wall_time());
+  if (InForce != nullptr) {
+    const config_table &Table = InForce->Table;
+    View->Instances = lookupOrder(Members.members(), Table, Now);
+    View->Peers = peersOf(Members.members(), Table, Now);
+    View->Owned = ownedTargets(Members.members(), Table, Now);
+    View->TokenWaits = Quota.waits();
+  }
   Traffic.publish(View);
 }
 
+/// Hands each kind of message to its system.
+void instance::receive(const endpoint_address &From,
+                       const received_datagram &Datagram) {
+  const std::uint64_t Sender = Datagram.Sender;
+  const control_message &Message = Datagram.Message;
+  if (const auto *Member = std::get_if<member_message>(&Message))
+    return Members.receive(From, *Member);
+  if (const auto *Ask = std::get_if<token_ask>(&Message))
+    return Quota.receive(Sender, *Ask);
+  if (const auto *Grant = std::get_if<token_grant>(&Message))
+    return Quota.receive(Sender, *Grant);
+  if (const auto *Request = std::get_if<promise_request>(&Message))
+    return Quota.receive(Sender, *Request);
+  if (const auto *Reply = std::get_if<promise_reply>(&Message))
+    return Quota.receive(Sender, *Reply);
+  const auto Row = Members.members().findIncarnation(Sender);
+  if (!Row)
+    return;
+  if (const auto *Ask = std::get_if<credit_ask_message>(&Message))
+    return Traffic.deliver({Row->Identity.Name, *Ask});
+  if (const auto *Grant = std::get_if<credit_grant_message>(&Message))
+    return Traffic.deliver({Row->Identity.Name, *Grant});
+}
+
+void instance::take(traffic_frame Frame) {
+  for (const peer_credit_message &Row : Frame.Credits) {
+    const auto Peer = Members.members().find(Row.Peer);
+    if (!Peer)
+      continue;
+    std::visit(
+        [&](const auto &Message) {
+          Datagrams.send({Peer->Identity.Internal}, Message);
+        },
+        Row.Message);
+  }
+  Frame.Credits.clear();
+  Frames[Frame.Thread] = std::move(Frame);
+}
+
 void instance::tick() {
-  Members.setPlatformReachable(Store.reachable());
-  Config.tick(Members.isSpeaker(), {});
+  const steady_time Now = Clock.now();
+  load_summary Load;
+  for (const traffic_frame &Frame : Frames) {
+    Load.FreeSlots += Frame.FreeSlots;
+    Load.QueueLength += static_cast<std::uint32_t>(Frame.Waiting);
+  }
+  Members.members().setLoad(Load);
+  Members.tick();
+  Config.tick(Members.members().isSpeaker(),
+              configHolders(Members.members(), Now));
+  Quota.tick();
+  if (Now >= NextPublish)
+    publish();
   if (Draining)
     watchDrain();
   Timer.expires_after(Settings.ControlTick);
@@ -159,14 +255,22 @@
   Draining = true;
   DrainingSince = Clock.now();
   logEvent(log_level::Info, "drain_started", {{"instance", Settings.Name}});
+  Members.leave();
   publish();
 }
 
+/// Ends the process once callers have forgotten it, nothing is in flight and
+/// its quota shares are released.
 void instance::watchDrain() {
   const auto Since = Clock.now() - DrainingSince;
-  const bool Unknown = Since >= Settings.LookupTtl + LookupGrace;
+  const bool Forgotten = Since >= Settings.LookupTtl + LookupGrace;
   const bool TooLong = Since >= Settings.DrainTimeout;
-  if (!TooLong && (!Unknown || inFlight() > 0))
+  if (!TooLong && (!Forgotten || inFlight() > 0))
+    return;
+  Quota.leave();
+  const bool GiveUp =
+      Since >= Settings.DrainTimeout + ReleaseTimeout || !Store.reachable();
+  if (!Quota.released() && !GiveUp)
     return;
   logEvent(log_level::Info, "drain_ended",
            {{"instance", Settings.Name},
@@ -175,13 +279,20 @@
   Context.stop();
 }
 
+status instance::open() {
+  const status Control = Datagrams.open(Settings.Internal);
+  if (failed(Control))
+    return Control;
+  const status Operators = Admin.open(Settings.Admin);
+  if (failed(Operators))
+    return Operators;
+  return Traffic.start();
+}
+
 status instance::run() {
-  const status Opened = Admin.open(Settings.Admin);
+  const status Opened = open();
   if (failed(Opened))
     return Opened;
-  const status Started = Traffic.start();
-  if (failed(Started))
-    return Started;
   Signals.async_wait([this](boost::system::error_code Stopped, int) {
     if (!Stopped)
       beginDrain();
@@ -202,7 +313,10 @@
   result<fleet_secret> Secret = parseFleetSecret(Settings.FleetSecret);
   if (failed(Secret))
     return errorOf(Secret);
-  instance Instance(Settings, Clock, std::move(valueOf(Secret)));
+  const result<fleet_key> Key = parseFleetKey(Settings.FleetSecret);
+  if (failed(Key))
+    return errorOf(Key);
+  instance Instance(Settings, Clock, std::move(valueOf(Secret)), valueOf(Key));
   return Instance.run();
 }
 
--- /dev/null
+++ b/packages/daemon/src/membersys.cpp
@@ -0,0 +1,179 @@
+#include "membersys_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <memory>
+
+namespace magnoliaspread {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *InstancePrefix = "instances/";
+constexpr milliseconds ListPeriod{60000};
+constexpr milliseconds ListRetry{2000};
+constexpr milliseconds RegisterRetry{2000};
+constexpr milliseconds ProbePeriod{500};
+constexpr milliseconds ProbeTimeout{1000};
+
+json::object addressJson(const endpoint_address &Address) {
+  return {{"address", Address.Address}, {"port", Address.Port}};
+}
+
+std::string recordOf(const instance_settings &Settings, bool Leaving) {
+  const json::object Record{{"name", Settings.Name},
+                            {"data_centre", Settings.DataCentre},
+                            {"region", Settings.Region},
+                            {"public", addressJson(Settings.Public)},
+                            {"internal", addressJson(Settings.Internal)},
+                            {"admin", addressJson(Settings.Admin)},
+                            {"state", Leaving ? "leaving" : "live"}};
+  return json::serialize(Record);
+}
+
+/// Adds the internal address of a listed instance; skips what can't be read.
+void addSeed(const std::string &Text, std::vector<seed_address> &Seeds) {
+  boost::system::error_code Failure;
+  const json::value Value = json::parse(Text, Failure);
+  if (Failure || !Value.is_object())
+    return;
+  const json::object &Record = Value.get_object();
+  const auto *Centre = Record.if_contains("data_centre");
+  const auto *Internal = Record.if_contains("internal");
+  if (Centre == nullptr || !Centre->is_string() || Internal == nullptr ||
+      !Internal->is_object())
+    return;
+  const auto *Address = Internal->get_object().if_contains("address");
+  const auto *Port = Internal->get_object().if_contains("port");
+  if (Address == nullptr || !Address->is_string() || Port == nullptr)
+    return;
+  const auto Number = Port->to_number<std::uint16_t>(Failure);
+  if (!Failure)
+    Seeds.push_back({Centre->get_string().c_str(),
+                     {Address->get_string().c_str(), Number}});
+}
+
+} // namespace
+
+std::string instanceObjectName(const std::string &Instance) {
+  return InstancePrefix + Instance;
+}
+
+member_system::member_system(asio::io_context &Context, object_store &Store,
+                             datagram_port &Port, const clock &Clock,
+                             const instance_settings &Settings,
+                             const member_identity &Identity,
+                             std::uint64_t Seed, death_handler Died)
+    : Context(Context), Store(Store), Port(Port), Clock(Clock),
+      Settings(Settings), Members(Identity, Seed, Clock.now()),
+      Died(std::move(Died)), NextList(Clock.now()), NextRegister(Clock.now()),
+      NextProbe(Clock.now()) {
+  seed();
+}
+
+void member_system::seed() {
+  std::vector<seed_address> Seeds = Listed;
+  for (const peer_settings &Peer : Settings.Peers)
+    if (Peer.Name != Settings.Name)
+      Seeds.push_back({Peer.DataCentre, Peer.Internal});
+  Members.seed(std::move(Seeds));
+}
+
+void member_system::send(const outbox &Messages) {
+  for (const outgoing_message &Row : Messages)
+    Port.send(Row.To, Row.Message);
+}
+
+void member_system::receive(const endpoint_address &From,
+                            const member_message &Message) {
+  send(Members.receive(Clock.now(), From, Message));
+}
+
+void member_system::tick() {
+  const steady_time Now = Clock.now();
+  Members.setPlatformReachable(Store.reachable());
+  send(Members.tick(Now));
+  if (!Registered && !Registering && Now >= NextRegister)
+    registerSelf();
+  if (!Listing && Now >= NextList)
+    listInstances();
+  if (Now >= NextProbe)
+    probeSilent();
+}
+
+void member_system::registerSelf() {
+  Registering = true;
+  Store.put(
+      {instanceObjectName(Settings.Name), recordOf(Settings, Leaving), {}},
+      [this](result<put_answer> Answer) {
+        Registering = false;
+        Registered = !failed(Answer);
+        NextRegister = Clock.now() + RegisterRetry;
+      });
+}
+
+void member_system::listInstances() {
+  Listing = true;
+  Store.list({InstancePrefix}, [this](result<object_list> Answer) {
+    Listing = false;
+    NextList = Clock.now() + (failed(Answer) ? ListRetry : ListPeriod);
+    if (failed(Answer))
+      return;
+    Listed.clear();
+    for (const stored_object &Object : valueOf(Answer).Objects)
+      if (Object.Name != instanceObjectName(Settings.Name))
+        addSeed(Object.Value, Listed);
+    seed();
+  });
+}
+
+void member_system::leave() {
+  Leaving = true;
+  Registered = false;
+  NextRegister = Clock.now();
+  send(Members.leave(Clock.now()));
+}
+
+/// A refused connection proves that a silent mate's process is gone; no answer
+/// proves nothing.
+void member_system::probeSilent() {
+  NextProbe = Clock.now() + ProbePeriod;
+  for (const member_row &Row : Members.matesAlive())
+    if (Row.Report.State == member_state::Suspect &&
+        !Probing.contains(Row.Identity.Incarnation))
+      probe(Row.Identity);
+}
+
+void member_system::probe(const member_identity &Mate) {
+  boost::system::error_code Failure;
+  const auto Address = asio::ip::make_address(Mate.Internal.Address, Failure);
+  if (Failure)
+    return;
+  Probing.insert(Mate.Incarnation);
+  auto Socket = std::make_shared<tcp::socket>(Context);
+  auto Timer = std::make_shared<asio::steady_timer>(Context, ProbeTimeout);
+  Timer->async_wait([Socket](boost::system::error_code Stopped) {
+    if (!Stopped)
+      Socket->close(Stopped);
+  });
+  Socket->async_connect(
+      tcp::endpoint(Address, Mate.Internal.Port),
+      [this, Mate, Socket, Timer](boost::system::error_code Refused) {
+        Timer->cancel();
+        Probing.erase(Mate.Incarnation);
+        if (Refused != asio::error::connection_refused)
+          return;
+        logEvent(log_level::Warning, "mate_dead", {{"instance", Mate.Name}});
+        Members.reportRefused(Clock.now(), Mate.Name, Mate.Incarnation);
+        Died(Mate.Incarnation);
+      });
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/daemon/src/membersys_p.h
@@ -0,0 +1,71 @@
+/// Membership of this instance on the wire: seeds, heartbeats, and probes of
+/// silent mates for a proof of death.
+#ifndef MAGNOLIASPREAD_MEMBERSYS_P_H
+#define MAGNOLIASPREAD_MEMBERSYS_P_H
+
+#include "datagrams_p.h"
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/member.h>
+#include <magnoliaspread/platform.h>
+#include <magnoliaspread/settings.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <set>
+#include <string>
+
+namespace magnoliaspread {
+
+class member_system {
+public:
+  /// Runs when a process is proven dead, with its incarnation.
+  using death_handler = std::function<void(std::uint64_t Incarnation)>;
+
+  member_system(boost::asio::io_context &Context, object_store &Store,
+                datagram_port &Port, const clock &Clock,
+                const instance_settings &Settings,
+                const member_identity &Identity, std::uint64_t Seed,
+                death_handler Died);
+
+  void tick();
+  void receive(const endpoint_address &From, const member_message &Message);
+
+  /// Tells everyone, and the platform, that this instance leaves.
+  void leave();
+
+  membership &members() { return Members; }
+  const membership &members() const { return Members; }
+
+private:
+  void send(const outbox &Messages);
+  void seed();
+  void listInstances();
+  void registerSelf();
+  void probeSilent();
+  void probe(const member_identity &Mate);
+
+  boost::asio::io_context &Context;
+  object_store &Store;
+  datagram_port &Port;
+  const clock &Clock;
+  const instance_settings &Settings;
+  membership Members;
+  death_handler Died;
+  std::vector<seed_address> Listed;
+  std::set<std::uint64_t> Probing;
+  steady_time NextList;
+  steady_time NextRegister;
+  steady_time NextProbe;
+  bool Registered = false;
+  bool Registering = false;
+  bool Listing = false;
+  bool Leaving = false;
+};
+
+/// Name of the platform object in which an instance tells its addresses.
+std::string instanceObjectName(const std::string &Instance);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/quotasys.cpp
@@ -0,0 +1,203 @@
+#include "quotasys_p.h"
+
+#include "sharejson_p.h"
+
+#include <magnoliaspread/log.h>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Burst of a link, as time at its rate.
+constexpr double LinkBurstSeconds = 0.25;
+constexpr milliseconds PeerPeriod{200};
+
+share_settings keeperSettings(const instance_settings &Settings,
+                              std::uint64_t Incarnation, std::uint64_t Seed) {
+  share_settings Keeper;
+  Keeper.Name = Settings.Name;
+  Keeper.Incarnation = Incarnation;
+  Keeper.LeaseTtl = Settings.LeaseTtl;
+  Keeper.Seed = Seed;
+  return Keeper;
+}
+
+std::vector<limit_row> limitsOf(const config_table &Table) {
+  std::vector<limit_row> Limits;
+  for (const workspace_row &Row : Table.Workspaces)
+    Limits.push_back({workspaceLimit(Row.Name), Row.Rate, Row.Burst});
+  for (const link_row &Row : Table.Links) {
+    const auto Rate = static_cast<double>(Row.BytesPerSecond);
+    Limits.push_back(
+        {linkLimit(Row.From, Row.To), Rate, Rate * LinkBurstSeconds});
+  }
+  return Limits;
+}
+
+write_outcome outcomeOf(const result<put_answer> &Answer) {
+  if (!failed(Answer))
+    return valueOf(Answer).Superseded ? write_outcome::Conflict
+                                      : write_outcome::Done;
+  switch (errorOf(Answer).Kind) {
+  case error_kind::VersionConflict:
+    return write_outcome::Conflict;
+  case error_kind::QueueFull:
+  case error_kind::BadRequest:
+    return write_outcome::NotSent;
+  default:
+    return write_outcome::Unknown;
+  }
+}
+
+} // namespace
+
+quota_system::quota_system(object_store &Store, datagram_port &Port,
+                           const membership &Members, const clock &Clock,
+                           const instance_settings &Settings,
+                           std::uint64_t Incarnation, std::uint64_t Seed,
+                           purse &Purse)
+    : Store(Store), Port(Port), Members(Members), Clock(Clock),
+      Settings(Settings),
+      Keeper(keeperSettings(Settings, Incarnation, Seed), Clock.now()),
+      Bank({Incarnation, Seed}, Purse, Clock.now()), NextPeers(Clock.now()) {}
+
+void quota_system::adopt(const config_table &Table) {
+  Version = Table.Version;
+  Workspaces.clear();
+  for (const workspace_row &Row : Table.Workspaces)
+    Workspaces.push_back(Row.Name);
+  DataCentres.clear();
+  for (const data_centre_row &Row : Table.DataCentres) {
+    DataCentres.push_back(Row.Name);
+    if (Row.Name == Settings.DataCentre)
+      Keeper.setCut({Table.Version, Row.QuotaPermille, Row.QuotaShares});
+  }
+  Bank.setLimits(Table.Version, limitsOf(Table), Clock.now());
+}
+
+void quota_system::tick() {
+  if (Version == 0)
+    return;
+  const steady_time Now = Clock.now();
+  runShares(Now);
+  runBank(Now);
+}
+
+void quota_system::runShares(steady_time Now) {
+  std::vector<share_mate> Mates;
+  for (const member_row &Row : Members.matesAlive())
+    if (Row.Report.State != member_state::Leaving)
+      Mates.push_back({Row.Identity.Name, Row.Identity.Incarnation});
+  Keeper.setMates(std::move(Mates));
+  const std::uint64_t Lowest = Members.lowestVersion();
+  if (const auto Since = Members.everywhereSince(Lowest))
+    Keeper.confirmEverywhere(Lowest, *Since);
+  const share_actions Actions = Keeper.tick(Now);
+  for (const share_read &Read : Actions.Reads)
+    read(Read);
+  for (const share_write &Write : Actions.Writes)
+    write(Write);
+  for (const outgoing_promise_request &Row : Actions.Requests)
+    sendTo(Row.To.Incarnation, Row.Request);
+}
+
+void quota_system::runBank(steady_time Now) {
+  if (Now >= NextPeers) {
+    NextPeers = Now + PeerPeriod;
+    std::vector<quota_peer> Peers;
+    for (const std::string &Centre : DataCentres)
+      for (const member_row &Row : Members.lookupInstances(Now, Centre))
+        if (Row.Identity.Name != Settings.Name)
+          Peers.push_back({Row.Identity.Name, Centre == Settings.DataCentre});
+    Bank.setPeers(Peers);
+  }
+  Bank.setShares(Keeper.minted(Now), Now);
+  for (const outgoing_ask &Row : Bank.tick(Now))
+    sendTo(Row.To, Row.Ask);
+}
+
+void quota_system::read(const share_read &Read) {
+  Store.get({shareObjectName(Settings.DataCentre, Read.Index)},
+            [this, Read](result<stored_object> Answer) {
+              share_read_result Result{
+                  Read.Ticket, Read.Index, read_outcome::Failed, 0, {}};
+              if (failed(Answer)) {
+                if (errorOf(Answer).Kind == error_kind::NotFound)
+                  Result.Outcome = read_outcome::Missing;
+                return Keeper.finishRead(Result, Clock.now());
+              }
+              const result<share_record> Record =
+                  parseShare(valueOf(Answer).Value);
+              if (!failed(Record)) {
+                Result.Outcome = read_outcome::Found;
+                Result.Version = valueOf(Answer).Version;
+                Result.Record = valueOf(Record);
+              }
+              Keeper.finishRead(Result, Clock.now());
+            });
+}
+
+void quota_system::write(const share_write &Write) {
+  put_request Request;
+  Request.Name = shareObjectName(Settings.DataCentre, Write.Index);
+  Request.Value = formatShare(Write.Record);
+  Request.IfVersion = Write.ExpectedVersion;
+  Store.put(std::move(Request), [this, Write](result<put_answer> Answer) {
+    share_write_result Result{Write.Ticket, Write.Index, outcomeOf(Answer), 0};
+    if (Result.Outcome == write_outcome::Done)
+      Result.Version = valueOf(Answer).Version;
+    Keeper.finishWrite(Result, Clock.now());
+  });
+}
+
+void quota_system::sendTo(std::uint64_t Incarnation,
+                          const control_message &Message) {
+  if (const auto Row = Members.findIncarnation(Incarnation))
+    Port.send({Row->Identity.Internal}, Message);
+}
+
+void quota_system::sendTo(const std::string &Name,
+                          const control_message &Message) {
+  if (const auto Row = Members.find(Name))
+    Port.send({Row->Identity.Internal}, Message);
+}
+
+void quota_system::receive(std::uint64_t Sender, const token_ask &Ask) {
+  if (const auto Grant = Bank.answer(Ask, Clock.now()))
+    sendTo(Sender, *Grant);
+}
+
+void quota_system::receive(std::uint64_t Sender, const token_grant &Grant) {
+  if (const auto Row = Members.findIncarnation(Sender))
+    Bank.accept(Row->Identity.Name, Grant, Clock.now());
+}
+
+void quota_system::receive(std::uint64_t Sender,
+                           const promise_request &Request) {
+  sendTo(Sender, Keeper.answer(Request, Clock.now()));
+}
+
+void quota_system::receive(std::uint64_t /*Sender*/,
+                           const promise_reply &Reply) {
+  Keeper.accept(Reply, Clock.now());
+}
+
+void quota_system::declareDead(std::uint64_t Incarnation) {
+  Keeper.declareDead(Incarnation, Clock.now());
+}
+
+std::vector<token_wait> quota_system::waits() const {
+  const steady_time Now = Clock.now();
+  std::vector<token_wait> Waits;
+  for (const std::string &Name : Workspaces) {
+    const milliseconds Wait =
+        Bank.retryAfter(workspaceLimit(Name), MilliPerToken, Now);
+    if (Wait > milliseconds(0))
+      Waits.push_back({Name, Wait});
+  }
+  return Waits;
+}
+
+} // namespace magnoliaspread
--- a/packages/daemon/src/views.cpp
+++ b/packages/daemon/src/views.cpp
@@ -1,5 +1,7 @@
 #include "views_p.h"
 
+#include <magnoliaspread/ownership.h>
+
 #include <algorithm>
 
 namespace magnoliaspread {
@@ -48,4 +50,44 @@
   return Order;
 }
 
+std::vector<instance_view> peersOf(const membership &Members,
+                                   const config_table &Table, steady_time Now) {
+  const std::string Self = Members.self().Identity.Name;
+  std::vector<instance_view> Peers = lookupOrder(Members, Table, Now);
+  std::erase_if(Peers,
+                [&](const instance_view &Row) { return Row.Name == Self; });
+  return Peers;
+}
+
+std::vector<bool> ownedTargets(const membership &Members,
+                               const config_table &Table, steady_time Now) {
+  const member_identity Self = Members.self().Identity;
+  std::vector<std::uint64_t> Mates;
+  std::size_t SelfIndex = NoOwner;
+  for (const member_row &Row : Members.lookupInstances(Now, Self.DataCentre)) {
+    if (Row.Identity.Name == Self.Name)
+      SelfIndex = Mates.size();
+    Mates.push_back(stableId(Row.Identity.Name));
+  }
+  // Nobody is left to take over from the last instance that leaves.
+  if (Mates.empty()) {
+    SelfIndex = 0;
+    Mates.push_back(stableId(Self.Name));
+  }
+  std::vector<ownership_target> Targets;
+  std::vector<std::size_t> Rows;
+  for (std::size_t I = 0; I < Table.Targets.size(); ++I) {
+    if (Table.Targets[I].DataCentre != Self.DataCentre)
+      continue;
+    Targets.push_back(
+        {stableId(Table.Targets[I].Name), stableId(Table.Targets[I].Service)});
+    Rows.push_back(I);
+  }
+  const std::vector<std::size_t> Owners = ownership(Targets, Mates);
+  std::vector<bool> Owned(Table.Targets.size(), false);
+  for (std::size_t I = 0; I < Rows.size(); ++I)
+    Owned[Rows[I]] = SelfIndex != NoOwner && Owners[I] == SelfIndex;
+  return Owned;
+}
+
 } // namespace magnoliaspread
--- a/packages/daemon/src/views_p.h
+++ b/packages/daemon/src/views_p.h
@@ -14,6 +14,16 @@
                                        const config_table &Table,
                                        steady_time Now);
 
+/// Instances that requests may be forwarded to: those that look-ups name,
+/// without this one.
+std::vector<instance_view> peersOf(const membership &Members,
+                                   const config_table &Table, steady_time Now);
+
+/// By row of Table.Targets: whether this instance owns the target among the
+/// live, staying instances of its data centre.
+std::vector<bool> ownedTargets(const membership &Members,
+                               const config_table &Table, steady_time Now);
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -59,17 +59,18 @@
 
 struct traffic_threads::thread {
   thread(std::uint32_t Number, const instance_settings &Settings,
-         const clock &Clock, const fleet_secret &Secret,
+         const clock &Clock, const fleet_secret &Secret, purse &Tokens,
          const frame_handler &OnFrame)
-      : Number(Number), OnFrame(OnFrame),
-        Pool(Context, Clock), State{Context,
-                                    Clock,
-                                    Settings,
-                                    Secret,
-                                    Pool,
-                                    Dispatcher,
-                                    std::make_shared<traffic_view>(),
-                                    randomPrefix()},
+      : Number(Number), OnFrame(OnFrame), Pool(Context, Clock),
+        Dispatcher(Context, Clock, Settings, Tokens, std::random_device()()),
+        State{Context,
+              Clock,
+              Settings,
+              Secret,
+              Pool,
+              Dispatcher,
+              std::make_shared<traffic_view>(),
+              randomPrefix()},
         Public(Context), Internal(Context) {}
 
   asio::awaitable<void> acceptAll(tcp::acceptor &Acceptor, entry_port Port);
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -2187,6 +2187,10 @@
 void TokenGrant::__set_rows(const std::vector<GrantRow> & val) {
   this->rows = val;
 }
+
+void TokenGrant::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenGrant& obj)
 {
   obj.printTo(out);
@@ -2259,6 +2263,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2300,6 +2312,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2311,6 +2327,7 @@
   swap(a.sequence, b.sequence);
   swap(a.shares, b.shares);
   swap(a.rows, b.rows);
+  swap(a.configVersion, b.configVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -2319,6 +2336,7 @@
   sequence = other64.sequence;
   shares = other64.shares;
   rows = other64.rows;
+  configVersion = other64.configVersion;
   __isset = other64.__isset;
 }
 TokenGrant& TokenGrant::operator=(const TokenGrant& other65) {
@@ -2326,6 +2344,7 @@
   sequence = other65.sequence;
   shares = other65.shares;
   rows = other65.rows;
+  configVersion = other65.configVersion;
   __isset = other65.__isset;
   return *this;
 }
@@ -2336,6 +2355,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "configVersion=" << to_string(configVersion);
   out << ")";
 }
 
@@ -3000,6 +3020,310 @@
 }
 
 
+CreditAsk::~CreditAsk() noexcept {
+}
+
+
+void CreditAsk::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+}
+
+void CreditAsk::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void CreditAsk::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditAsk");
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditAsk &a, CreditAsk &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.wanted, b.wanted);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+CreditAsk::CreditAsk(const CreditAsk& other88) noexcept {
+  serviceId = other88.serviceId;
+  wanted = other88.wanted;
+  sequence = other88.sequence;
+  __isset = other88.__isset;
+}
+CreditAsk& CreditAsk::operator=(const CreditAsk& other89) noexcept {
+  serviceId = other89.serviceId;
+  wanted = other89.wanted;
+  sequence = other89.sequence;
+  __isset = other89.__isset;
+  return *this;
+}
+void CreditAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditAsk(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+CreditGrant::~CreditGrant() noexcept {
+}
+
+
+void CreditGrant::__set_serviceId(const int64_t val) {
+  this->serviceId = val;
+}
+
+void CreditGrant::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void CreditGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CreditGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void CreditGrant::__set_lifetimeMs(const int32_t val) {
+  this->lifetimeMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lifetimeMs);
+          this->__isset.lifetimeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditGrant");
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifetimeMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->lifetimeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditGrant &a, CreditGrant &b) {
+  using ::std::swap;
+  swap(a.serviceId, b.serviceId);
+  swap(a.count, b.count);
+  swap(a.id, b.id);
+  swap(a.sequence, b.sequence);
+  swap(a.lifetimeMs, b.lifetimeMs);
+  swap(a.__isset, b.__isset);
+}
+
+CreditGrant::CreditGrant(const CreditGrant& other90) noexcept {
+  serviceId = other90.serviceId;
+  count = other90.count;
+  id = other90.id;
+  sequence = other90.sequence;
+  lifetimeMs = other90.lifetimeMs;
+  __isset = other90.__isset;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other91) noexcept {
+  serviceId = other91.serviceId;
+  count = other91.count;
+  id = other91.id;
+  sequence = other91.sequence;
+  lifetimeMs = other91.lifetimeMs;
+  __isset = other91.__isset;
+  return *this;
+}
+void CreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditGrant(";
+  out << "serviceId=" << to_string(serviceId);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "lifetimeMs=" << to_string(lifetimeMs);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -3048,6 +3372,16 @@
   this->quarantine = val;
 __isset.quarantine = true;
 }
+
+void Datagram::__set_creditAsk(const CreditAsk& val) {
+  this->creditAsk = val;
+__isset.creditAsk = true;
+}
+
+void Datagram::__set_creditGrant(const CreditGrant& val) {
+  this->creditGrant = val;
+__isset.creditGrant = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -3148,6 +3482,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->creditAsk.read(iprot);
+          this->__isset.creditAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->creditGrant.read(iprot);
+          this->__isset.creditGrant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3210,6 +3560,16 @@
     xfer += this->quarantine.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.creditAsk) {
+    xfer += oprot->writeFieldBegin("creditAsk", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->creditAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.creditGrant) {
+    xfer += oprot->writeFieldBegin("creditGrant", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->creditGrant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3226,32 +3586,38 @@
   swap(a.promiseRequest, b.promiseRequest);
   swap(a.promiseReply, b.promiseReply);
   swap(a.quarantine, b.quarantine);
+  swap(a.creditAsk, b.creditAsk);
+  swap(a.creditGrant, b.creditGrant);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other88) {
-  heartbeat = other88.heartbeat;
-  summary = other88.summary;
-  rows = other88.rows;
-  rowsRequest = other88.rowsRequest;
-  tokenAsk = other88.tokenAsk;
-  tokenGrant = other88.tokenGrant;
-  promiseRequest = other88.promiseRequest;
-  promiseReply = other88.promiseReply;
-  quarantine = other88.quarantine;
-  __isset = other88.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other89) {
-  heartbeat = other89.heartbeat;
-  summary = other89.summary;
-  rows = other89.rows;
-  rowsRequest = other89.rowsRequest;
-  tokenAsk = other89.tokenAsk;
-  tokenGrant = other89.tokenGrant;
-  promiseRequest = other89.promiseRequest;
-  promiseReply = other89.promiseReply;
-  quarantine = other89.quarantine;
-  __isset = other89.__isset;
+Datagram::Datagram(const Datagram& other92) {
+  heartbeat = other92.heartbeat;
+  summary = other92.summary;
+  rows = other92.rows;
+  rowsRequest = other92.rowsRequest;
+  tokenAsk = other92.tokenAsk;
+  tokenGrant = other92.tokenGrant;
+  promiseRequest = other92.promiseRequest;
+  promiseReply = other92.promiseReply;
+  quarantine = other92.quarantine;
+  creditAsk = other92.creditAsk;
+  creditGrant = other92.creditGrant;
+  __isset = other92.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other93) {
+  heartbeat = other93.heartbeat;
+  summary = other93.summary;
+  rows = other93.rows;
+  rowsRequest = other93.rowsRequest;
+  tokenAsk = other93.tokenAsk;
+  tokenGrant = other93.tokenGrant;
+  promiseRequest = other93.promiseRequest;
+  promiseReply = other93.promiseReply;
+  quarantine = other93.quarantine;
+  creditAsk = other93.creditAsk;
+  creditGrant = other93.creditGrant;
+  __isset = other93.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3266,6 +3632,8 @@
   out << ", " << "promiseRequest="; (__isset.promiseRequest ? (out << to_string(promiseRequest)) : (out << "<null>"));
   out << ", " << "promiseReply="; (__isset.promiseReply ? (out << to_string(promiseReply)) : (out << "<null>"));
   out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
+  out << ", " << "creditAsk="; (__isset.creditAsk ? (out << to_string(creditAsk)) : (out << "<null>"));
+  out << ", " << "creditGrant="; (__isset.creditGrant ? (out << to_string(creditGrant)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -61,6 +61,10 @@
 
 class QuarantineNotice;
 
+class CreditAsk;
+
+class CreditGrant;
+
 class Datagram;
 
 typedef struct _Address__isset {
@@ -922,11 +926,12 @@
 std::ostream& operator<<(std::ostream& out, const GrantRow& obj);
 
 typedef struct _TokenGrant__isset {
-  _TokenGrant__isset() : incarnation(false), sequence(false), shares(false), rows(false) {}
+  _TokenGrant__isset() : incarnation(false), sequence(false), shares(false), rows(false), configVersion(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool shares :1;
   bool rows :1;
+  bool configVersion :1;
 } _TokenGrant__isset;
 
 class TokenGrant : public virtual ::apache::thrift::TBase {
@@ -937,7 +942,8 @@
   TokenGrant() noexcept
              : incarnation(0),
                sequence(0),
-               shares(0) {
+               shares(0),
+               configVersion(0) {
   }
 
   virtual ~TokenGrant() noexcept;
@@ -945,6 +951,7 @@
   int64_t sequence;
   int32_t shares;
   std::vector<GrantRow>  rows;
+  int64_t configVersion;
 
   _TokenGrant__isset __isset;
 
@@ -956,6 +963,8 @@
 
   void __set_rows(const std::vector<GrantRow> & val);
 
+  void __set_configVersion(const int64_t val);
+
   bool operator == (const TokenGrant & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -966,6 +975,8 @@
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (!(configVersion == rhs.configVersion))
+      return false;
     return true;
   }
   bool operator != (const TokenGrant &rhs) const {
@@ -1251,8 +1262,136 @@
 
 std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
 
+typedef struct _CreditAsk__isset {
+  _CreditAsk__isset() : serviceId(false), wanted(false), sequence(false) {}
+  bool serviceId :1;
+  bool wanted :1;
+  bool sequence :1;
+} _CreditAsk__isset;
+
+class CreditAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditAsk(const CreditAsk&) noexcept;
+  CreditAsk& operator=(const CreditAsk&) noexcept;
+  CreditAsk() noexcept
+            : serviceId(0),
+              wanted(0),
+              sequence(0) {
+  }
+
+  virtual ~CreditAsk() noexcept;
+  int64_t serviceId;
+  int32_t wanted;
+  int64_t sequence;
+
+  _CreditAsk__isset __isset;
+
+  void __set_serviceId(const int64_t val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_sequence(const int64_t val);
+
+  bool operator == (const CreditAsk & rhs) const
+  {
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditAsk &a, CreditAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditAsk& obj);
+
+typedef struct _CreditGrant__isset {
+  _CreditGrant__isset() : serviceId(false), count(false), id(false), sequence(false), lifetimeMs(false) {}
+  bool serviceId :1;
+  bool count :1;
+  bool id :1;
+  bool sequence :1;
+  bool lifetimeMs :1;
+} _CreditGrant__isset;
+
+class CreditGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditGrant(const CreditGrant&) noexcept;
+  CreditGrant& operator=(const CreditGrant&) noexcept;
+  CreditGrant() noexcept
+              : serviceId(0),
+                count(0),
+                id(0),
+                sequence(0),
+                lifetimeMs(0) {
+  }
+
+  virtual ~CreditGrant() noexcept;
+  int64_t serviceId;
+  int32_t count;
+  int64_t id;
+  int64_t sequence;
+  int32_t lifetimeMs;
+
+  _CreditGrant__isset __isset;
+
+  void __set_serviceId(const int64_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_id(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_lifetimeMs(const int32_t val);
+
+  bool operator == (const CreditGrant & rhs) const
+  {
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(lifetimeMs == rhs.lifetimeMs))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditGrant &a, CreditGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -1262,6 +1401,8 @@
   bool promiseRequest :1;
   bool promiseReply :1;
   bool quarantine :1;
+  bool creditAsk :1;
+  bool creditGrant :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -1282,6 +1423,8 @@
   PromiseRequest promiseRequest;
   PromiseReply promiseReply;
   QuarantineNotice quarantine;
+  CreditAsk creditAsk;
+  CreditGrant creditGrant;
 
   _Datagram__isset __isset;
 
@@ -1303,6 +1446,10 @@
 
   void __set_quarantine(const QuarantineNotice& val);
 
+  void __set_creditAsk(const CreditAsk& val);
+
+  void __set_creditGrant(const CreditGrant& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1341,6 +1488,14 @@
       return false;
     else if (__isset.quarantine && !(quarantine == rhs.quarantine))
       return false;
+    if (__isset.creditAsk != rhs.__isset.creditAsk)
+      return false;
+    else if (__isset.creditAsk && !(creditAsk == rhs.creditAsk))
+      return false;
+    if (__isset.creditGrant != rhs.__isset.creditGrant)
+      return false;
+    else if (__isset.creditGrant && !(creditGrant == rhs.creditGrant))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -101,6 +101,7 @@
   2: i64 sequence
   3: i32 shares
   4: list<GrantRow> rows
+  5: i64 configVersion
 }
 
 struct Mate {
@@ -131,6 +132,20 @@
   3: i32 deaths
 }
 
+struct CreditAsk {
+  1: i64 serviceId
+  2: i32 wanted
+  3: i64 sequence
+}
+
+struct CreditGrant {
+  1: i64 serviceId
+  2: i32 count
+  3: i64 id
+  4: i64 sequence
+  5: i32 lifetimeMs
+}
+
 /// Exactly one field is set; it is the kind of the datagram.
 struct Datagram {
   1: optional Heartbeat heartbeat
@@ -142,4 +157,6 @@
   7: optional PromiseRequest promiseRequest
   8: optional PromiseReply promiseReply
   9: optional QuarantineNotice quarantine
+  10: optional CreditAsk creditAsk
+  11: optional CreditGrant creditGrant
 }
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -6,10 +6,13 @@
 #ifndef MAGNOLIASPREAD_DATAGRAM_H
 #define MAGNOLIASPREAD_DATAGRAM_H
 
+#include <magnoliaspread/creditmsg.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
+#include <magnoliaspread/sharemsg.h>
 
 #include <array>
 #include <cstddef>
@@ -30,7 +33,10 @@
 /// Most elements of any list in a datagram.
 inline constexpr std::size_t MaxDatagramListRows = 256;
 
-using control_message = std::variant<member_message, quarantine_notice>;
+using control_message =
+    std::variant<member_message, quarantine_notice, token_ask, token_grant,
+                 promise_request, promise_reply, credit_ask_message,
+                 credit_grant_message>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -23,12 +23,25 @@
 void writeMember(const member_message &Message, idl::Datagram &Body);
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
 
+void writeTokenAsk(const token_ask &Ask, idl::Datagram &Body);
+void writeTokenGrant(const token_grant &Grant, idl::Datagram &Body);
+void writePromiseRequest(const promise_request &Request, idl::Datagram &Body);
+void writePromiseReply(const promise_reply &Reply, idl::Datagram &Body);
+void writeCreditAsk(const credit_ask_message &Ask, idl::Datagram &Body);
+void writeCreditGrant(const credit_grant_message &Grant, idl::Datagram &Body);
+
 /// Read the field of \p Body that is set.
 heartbeat_message readHeartbeat(const idl::Heartbeat &From);
 summary_message readSummaryNews(const idl::SummaryNews &From);
 rows_message readRows(const idl::Rows &From);
 rows_request readRowsRequest(const idl::RowsRequest &From);
 quarantine_notice readQuarantine(const idl::QuarantineNotice &From);
+token_ask readTokenAsk(const idl::TokenAsk &From);
+token_grant readTokenGrant(const idl::TokenGrant &From);
+promise_request readPromiseRequest(const idl::PromiseRequest &From);
+promise_reply readPromiseReply(const idl::PromiseReply &From);
+credit_ask_message readCreditAsk(const idl::CreditAsk &From);
+credit_grant_message readCreditGrant(const idl::CreditGrant &From);
 
 /// Names are checked for their length, numbers for their range.
 std::string readName(const std::string &From);
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -51,12 +51,33 @@
   return Tag;
 }
 
-void writeBody(const control_message &Message, idl::Datagram &Body) {
-  if (const auto *Member = std::get_if<member_message>(&Message))
-    writeMember(*Member, Body);
-  else
-    writeQuarantine(std::get<quarantine_notice>(Message), Body);
-}
+/// Writes each kind of message into its field of the body.
+struct body_writer {
+  idl::Datagram &Body;
+
+  void operator()(const member_message &Message) const {
+    writeMember(Message, Body);
+  }
+  void operator()(const quarantine_notice &Notice) const {
+    writeQuarantine(Notice, Body);
+  }
+  void operator()(const token_ask &Ask) const { writeTokenAsk(Ask, Body); }
+  void operator()(const token_grant &Grant) const {
+    writeTokenGrant(Grant, Body);
+  }
+  void operator()(const promise_request &Request) const {
+    writePromiseRequest(Request, Body);
+  }
+  void operator()(const promise_reply &Reply) const {
+    writePromiseReply(Reply, Body);
+  }
+  void operator()(const credit_ask_message &Ask) const {
+    writeCreditAsk(Ask, Body);
+  }
+  void operator()(const credit_grant_message &Grant) const {
+    writeCreditGrant(Grant, Body);
+  }
+};
 
 control_message readBody(const idl::Datagram &Body) {
   if (Body.__isset.heartbeat)
@@ -69,6 +90,18 @@
     return member_message(readRowsRequest(Body.rowsRequest));
   if (Body.__isset.quarantine)
     return readQuarantine(Body.quarantine);
+  if (Body.__isset.tokenAsk)
+    return readTokenAsk(Body.tokenAsk);
+  if (Body.__isset.tokenGrant)
+    return readTokenGrant(Body.tokenGrant);
+  if (Body.__isset.promiseRequest)
+    return readPromiseRequest(Body.promiseRequest);
+  if (Body.__isset.promiseReply)
+    return readPromiseReply(Body.promiseReply);
+  if (Body.__isset.creditAsk)
+    return readCreditAsk(Body.creditAsk);
+  if (Body.__isset.creditGrant)
+    return readCreditGrant(Body.creditGrant);
   throw malformed_message("unknown kind");
 }
 
@@ -123,7 +156,7 @@
 result<std::string> encodeBody(const control_message &Message) {
   try {
     idl::Datagram Body;
-    writeBody(Message, Body);
+    std::visit(body_writer{Body}, Message);
     auto Buffer = std::make_shared<TMemoryBuffer>();
     compact_protocol Protocol(Buffer);
     Body.write(&Protocol);
--- a/tests/e2e/fleet.cpp
+++ b/tests/e2e/fleet.cpp
@@ -61,6 +61,9 @@
   for (const fleet_instance &Instance : Instances)
     if (!waitReady(Instance))
       throw std::runtime_error(Instance.Name + " is not ready:\n" + logs());
+  for (const fleet_instance &Instance : Instances)
+    if (!waitServing(Instance))
+      throw std::runtime_error(Instance.Name + " does not serve:\n" + logs());
 }
 
 fleet::~fleet() {
@@ -181,6 +184,13 @@
   });
 }
 
+bool fleet::waitServing(const fleet_instance &Instance) const {
+  http_call Call{.Target = "/work/ready"};
+  Call.Fields["X-Api-Key"] = keyOf("alpha");
+  return eventually(ReadyLimit,
+                    [&] { return call(Instance.Public, Call).Status == 200; });
+}
+
 fleet_instance &fleet::instance(const std::string &Name) {
   for (fleet_instance &Instance : Instances)
     if (Instance.Name == Name)
--- a/tests/e2e/fleet.h
+++ b/tests/e2e/fleet.h
@@ -55,6 +55,9 @@
 
   void start(fleet_instance &Instance);
   bool waitReady(const fleet_instance &Instance) const;
+  /// Waits until a request through the instance is answered: limits have
+  /// tokens only some seconds after a fleet's first start.
+  bool waitServing(const fleet_instance &Instance) const;
   fleet_instance &instance(const std::string &Name);
 
   /// Keys of the workspaces "alpha" and "beta".
