--- a/packages/daemon/src/configsys.cpp
+++ b/packages/daemon/src/configsys.cpp
@@ -34,9 +34,13 @@
       Accepted(std::move(Accepted)), Sync(Seed, Clock.now()),
       NextWatch(Clock.now()) {}
 
-void config_system::tick(bool Speaker, std::vector<config_holder> Holders) {
+void config_system::tick(const membership &Members) {
   const steady_time Now = Clock.now();
-  Sync.setHolders(std::move(Holders));
+  const bool Speaker = Members.isSpeaker();
+  Sync.setHolders(configHolders(Members, Now));
+  Sync.setSpeakersReach(Now, speakersReachPlatform(Members));
+  if (fleetReachesPlatform(Members, Now))
+    Sync.confirmCurrent(Now);
   if (const auto Fetch = Sync.nextFetch(Now, Speaker))
     fetch(*Fetch);
   if (!Polling && Sync.platformPollDue(Now, Speaker))
--- a/packages/daemon/src/configsys_p.h
+++ b/packages/daemon/src/configsys_p.h
@@ -7,6 +7,7 @@
 #include <magnoliaspread/confsync.h>
 #include <magnoliaspread/fleetauth.h>
 #include <magnoliaspread/index.h>
+#include <magnoliaspread/member.h>
 #include <magnoliaspread/platform.h>
 
 #include <boost/asio/io_context.hpp>
@@ -28,7 +29,7 @@
                 std::uint64_t Seed, accepted_handler Accepted);
 
   /// Starts what is due: a poll, a watch or a fetch from a peer.
-  void tick(bool Speaker, std::vector<config_holder> Holders);
+  void tick(const membership &Members);
 
   /// Reads the platform's table at once, unless a read is under way.
   void refresh() {
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -281,13 +281,14 @@
   }
   Members.members().setLoad(Load);
   Members.tick();
-  Config.tick(Members.members().isSpeaker(),
-              configHolders(Members.members(), Now));
+  Config.tick(Members.members());
   Quota.tick();
   if (Now >= NextPublish)
     publish();
   if (Now >= NextMeasure)
     measure(Now);
+  if (Members.members().superseded())
+    beginDrain();
   if (Draining)
     watchDrain();
   Timer.expires_after(Settings.ControlTick);
--- a/packages/daemon/src/membersys.cpp
+++ b/packages/daemon/src/membersys.cpp
@@ -100,6 +100,8 @@
   const steady_time Now = Clock.now();
   Members.setPlatformReachable(Store.reachable());
   send(Members.tick(Now));
+  for (const std::uint64_t Ended : Members.takeEnded())
+    Died(Ended);
   if (!Registered && !Registering && Now >= NextRegister)
     registerSelf();
   if (!Listing && Now >= NextList)
@@ -172,7 +174,6 @@
           return;
         logEvent(log_level::Warning, "mate_dead", {{"instance", Mate.Name}});
         Members.reportRefused(Clock.now(), Mate.Name, Mate.Incarnation);
-        Died(Mate.Incarnation);
       });
 }
 
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -8,6 +8,7 @@
 #include <magnoliaspread/lookup.h>
 #include <magnoliaspread/traffic.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace magnoliaspread {
@@ -77,6 +78,7 @@
   bool mayRetry(const admitted_request &Request, const caller_side &Caller,
                 const relay_outcome &Outcome, unsigned Attempts);
   retry_budget &budgetOf(const admitted_request &Request);
+  bool hasLink(std::string_view To) const;
   std::string regionOf(const dispatch_place &Place) const;
   std::string callerRegion() const;
   std::string regionOfPeer(std::string_view Name) const;
@@ -254,6 +256,14 @@
   return regionOfPeer(originOf(Parser->get().base()).Peer);
 }
 
+/// Whether the table limits the bytes from the own region to \p To.
+bool session::hasLink(std::string_view To) const {
+  const auto &Links = View->Config->Table.Links;
+  return std::any_of(Links.begin(), Links.end(), [&](const link_row &Row) {
+    return Row.From == State.Settings.Region && Row.To == To;
+  });
+}
+
 std::string session::regionOfPeer(std::string_view Name) const {
   for (const instance_view &Row : View->Peers)
     if (Row.Name == Name)
@@ -289,12 +299,10 @@
     Relay.FirstByteTimeout = ReusedAnswerTimeout;
   std::optional<link_meter> UpMeter;
   std::optional<link_meter> DownMeter;
-  if (const std::string To = regionOf(Place);
-      !To.empty() && To != State.Settings.Region)
+  if (const std::string To = regionOf(Place); hasLink(To))
     Relay.UpMeter =
         &UpMeter.emplace(State.Tokens, State.Clock, State.Settings.Region, To);
-  if (const std::string To = callerRegion();
-      !To.empty() && To != State.Settings.Region)
+  if (const std::string To = callerRegion(); hasLink(To))
     Relay.DownMeter = &DownMeter.emplace(State.Tokens, State.Clock,
                                          State.Settings.Region, To);
   Outcome = co_await relayExchange(Caller, *Connection, std::move(Relay));
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -99,11 +99,25 @@
     service_state &State = Services[Service.Index];
     State.Name = Row.Name;
     State.Planned = handleOf<service_handle>(PlanNames.Services, Row.Name);
+    State.Serving = servingRegions(Row.Name);
     if (State.Lanes.size() < MaxRegions)
       State.Lanes.resize(MaxRegions);
   }
 }
 
+/// Regions with a target of the service that takes new work.
+region_mask steerer::servingRegions(const std::string &Service) const {
+  region_mask Serving;
+  for (const target_row &Row : Config->Table.Targets) {
+    const auto Centre =
+        handleOf<data_centre_handle>(PlanNames.DataCentres, Row.DataCentre);
+    if (Row.Service == Service && Row.State == drain_state::Active &&
+        Centre.valid() && Plan.DataCentreActive[Centre.Index])
+      Serving.set(Plan.RegionOfDataCentre[Centre.Index].Index);
+  }
+  return Serving;
+}
+
 void steerer::adoptWeights() {
   for (const workspace_row &Row : Config->Table.Workspaces) {
     const workspace_handle Workspace = WorkspaceNames.intern(Row.Name);
@@ -227,7 +241,7 @@
   }
   if (countSlots(Targets, Service, Now).Usable > 0)
     Mask.set(Plan.Own.Index);
-  return Mask;
+  return Mask & Services[Service.Index].Serving;
 }
 
 /// Leaves out the regions for which requests wait longer than a hop to another
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -44,6 +44,7 @@
     std::string Name;
     /// In the steering plan of the configuration in force.
     service_handle Planned;
+    region_mask Serving;
     /// By region of the plan.
     std::vector<std::unique_ptr<lane>> Lanes;
     /// Requests that peers forwarded with a credit; own targets only.
@@ -65,6 +66,7 @@
 
   void adoptNames();
   bool activePlace(std::string_view DataCentre) const;
+  region_mask servingRegions(const std::string &Service) const;
   void adoptTargets();
   void adoptPeers();
   void adoptWeights();
--- /dev/null
+++ b/tests/e2e/failures.cpp
@@ -0,0 +1,442 @@
+/// What must always hold, while processes die, freeze and lose the platform.
+#include "fleet.h"
+
+#include <magnoliaspread/story.h>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <thread>
+
+using namespace magnoliaspread;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+http_call workCall(const std::string &Target) {
+  http_call Call{.Target = Target};
+  Call.Fields["X-Api-Key"] = fleet::keyOf("alpha");
+  return Call;
+}
+
+std::string field(const http_answer &Answer, const char *Name) {
+  const auto Found = Answer.Fields.find(Name);
+  return Found == Answer.Fields.end() ? "" : Found->second;
+}
+
+/// Sends the same call again and again from several threads.
+class background_load {
+public:
+  background_load(std::vector<std::uint16_t> Ports, http_call Call,
+                  unsigned Threads)
+      : Ports(std::move(Ports)), Call(std::move(Call)) {
+    for (unsigned I = 0; I < Threads; ++I)
+      Workers.emplace_back([this, I] { run(I); });
+  }
+  ~background_load() { stop(); }
+  background_load(const background_load &) = delete;
+  background_load &operator=(const background_load &) = delete;
+
+  void stop() {
+    Stopping = true;
+    for (std::thread &Worker : Workers)
+      if (Worker.joinable())
+        Worker.join();
+  }
+
+  std::atomic<std::uint64_t> Answered{0};
+  std::atomic<std::uint64_t> Refused{0};
+  /// No whole answer came.
+  std::atomic<std::uint64_t> Cut{0};
+
+private:
+  void run(unsigned Worker) {
+    for (std::size_t I = Worker; !Stopping; ++I) {
+      const http_answer Answer = call(Ports[I % Ports.size()], Call);
+      if (Answer.Status == 200)
+        ++Answered;
+      else if (Answer.Status == 0)
+        ++Cut;
+      else
+        ++Refused;
+    }
+  }
+
+  std::vector<std::uint16_t> Ports;
+  http_call Call;
+  std::atomic<bool> Stopping{false};
+  std::vector<std::thread> Workers;
+};
+
+std::vector<std::uint16_t> publicPorts(const fleet &Fleet) {
+  std::vector<std::uint16_t> Ports;
+  for (const fleet_instance &Instance : Fleet.Instances)
+    Ports.push_back(Instance.Public);
+  return Ports;
+}
+
+bool names(const fleet_instance &Asked, const fleet_instance &Wanted) {
+  const http_answer Answer = call(Asked.Public, {.Target = "/v1/lookup"});
+  return Answer.Body.find("\"" + Wanted.Name + "\"") != std::string::npos;
+}
+
+std::uint64_t statusNumber(const fleet_instance &Instance, const char *Name) {
+  const auto Value = call(Instance.Admin, {.Target = "/status"}).json();
+  return Value.is_object() ? Value.at(Name).to_number<std::uint64_t>() : 0;
+}
+
+void pauseFor(milliseconds Time) { std::this_thread::sleep_for(Time); }
+
+} // namespace
+
+STORY(withdrawn_keys_and_configuration) {
+  fleet_plan Plan;
+  Plan.Regions = {{"north", 1}, {"south", 1}};
+  fleet Fleet(Plan);
+  open_connection Open(Fleet.Instances[0].Public);
+  CPPUNIT_ASSERT_EQUAL(200U, Open.call(workCall("/work/a")).Status);
+
+  section("a withdrawn key stops on an open connection within seconds", [&] {
+    Fleet.Table.Keys[0].State = key_state::Withdrawn;
+    Fleet.putTable();
+    CPPUNIT_ASSERT(eventually(seconds(7), [&] {
+      return field(Open.call(workCall("/work/a")), "X-Error") ==
+             "key_withdrawn";
+    }));
+    const std::uint64_t Runs = Fleet.runsOf("alpha");
+    for (const fleet_instance &Instance : Fleet.Instances)
+      CPPUNIT_ASSERT(eventually(seconds(7), [&] {
+        return call(Instance.Public, workCall("/work/a")).Status == 403;
+      }));
+    CPPUNIT_ASSERT(Fleet.runsOf("alpha") <= Runs + 4);
+  });
+
+  section("every instance has the edit in force", [&] {
+    for (const fleet_instance &Instance : Fleet.Instances)
+      CPPUNIT_ASSERT(statusNumber(Instance, "config_version") == 2);
+  });
+
+  section("an older table in the platform does not come back in force", [&] {
+    config_table Old = Fleet.Table;
+    Old.Version = 1;
+    Old.Keys[0].State = key_state::Active;
+    Fleet.platform({.Method = "PUT",
+                    .Target = "/objects/config/table",
+                    .Body = formatTable(Old)});
+    pauseFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(
+        403U, call(Fleet.Instances[0].Public, workCall("/work/a")).Status);
+  });
+
+  section("an instance started while the platform is down gets it from peers",
+          [&] {
+            Fleet.platformFaults("{\"down\":true}");
+            fleet_instance &Restarted = Fleet.Instances[1];
+            Restarted.Process->kill();
+            Fleet.start(Restarted);
+            CPPUNIT_ASSERT(eventually(seconds(10), [&] {
+              return statusNumber(Restarted, "config_version") == 2;
+            }));
+          });
+}
+
+STORY(platform_down) {
+  fleet Fleet{fleet_plan{}};
+  section("a fleet goes on serving past its leases", [&] {
+    Fleet.platformFaults("{\"down\":true}");
+    pauseFor(seconds(5));
+    for (const fleet_instance &Instance : Fleet.Instances)
+      CPPUNIT_ASSERT_EQUAL(200U,
+                           call(Instance.Public, workCall("/work/a")).Status);
+  });
+  section("also when one instance is killed", [&] {
+    Fleet.Instances[0].Process->kill();
+    CPPUNIT_ASSERT(eventually(seconds(10), [&] {
+      return call(Fleet.Instances[1].Public, workCall("/work/a")).Status == 200;
+    }));
+  });
+}
+
+STORY(rate_over_all_instances) {
+  fleet_plan Plan;
+  Plan.Regions = {{"north", 2}};
+  Plan.Rate = 40;
+  Plan.Burst = 20;
+  Plan.Slots = 16;
+  fleet Fleet(Plan);
+  const auto Observe = [&](milliseconds Time) {
+    const std::uint64_t Before = Fleet.runsOf("alpha");
+    const auto Start = steady_clock::now();
+    background_load Load(publicPorts(Fleet), workCall("/work/a"), 8);
+    pauseFor(Time);
+    Load.stop();
+    const std::chrono::duration<double> Span = steady_clock::now() - Start;
+    const std::uint64_t Ran = Fleet.runsOf("alpha") - Before;
+    CPPUNIT_ASSERT(static_cast<double>(Ran) <=
+                   Plan.Rate * Span.count() + Plan.Burst + 1);
+    return static_cast<double>(Ran) / (Plan.Rate * Span.count());
+  };
+
+  section("a flood over every instance stays within rate and burst", [&] {
+    const double Part = Observe(seconds(4));
+    CPPUNIT_ASSERT(Part > 0.7);
+  });
+  section("also when a holder is frozen past its lease and goes on", [&] {
+    Fleet.Instances[0].Process->signal(SIGSTOP);
+    std::thread Wake([&] {
+      pauseFor(seconds(4));
+      Fleet.Instances[0].Process->signal(SIGCONT);
+    });
+    Observe(seconds(8));
+    Wake.join();
+  });
+  section("also when one is killed and replaced with an empty memory", [&] {
+    Fleet.Instances[1].Process->kill();
+    Fleet.start(Fleet.Instances[1]);
+    Observe(seconds(5));
+  });
+}
+
+STORY(graceful_shutdown) {
+  fleet_plan Plan;
+  Plan.Work = milliseconds(150);
+  Plan.Slots = 16;
+  fleet Fleet(Plan);
+  fleet_instance &Leaving = Fleet.Instances[0];
+  const fleet_instance &Staying = Fleet.Instances[1];
+
+  section("no request in flight is cut", [&] {
+    background_load Load({Leaving.Public}, workCall("/work/a"), 4);
+    pauseFor(milliseconds(500));
+    const std::uint64_t Before = Load.Cut;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Before);
+    Leaving.Process->signal(SIGTERM);
+    CPPUNIT_ASSERT(
+        eventually(seconds(3), [&] { return !names(Staying, Leaving); }));
+    Load.stop();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Load.Cut.load());
+    CPPUNIT_ASSERT(Load.Answered > 0);
+  });
+  section("the process ends by itself", [&] {
+    const auto Code = Leaving.Process->wait(seconds(10));
+    CPPUNIT_ASSERT(Code.has_value());
+    CPPUNIT_ASSERT_EQUAL(0, *Code);
+  });
+}
+
+STORY(draining_target) {
+  fleet_plan Plan;
+  Plan.Slots = 8;
+  fleet Fleet(Plan);
+  background_load Load(publicPorts(Fleet), workCall("/work/a"), 4);
+  const std::string Target = Fleet.Table.Targets[0].Name;
+  const auto Runs = [&] {
+    return Fleet.record()
+        .at("endpoints")
+        .as_object()
+        .at(Target)
+        .as_object()
+        .at("runs")
+        .to_number<std::uint64_t>();
+  };
+  CPPUNIT_ASSERT(eventually(seconds(8), [&] { return Runs() > 0; }));
+  section("a leaving target gets no new work after a few seconds", [&] {
+    Fleet.Table.Targets[0].State = drain_state::Draining;
+    Fleet.putTable();
+    pauseFor(seconds(5));
+    const std::uint64_t Before = Runs();
+    pauseFor(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(Before, Runs());
+  });
+  section("the others go on", [&] {
+    Load.stop();
+    CPPUNIT_ASSERT_EQUAL(
+        200U, call(Fleet.Instances[0].Public, workCall("/work/a")).Status);
+  });
+}
+
+STORY(at_most_once) {
+  fleet Fleet{fleet_plan{}};
+  const auto Ticket = [&](const fleet_instance &Instance) {
+    const auto Answer = call(Instance.Public, {.Target = "/v1/lookup"}).json();
+    return std::string(Answer.at("ticket").as_string());
+  };
+  http_call Pay = workCall("/work/pay");
+  Pay.Method = "POST";
+  Pay.Body = "fee";
+  Pay.Fields["X-Repeatable"] = "no";
+  const auto RunsOf = [&](const std::string &Key) {
+    const auto Record = Fleet.record();
+    const auto *Count =
+        Record.at("runs_by_idempotency_key").as_object().if_contains(Key);
+    return Count == nullptr ? 0 : Count->to_number<std::uint64_t>();
+  };
+
+  section("without a ticket it is not run and a ticket comes back", [&] {
+    Pay.Fields["Idempotency-Key"] = "pay-1";
+    const auto Answer = call(Fleet.Instances[0].Public, Pay);
+    CPPUNIT_ASSERT_EQUAL(std::string("ticket_needed"),
+                         field(Answer, "X-Error"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), RunsOf("pay-1"));
+    Pay.Fields["X-Ticket"] = field(Answer, "X-Ticket");
+  });
+  section("with it, a repeat gets the first answer and runs nothing", [&] {
+    const auto First = call(Fleet.Instances[0].Public, Pay);
+    const auto Second = call(Fleet.Instances[0].Public, Pay);
+    CPPUNIT_ASSERT_EQUAL(200U, First.Status);
+    CPPUNIT_ASSERT_EQUAL(First.Body, Second.Body);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), RunsOf("pay-1"));
+  });
+  section("another instance tells that the outcome is unknown", [&] {
+    const auto Answer = call(Fleet.Instances[1].Public, Pay);
+    CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"),
+                         field(Answer, "X-Error"));
+    CPPUNIT_ASSERT_EQUAL(std::string("may_have_run"),
+                         field(Answer, "X-Run-State"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), RunsOf("pay-1"));
+  });
+  section("a caller that leaves and comes again does not run it twice", [&] {
+    Pay.Target = "/work/pay?work_ms=800";
+    Pay.Fields["Idempotency-Key"] = "pay-2";
+    Pay.Fields["X-Ticket"] = Ticket(Fleet.Instances[0]);
+    Pay.Timeout = milliseconds(200);
+    CPPUNIT_ASSERT_EQUAL(0U, call(Fleet.Instances[0].Public, Pay).Status);
+    Pay.Timeout = milliseconds(5000);
+    CPPUNIT_ASSERT(eventually(seconds(5), [&] {
+      return call(Fleet.Instances[0].Public, Pay).Status == 200;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), RunsOf("pay-2"));
+  });
+  section("nor does one whose instance was killed and replaced", [&] {
+    Pay.Fields["Idempotency-Key"] = "pay-3";
+    Pay.Fields["X-Ticket"] = Ticket(Fleet.Instances[0]);
+    Pay.Timeout = milliseconds(200);
+    call(Fleet.Instances[0].Public, Pay);
+    Fleet.Instances[0].Process->kill();
+    Fleet.start(Fleet.Instances[0]);
+    CPPUNIT_ASSERT(Fleet.waitReady(Fleet.Instances[0]));
+    Pay.Timeout = milliseconds(5000);
+    const auto Answer = call(Fleet.Instances[0].Public, Pay);
+    CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"),
+                         field(Answer, "X-Error"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), RunsOf("pay-3"));
+  });
+}
+
+STORY(faulty_targets) {
+  fleet_plan Plan;
+  Plan.Slots = 8;
+  Plan.TargetsPerDataCentre = 4;
+  fleet Fleet(Plan);
+  const std::uint16_t Port = Fleet.Instances[0].Public;
+
+  section("connections that go silent don't hold a repeatable request", [&] {
+    for (int I = 0; I < 20; ++I)
+      call(Port, workCall("/work/a"));
+    Fleet.targetFaults("{\"silence\":true}");
+    for (int I = 0; I < 8; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U, call(Port, workCall("/work/a")).Status);
+  });
+  section("the answer of another request never reaches the caller", [&] {
+    Fleet.targetFaults("{\"crossed\":true}");
+    const auto Answer = call(Port, workCall("/work/a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("target_failed"),
+                         field(Answer, "X-Error"));
+    Fleet.targetFaults("{\"crossed\":false}");
+  });
+  section("an answer that breaks off is not passed on as whole", [&] {
+    Fleet.targetFaults("{\"cut_answers\":true}");
+    CPPUNIT_ASSERT_EQUAL(0U, call(Port, workCall("/work/a")).Status);
+    Fleet.targetFaults("{\"cut_answers\":false}");
+  });
+  section("targets that refuse are told as not run", [&] {
+    Fleet.targetFaults("{\"shed\":true}");
+    const auto Answer = call(Port, workCall("/work/shed"));
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), field(Answer, "X-Run-State"));
+    CPPUNIT_ASSERT(!field(Answer, "Retry-After").empty());
+    Fleet.targetFaults("{\"shed\":false}");
+  });
+}
+
+STORY(crashing_request) {
+  fleet_plan Plan;
+  Plan.TargetsPerDataCentre = 6;
+  Plan.InstancesPerDataCentre = 1;
+  fleet Fleet(Plan);
+  const std::uint16_t Port = Fleet.Instances[0].Public;
+  http_call Crash = workCall("/work/a?crash=1");
+  section("it is refused after some deaths, though its caller repeats", [&] {
+    bool Quarantined = false;
+    for (int I = 0; I < 10 && !Quarantined; ++I)
+      Quarantined = field(call(Port, Crash), "X-Error") == "quarantined";
+    CPPUNIT_ASSERT(Quarantined);
+    std::uint64_t Deaths = 0;
+    const boost::json::object Record = Fleet.record();
+    for (const auto &Row : Record.at("endpoints").as_object())
+      Deaths += Row.value().at("deaths").to_number<std::uint64_t>();
+    CPPUNIT_ASSERT(Deaths <= 4);
+  });
+  section("other requests go on", [&] {
+    CPPUNIT_ASSERT(eventually(seconds(5), [&] {
+      return call(Port, workCall("/work/b")).Status == 200;
+    }));
+  });
+}
+
+STORY(upload) {
+  fleet_plan Plan;
+  Plan.InstancesPerDataCentre = 1;
+  fleet Fleet(Plan);
+  section("200 MB pass without growing the instance by more than 8 MB", [&] {
+    constexpr std::size_t UploadBytes = 200u << 20;
+    constexpr std::size_t MaxGrowth = 8u << 20;
+    const std::size_t Before = Fleet.Instances[0].Process->residentBytes();
+    std::atomic<std::size_t> Most{0};
+    std::atomic<bool> Done{false};
+    std::thread Watch([&] {
+      while (!Done) {
+        Most =
+            std::max(Most.load(), Fleet.Instances[0].Process->residentBytes());
+        pauseFor(milliseconds(5));
+      }
+    });
+    http_call Upload = workCall("/work/upload");
+    Upload.Method = "POST";
+    Upload.Body = std::string(UploadBytes, 'u');
+    Upload.Timeout = seconds(60);
+    const auto Answer = call(Fleet.Instances[0].Public, Upload);
+    Done = true;
+    Watch.join();
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status);
+    CPPUNIT_ASSERT(Answer.Body.find("\"bytes\":209715200") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(Most < Before + MaxGrowth);
+  });
+}
+
+STORY(cut_off_from_the_other_region) {
+  fleet_plan Plan;
+  Plan.Regions = {{"north", 1}, {"south", 1}};
+  fleet Fleet(Plan);
+  section("a region whose targets are gone is served by the other", [&] {
+    for (target_row &Row : Fleet.Table.Targets)
+      if (Row.DataCentre == "north-1")
+        Row.State = drain_state::Draining;
+    Fleet.putTable();
+    CPPUNIT_ASSERT(eventually(seconds(8), [&] {
+      const auto Answer = call(Fleet.Instances[0].Public, workCall("/work/a"));
+      return Answer.Status == 200 &&
+             Answer.Body.find("south") != std::string::npos;
+    }));
+  });
+  section("with the other region killed, requests are refused as not run", [&] {
+    for (fleet_instance &Instance : Fleet.Instances)
+      if (Instance.DataCentre == "south-1")
+        Instance.Process->kill();
+    const auto Answer = call(Fleet.Instances[0].Public, workCall("/work/a"));
+    CPPUNIT_ASSERT(Answer.Status >= 500);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), field(Answer, "X-Run-State"));
+  });
+}
