--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -227,6 +227,7 @@
     View->Peers = peersOf(Members.members(), Table, Now);
     View->Owned = ownedTargets(Members.members(), Table, Now);
     View->TokenWaits = Quota.waits();
+    View->Shares = Quota.keeper().minted(Now);
   }
   Traffic.publish(View);
 }
--- a/packages/traffic/include/magnoliaspread/view.h
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -9,6 +9,7 @@
 #include <magnoliaspread/index.h>
 #include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/settings.h>
+#include <magnoliaspread/sharemsg.h>
 
 #include <chrono>
 #include <cstdint>
@@ -42,6 +43,8 @@
   std::vector<instance_view> Peers;
   /// By row of Config->Table.Targets: this instance sends to the target.
   std::vector<bool> Owned;
+  /// Quota shares that this instance holds.
+  std::vector<minted_share> Shares;
   /// Limits that run short, from the token bank.
   std::vector<token_wait> TokenWaits;
   /// Lower bound on the platform's time at MadeAt.
--- a/packages/traffic/src/dispatch_p.h
+++ b/packages/traffic/src/dispatch_p.h
@@ -3,6 +3,7 @@
 #define MAGNOLIASPREAD_DISPATCH_P_H
 
 #include "net_p.h"
+#include "regionlimit_p.h"
 #include "relay_p.h"
 
 #include <magnoliaspread/admit.h>
@@ -29,6 +30,7 @@
   region_handle Region;
   target_handle Target;
   instance_handle Peer;
+  limit_handle Limit;
   steady_time Since;
 };
 
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -58,8 +58,8 @@
                  std::uint64_t Seed)
     : Context(Context), Clock(Clock), Settings(Settings),
       Tokens(Context, Clock, Purse), Random(Seed),
-      View(std::make_shared<traffic_view>()), Targets(MaxTargets),
-      TargetRows(MaxTargets), Peers(MaxInstances),
+      View(std::make_shared<traffic_view>()), Limits(Settings),
+      Targets(MaxTargets), TargetRows(MaxTargets), Peers(MaxInstances),
       Wallet(credit_policy{}, firstSequence(Clock)),
       Grantor(credit_policy{}, Seed) {}
 
@@ -69,6 +69,7 @@
   Config = View->Config;
   if (Config == nullptr)
     return;
+  Limits.publish(View);
   if (NewConfig) {
     adoptNames();
     adoptWeights();
@@ -304,8 +305,12 @@
       Before.Placement == placement::Later)
     co_return quarantined(Before);
   if (Before.Placement == placement::Alone) {
+    const result<limit_handle> Limit = admitLimit(Request);
+    if (failed(Limit))
+      co_return errorOf(Limit);
     result<dispatch_place> Place =
-        co_await placeAlone(Service, Request.Request->Deadline);
+        countLimit(co_await placeAlone(Service, Request.Request->Deadline),
+                   valueOf(Limit));
     if (failed(Place))
       co_return errorOf(Place);
     co_return begin(Request, std::move(valueOf(Place)));
@@ -324,6 +329,22 @@
   co_return Unsent.Error;
 }
 
+result<limit_handle> steerer::admitLimit(const placement_request &Request) {
+  return Limits.admit(serviceName(Request), workspaceName(Request),
+                      Clock.now());
+}
+
+/// A request that a target here takes goes on to count against its row's
+/// limit; one that was not placed or went to a peer does not.
+result<dispatch_place> steerer::countLimit(result<dispatch_place> Place,
+                                           limit_handle Limit) {
+  if (failed(Place) || valueOf(Place).Kind == upstream_kind::Peer)
+    Limits.release(Limit);
+  else
+    valueOf(Place).Limit = Limit;
+  return Place;
+}
+
 /// Notes that the request begins on its target; a peer notes that itself.
 result<dispatch_place> steerer::begin(const placement_request &Request,
                                       dispatch_place Place) {
@@ -390,11 +411,18 @@
     co_return errorOf(Region);
   updateSlots(Service, Clock.now());
   const region_handle Chosen = valueOf(Region);
+  result<limit_handle> Limit = limit_handle{};
+  if (Chosen == Plan.Own)
+    Limit = admitLimit(Request);
+  if (failed(Limit))
+    co_return errorOf(Limit);
   const fairq_entry Entry{++NextTicket, workspaceOf(Request),
                           Request.Request->Deadline};
-  co_return co_await laneOf(Service, Chosen).wait(Entry, [=, this] {
-    return findPlace(Service, Chosen);
-  });
+  result<dispatch_place> Place =
+      co_await laneOf(Service, Chosen).wait(Entry, [=, this] {
+        return findPlace(Service, Chosen);
+      });
+  co_return countLimit(std::move(Place), valueOf(Limit));
 }
 
 /// A forwarded request with a credit takes a slot here or waits for one; it is
@@ -409,12 +437,16 @@
       Grantor, Service, Peer, Request.Forwarded->CreditGrant, Free, Now);
   if (failed(Admitted))
     co_return errorOf(Admitted);
+  const result<limit_handle> Limit = admitLimit(Request);
+  if (failed(Limit))
+    co_return errorOf(Limit);
   updateSlots(Service, Now);
   const steady_time Deadline = Request.Request->Deadline;
   const fairq_entry Entry{++NextTicket, workspaceOf(Request),
                           std::min(Deadline, Now + ForwardedWait)};
-  const result<dispatch_place> Place = co_await forwardedLaneOf(Service).wait(
+  result<dispatch_place> Place = co_await forwardedLaneOf(Service).wait(
       Entry, [=, this] { return findTarget(Service, Clock.now()); });
+  Place = countLimit(std::move(Place), valueOf(Limit));
   if (failed(Place) && Clock.now() < Deadline)
     co_return noCapacity("no slot came free for a forwarded request");
   co_return Place;
@@ -667,6 +699,7 @@
 void steerer::finished(const dispatch_place &Place,
                        const relay_outcome &Outcome) {
   const steady_time Now = Clock.now();
+  Limits.release(Place.Limit);
   if (Place.Kind == upstream_kind::Target) {
     endAttempt(Place, Outcome, Now);
     endTarget(Place, Outcome, Now);
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -79,6 +79,9 @@
   asio::awaitable<result<dispatch_place>> placeAlone(service_handle Service,
                                                      steady_time Deadline);
   target_handle leastLoaded(service_handle Service) const;
+  result<limit_handle> admitLimit(const placement_request &Request);
+  result<dispatch_place> countLimit(result<dispatch_place> Place,
+                                    limit_handle Limit);
   result<dispatch_place> begin(const placement_request &Request,
                                dispatch_place Place);
   void endAttempt(const dispatch_place &Place, const relay_outcome &Outcome,
@@ -120,6 +123,8 @@
   traffic_view_ptr View;
   config_index_ptr Config;
 
+  region_limits Limits;
+
   stable_names<target_handle> TargetNames{MaxTargets};
   stable_names<service_handle> ServiceNames{MaxServices};
   stable_names<workspace_handle> WorkspaceNames{MaxWorkspaces};
--- a/tests/e2e/failures.cpp
+++ b/tests/e2e/failures.cpp
@@ -226,6 +226,32 @@
   });
 }
 
+STORY(region_limit) {
+  constexpr std::uint32_t Limit = 4;
+  fleet_plan Plan;
+  Plan.TargetsPerDataCentre = 1;
+  Plan.Slots = 16;
+  Plan.Work = milliseconds(50);
+  Plan.Edit = [](config_table &Table) {
+    Table.Weights.push_back({"north", "work", "*", 1, Limit});
+  };
+  fleet Fleet(Plan);
+  section(
+      "a flood never runs more requests in the region than its row allows",
+      [&] {
+        background_load Load(publicPorts(Fleet), workCall("/work/a"), 12);
+        pauseFor(seconds(3));
+        Load.stop();
+        CPPUNIT_ASSERT(Load.Answered > 0);
+        CPPUNIT_ASSERT(Load.Refused > 0);
+        const boost::json::object Record = Fleet.record();
+        const auto &Row =
+            Record.at("endpoints").as_object().at(Fleet.Table.Targets[0].Name);
+        CPPUNIT_ASSERT(Row.at("most_running").to_number<std::uint32_t>() <=
+                       Limit);
+      });
+}
+
 STORY(draining_target) {
   fleet_plan Plan;
   Plan.Slots = 8;
