--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
+#include <optional>
 #include <random>
 
 namespace magnoliaspread {
@@ -33,6 +34,10 @@
 constexpr milliseconds MeasurePeriod{1000};
 /// An instance without quota shares borrows; it is ready after this.
 constexpr milliseconds ReadyWithoutShares{5000};
+/// After the public port is closed, frames show what had just arrived.
+constexpr milliseconds CloseGrace{200};
+/// Connections without a request are cut this long after that.
+constexpr milliseconds IdleGrace{2000};
 /// Longest wait for the quota shares to be released at the end of a drain.
 constexpr milliseconds ReleaseTimeout{2000};
 
@@ -78,7 +83,9 @@
   void take(traffic_frame Frame);
   std::vector<endpoint_address> everyPeer() const;
   std::size_t inFlight() const;
+  std::size_t connections() const;
   void beginDrain();
+  bool trafficEnded(steady_time Now);
   void watchDrain();
   admin_answer healthPage() const;
   admin_answer statusPage() const;
@@ -111,6 +118,8 @@
   steady_time NextMeasure;
   bool Draining = false;
   steady_time DrainingSince;
+  /// When the public port was closed.
+  std::optional<steady_time> ClosedAt;
 };
 
 instance::instance(const instance_settings &Settings, const clock &Clock,
@@ -149,6 +158,13 @@
   return Sum;
 }
 
+std::size_t instance::connections() const {
+  std::size_t Sum = 0;
+  for (const traffic_frame &Frame : Frames)
+    Sum += Frame.Connections;
+  return Sum;
+}
+
 admin_answer instance::healthPage() const {
   const bool Limits =
       Quota.minting() || Clock.now() - StartedAt >= ReadyWithoutShares;
@@ -309,13 +325,27 @@
   publish();
 }
 
-/// Ends the process once callers have forgotten it, nothing is in flight and
-/// its quota shares are released.
+/// Whether the public port is closed, nothing is in flight, and callers have
+/// had time to see their open connections end.
+bool instance::trafficEnded(steady_time Now) {
+  if (Now - DrainingSince < Settings.LookupTtl + LookupGrace)
+    return false;
+  if (!ClosedAt) {
+    Traffic.stopAccepting();
+    ClosedAt = Now;
+  }
+  const auto Closed = Now - *ClosedAt;
+  if (Closed < CloseGrace || inFlight() > 0)
+    return false;
+  return connections() == 0 || Closed >= IdleGrace;
+}
+
+/// Ends the process once its traffic has ended and its quota shares are
+/// released.
 void instance::watchDrain() {
-  const auto Since = Clock.now() - DrainingSince;
-  const bool Forgotten = Since >= Settings.LookupTtl + LookupGrace;
-  const bool TooLong = Since >= Settings.DrainTimeout;
-  if (!TooLong && (!Forgotten || inFlight() > 0))
+  const steady_time Now = Clock.now();
+  const auto Since = Now - DrainingSince;
+  if (!trafficEnded(Now) && Since < Settings.DrainTimeout)
     return;
   Quota.leave();
   const bool GiveUp =
--- a/packages/traffic/include/magnoliaspread/traffic.h
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -42,6 +42,10 @@
   void deliver(const peer_credit_message &Message);
   void deliver(const quarantine_notice &Notice);
 
+  /// Closes the public port; connections that are open go on. The internal
+  /// port stays open, since peers take its refusal for the process's death.
+  void stopAccepting();
+
   /// Ends the threads; connections still open are cut.
   void stop();
 
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -317,7 +317,8 @@
   removeHopFields(Message);
   Message.set("X-Request-Id", Request.Id);
   Outcome.Kept.ContentType = Message[http::field::content_type];
-  const bool KeepCaller = Caller.Parser.keep_alive() && RequestEnded;
+  const bool KeepCaller =
+      Caller.Parser.keep_alive() && RequestEnded && !Request.ClosesCaller;
   Message.keep_alive(KeepCaller);
   http::response_serializer<http::buffer_body> Serializer(Message);
   const bool HeadOnly = Request.Head.method() == http::verb::head;
--- a/packages/traffic/src/relay_p.h
+++ b/packages/traffic/src/relay_p.h
@@ -87,6 +87,8 @@
   /// Meter what crosses a link, when it does.
   link_meter *UpMeter = nullptr;
   link_meter *DownMeter = nullptr;
+  /// The caller's connection takes no further request.
+  bool ClosesCaller = false;
   /// Goes on to the end of the answer when the caller is gone.
   bool OutlivesCaller = false;
   /// Longest body of an answer that is kept for repeats, in bytes.
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -74,6 +74,7 @@
   result<admitted_request> admit();
   asio::awaitable<bool> refuse(const error &Error, std::string_view Id);
   asio::awaitable<bool> send(text_response Response);
+  bool keepsOpen() const;
   asio::awaitable<void> linger();
   bool mayRetry(const admitted_request &Request, const caller_side &Caller,
                 const relay_outcome &Outcome, unsigned Attempts);
@@ -165,8 +166,14 @@
   }
 }
 
+/// Whether the connection can take another request after this one. A leaving
+/// instance closes each when it has answered.
+bool session::keepsOpen() const {
+  return Parser->is_done() && Parser->keep_alive() && !State.View->Leaving;
+}
+
 asio::awaitable<bool> session::refuse(const error &Error, std::string_view Id) {
-  const bool Keep = Parser->is_done() && Parser->keep_alive();
+  const bool Keep = keepsOpen();
   const bool Sent = co_await send(errorResponse(Error, Id, Keep));
   if (!Keep)
     co_await linger();
@@ -182,8 +189,7 @@
                    State.Once.issue(State.Clock.now()));
   if (failed(Answer))
     co_return co_await refuse(errorOf(Answer), {});
-  co_return co_await send(
-      jsonResponse(valueOf(Answer), Parser->is_done() && Parser->keep_alive()));
+  co_return co_await send(jsonResponse(valueOf(Answer), keepsOpen()));
 }
 
 /// Answers a peer that asks for the configuration in force.
@@ -291,6 +297,7 @@
   Relay.Id = Request.Id;
   Relay.To = Place.Kind;
   Relay.Deadline = Request.Deadline;
+  Relay.ClosesCaller = State.View->Leaving;
   Relay.OutlivesCaller = Request.AtMostOnce;
   Relay.KeepBytes = Request.AtMostOnce ? MaxKeptAnswerBytes : 0;
   Relay.ProgressTimeout =
@@ -375,13 +382,12 @@
     co_return Decision.Id;
   case once_verdict::Answered:
     Keep =
-        co_await send(keptResponse(*Decision.Answer, Request.Id,
-                                   Parser->is_done() && Parser->keep_alive()));
+        co_await send(keptResponse(*Decision.Answer, Request.Id, keepsOpen()));
     break;
   case once_verdict::TicketNeeded: {
     text_response Response = errorResponse(
         {error_kind::TicketNeeded, "send it again with this X-Ticket", {}},
-        Request.Id, Parser->is_done() && Parser->keep_alive());
+        Request.Id, keepsOpen());
     Response.set("X-Ticket", Decision.NewTicket);
     Keep = co_await send(std::move(Response));
     break;
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -230,6 +230,14 @@
     });
 }
 
+void traffic_threads::stopAccepting() {
+  for (const auto &Thread : State->Threads)
+    asio::post(Thread->Context, [Thread = Thread.get()] {
+      error_code Ignored;
+      Thread->Public.close(Ignored);
+    });
+}
+
 void traffic_threads::stop() {
   for (const auto &Thread : State->Threads)
     Thread->Context.stop();
--- a/tests/e2e/failures.cpp
+++ b/tests/e2e/failures.cpp
@@ -206,6 +206,8 @@
   fleet Fleet(Plan);
   fleet_instance &Leaving = Fleet.Instances[0];
   const fleet_instance &Staying = Fleet.Instances[1];
+  open_connection Open(Leaving.Public);
+  CPPUNIT_ASSERT_EQUAL(200U, Open.call(workCall("/work/a")).Status);
 
   section("no request in flight is cut", [&] {
     background_load Load({Leaving.Public}, workCall("/work/a"), 4);
@@ -219,6 +221,11 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Load.Cut.load());
     CPPUNIT_ASSERT(Load.Answered > 0);
   });
+  section("an open connection is answered and then closed", [&] {
+    const http_answer Answer = Open.call(workCall("/work/a"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), field(Answer, "Connection"));
+  });
   section("the process ends by itself", [&] {
     const auto Code = Leaving.Process->wait(seconds(10));
     CPPUNIT_ASSERT(Code.has_value());
