--- a/packages/daemon/src/quotasys.cpp
+++ b/packages/daemon/src/quotasys.cpp
@@ -199,10 +199,10 @@
 bool quota_system::minting() const {
   const steady_time Now = Clock.now();
   const std::vector<minted_share> Shares = Keeper.minted(Now);
-  return std::any_of(Shares.begin(), Shares.end(),
-                     [&](const minted_share &Share) {
-                       return Share.MintsFrom + FillTime <= Now && Now < Share.Fence;
-                     });
+  return std::any_of(
+      Shares.begin(), Shares.end(), [&](const minted_share &Share) {
+        return Share.MintsFrom + FillTime <= Now && Now < Share.Fence;
+      });
 }
 
 std::vector<token_wait> quota_system::waits() const {
