--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -23,7 +23,7 @@
 # One test program per package: every tests/*.cpp, registered with ctest.
 function(add_package_tests Name)
   file(GLOB TestSources CONFIGURE_DEPENDS tests/*.cpp)
-  if(NOT TestSources)
+  if(NOT TestSources OR NOT MAGNOLIASPREAD_TESTS)
     return()
   endif()
   add_executable(test_${Name} ${TestSources})
--- a/packages/base/include/magnoliaspread/clock.h
+++ b/packages/base/include/magnoliaspread/clock.h
@@ -10,6 +10,17 @@
 using steady_time = std::chrono::steady_clock::time_point;
 using wall_time = std::chrono::system_clock::time_point;
 
+/// Monotonic time that also counts while the machine is suspended.
+struct boot_clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+};
+
+using boot_time = boot_clock::time_point;
+
 class clock {
 public:
   clock() = default;
@@ -20,6 +31,9 @@
   /// Monotonic time, for intervals, leases and deadlines.
   virtual steady_time now() const = 0;
 
+  /// For ages and leases that others rely on, which go on in a suspension.
+  virtual boot_time boot() const = 0;
+
   /// Calendar time, for logs and records read by people or other machines.
   virtual wall_time wall() const = 0;
 };
@@ -28,6 +42,7 @@
 class system_clock final : public clock {
 public:
   steady_time now() const override;
+  boot_time boot() const override;
   wall_time wall() const override;
 };
 
@@ -35,12 +50,16 @@
 class fake_clock final : public clock {
 public:
   steady_time now() const override { return Now; }
+  boot_time boot() const override { return Boot; }
   wall_time wall() const override { return Wall; }
 
   void advance(std::chrono::nanoseconds Step);
+  /// Time that only boot() and wall() count.
+  void suspend(std::chrono::nanoseconds Step);
 
 private:
   steady_time Now{std::chrono::hours(1)};
+  boot_time Boot{std::chrono::hours(1)};
   wall_time Wall{std::chrono::hours(24 * 365 * 50)};
 };
 
--- /dev/null
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -0,0 +1,111 @@
+/// The targets that have registered themselves in the platform, as one
+/// instance believes them: what may get work, what is leaving, what is cold.
+/// Pure: time is passed in.
+#ifndef MAGNOLIASPREAD_REGISTRY_H
+#define MAGNOLIASPREAD_REGISTRY_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/handle.h>
+#include <magnoliaspread/namemap.h>
+#include <magnoliaspread/settings.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// What a target says of itself.
+struct target_record {
+  std::string Name;
+  endpoint_address Address;
+  std::string Service;
+  std::string DataCentre;
+  std::uint32_t Slots = 1;
+  /// Finishes what it has and takes no new work.
+  bool Draining = false;
+  /// How long it stayed cold when it said so.
+  std::chrono::milliseconds ColdLeft{0};
+  /// Rises with each report of one start.
+  std::uint64_t Sequence = 0;
+  /// Tells apart two starts under one name; rises.
+  std::int64_t StartedAtMs = 0;
+
+  bool operator==(const target_record &) const = default;
+};
+
+struct registry_settings {
+  /// Entries that lapsed while the platform was away are back this soon after
+  /// its return: two seconds (LETTER) and the time of one poll.
+  std::chrono::milliseconds ReturnTime{2300};
+  /// Without an answer for this long the platform counts as away: targets'
+  /// entries lapse after three heartbeats.
+  std::chrono::milliseconds AwayAfter{2500};
+  /// Cold time of targets that come back from an evacuation.
+  std::chrono::milliseconds ReturnColdTime{4500};
+};
+
+struct registered_target {
+  target_handle Handle;
+  target_record Record;
+  /// May get new work.
+  bool Open = true;
+  steady_time ColdUntil;
+};
+
+class target_registry {
+public:
+  explicit target_registry(const registry_settings &Settings)
+      : Settings(Settings) {}
+
+  /// The platform answered; call before the answer is applied.
+  void platformAnswered(steady_time Now);
+
+  /// Takes in a list of all entries.
+  void replaceAll(const std::vector<target_record> &Records, steady_time Now);
+  /// Takes in one entry that is new or changed.
+  void put(const target_record &Record, steady_time Now);
+  /// Takes in that an entry is gone or can't be read.
+  void remove(std::string_view Name, steady_time Now);
+
+  /// Data centres whose targets are to get nothing.
+  void setEvacuated(std::set<std::string> DataCentres, steady_time Now);
+
+  /// Drops what has not come back in time.
+  void tick(steady_time Now);
+
+  /// In the order of their handles, which stay while a start lasts.
+  std::vector<registered_target> targets() const;
+
+  /// Rises with each change of targets().
+  std::uint64_t revision() const { return Revision; }
+
+private:
+  struct entry {
+    target_record Record;
+    steady_time ColdUntil;
+    /// Missing since the platform's return; dropped then.
+    std::optional<steady_time> DropAt;
+    bool Used = false;
+  };
+
+  entry *find(std::string_view Name);
+  void add(const target_record &Record, steady_time Now);
+  void drop(std::string_view Name);
+
+  registry_settings Settings;
+  std::vector<entry> Entries;
+  name_map<std::uint16_t> Rows;
+  std::set<std::string> Evacuated;
+  std::optional<steady_time> AnsweredAt;
+  steady_time HoldUntil;
+  std::uint16_t NextRow = 0;
+  std::uint64_t Revision = 0;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/coordination/src/registry.cpp
@@ -0,0 +1,136 @@
+#include <magnoliaspread/registry.h>
+
+#include <magnoliaspread/config.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+namespace {
+
+/// Whether \p Record is older than what \p Known says of the same target.
+bool isStale(const target_record &Record, const target_record &Known) {
+  if (Record.StartedAtMs != Known.StartedAtMs)
+    return Record.StartedAtMs < Known.StartedAtMs;
+  return Record.Sequence < Known.Sequence;
+}
+
+} // namespace
+
+target_registry::entry *target_registry::find(std::string_view Name) {
+  const auto Found = Rows.find(Name);
+  return Found == Rows.end() ? nullptr : &Entries[Found->second];
+}
+
+void target_registry::platformAnswered(steady_time Now) {
+  if (AnsweredAt && Now - *AnsweredAt >= Settings.AwayAfter)
+    HoldUntil = Now + Settings.ReturnTime;
+  AnsweredAt = Now;
+}
+
+/// Takes the least recently freed row, so that a handle is not used again soon.
+void target_registry::add(const target_record &Record, steady_time Now) {
+  if (Entries.size() < MaxTargets) {
+    NextRow = static_cast<std::uint16_t>(Entries.size());
+    Entries.emplace_back();
+  } else {
+    std::size_t Tries = 0;
+    do
+      NextRow = static_cast<std::uint16_t>((NextRow + 1U) % MaxTargets);
+    while (Entries[NextRow].Used && ++Tries < MaxTargets);
+    if (Entries[NextRow].Used)
+      return;
+  }
+  Entries[NextRow] = {Record, Now + Record.ColdLeft, std::nullopt, true};
+  Rows.insert_or_assign(Record.Name, NextRow);
+  ++Revision;
+}
+
+void target_registry::drop(std::string_view Name) {
+  const auto Found = Rows.find(Name);
+  if (Found == Rows.end())
+    return;
+  Entries[Found->second].Used = false;
+  Rows.erase(Found);
+  ++Revision;
+}
+
+void target_registry::put(const target_record &Record, steady_time Now) {
+  entry *Known = find(Record.Name);
+  if (Known == nullptr)
+    return add(Record, Now);
+  if (Record.StartedAtMs > Known->Record.StartedAtMs) {
+    drop(Record.Name);
+    return add(Record, Now);
+  }
+  Known->DropAt.reset();
+  if (isStale(Record, Known->Record) || Record == Known->Record)
+    return;
+  Known->Record = Record;
+  if (Record.ColdLeft > std::chrono::milliseconds(0))
+    Known->ColdUntil = std::max(Known->ColdUntil, Now + Record.ColdLeft);
+  ++Revision;
+}
+
+void target_registry::remove(std::string_view Name, steady_time Now) {
+  entry *Known = find(Name);
+  if (Known == nullptr)
+    return;
+  if (Now >= HoldUntil)
+    return drop(Name);
+  if (!Known->DropAt)
+    Known->DropAt = HoldUntil;
+}
+
+void target_registry::replaceAll(const std::vector<target_record> &Records,
+                                 steady_time Now) {
+  std::set<std::string_view> Listed;
+  for (const target_record &Record : Records) {
+    Listed.insert(Record.Name);
+    put(Record, Now);
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Name, Row] : Rows)
+    if (!Listed.contains(Name))
+      Missing.push_back(Name);
+  for (const std::string &Name : Missing)
+    remove(Name, Now);
+}
+
+void target_registry::setEvacuated(std::set<std::string> DataCentres,
+                                   steady_time Now) {
+  if (DataCentres == Evacuated)
+    return;
+  for (entry &Entry : Entries)
+    if (Entry.Used && Evacuated.contains(Entry.Record.DataCentre) &&
+        !DataCentres.contains(Entry.Record.DataCentre))
+      Entry.ColdUntil =
+          std::max(Entry.ColdUntil, Now + Settings.ReturnColdTime);
+  Evacuated = std::move(DataCentres);
+  ++Revision;
+}
+
+void target_registry::tick(steady_time Now) {
+  std::vector<std::string> Gone;
+  for (const entry &Entry : Entries)
+    if (Entry.Used && Entry.DropAt && Now >= *Entry.DropAt)
+      Gone.push_back(Entry.Record.Name);
+  for (const std::string &Name : Gone)
+    drop(Name);
+}
+
+std::vector<registered_target> target_registry::targets() const {
+  std::vector<registered_target> Targets;
+  for (std::size_t I = 0; I < Entries.size(); ++I) {
+    const entry &Entry = Entries[I];
+    if (!Entry.Used)
+      continue;
+    const bool Open =
+        !Entry.Record.Draining && !Evacuated.contains(Entry.Record.DataCentre);
+    Targets.push_back(
+        {handleAt<target_handle>(I), Entry.Record, Open, Entry.ColdUntil});
+  }
+  return Targets;
+}
+
+} // namespace magnoliaspread
--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -21,9 +21,15 @@
 constexpr auto Awaited = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds IdleTimeout{30};
 
-using answer_maker = std::function<admin_answer(std::string_view)>;
+admin_answer answerFrom(const std::vector<admin_page> &Pages,
+                        std::string_view Path) {
+  for (const admin_page &Page : Pages)
+    if (Page.Path == Path)
+      return Page.Make();
+  return {404, "application/json", "{\"error\":\"not_found\"}"};
+}
 
-asio::awaitable<void> serve(tcp::socket Socket, answer_maker Make) {
+asio::awaitable<void> serve(tcp::socket Socket, admin_port::page_handler Make) {
   beast::tcp_stream Stream(std::move(Socket));
   beast::flat_buffer Buffer;
   for (;;) {
@@ -50,7 +56,12 @@
 } // namespace
 
 admin_port::admin_port(asio::io_context &Context, std::vector<admin_page> Pages)
-    : Context(Context), Pages(std::move(Pages)), Acceptor(Context) {}
+    : admin_port(Context, [Pages = std::move(Pages)](std::string_view Target) {
+        return answerFrom(Pages, Target);
+      }) {}
+
+admin_port::admin_port(asio::io_context &Context, page_handler Handler)
+    : Context(Context), Handler(std::move(Handler)), Acceptor(Context) {}
 
 status admin_port::open(const endpoint_address &Where) {
   boost::system::error_code Failure;
@@ -76,24 +87,14 @@
   Acceptor.close(Ignored);
 }
 
-admin_answer admin_port::answer(std::string_view Path) const {
-  for (const admin_page &Page : Pages)
-    if (Page.Path == Path)
-      return Page.Make();
-  return {404, "application/json", "{\"error\":\"not_found\"}"};
-}
-
 void admin_port::accept() {
   Acceptor.async_accept(
       [this](boost::system::error_code Failure, tcp::socket Socket) {
         if (Failure == asio::error::operation_aborted || !Acceptor.is_open())
           return;
         if (!Failure)
-          asio::co_spawn(
-              Context,
-              serve(std::move(Socket),
-                    [this](std::string_view Path) { return answer(Path); }),
-              asio::detached);
+          asio::co_spawn(Context, serve(std::move(Socket), Handler),
+                         asio::detached);
         accept();
       });
 }
--- a/packages/daemon/src/admin_p.h
+++ b/packages/daemon/src/admin_p.h
@@ -1,4 +1,5 @@
-/// The operators' port: /healthz, /status and /metrics, on the control thread.
+/// Small pages over HTTP on the control thread: the operators' port and those
+/// on which callers and the platform ask for state.
 #ifndef MAGNOLIASPREAD_ADMIN_P_H
 #define MAGNOLIASPREAD_ADMIN_P_H
 
@@ -26,7 +27,11 @@
 
 class admin_port {
 public:
+  /// Answers a target, which is a path and a query.
+  using page_handler = std::function<admin_answer(std::string_view Target)>;
+
   admin_port(boost::asio::io_context &Context, std::vector<admin_page> Pages);
+  admin_port(boost::asio::io_context &Context, page_handler Handler);
 
   /// BadSettings when the port can't be opened.
   status open(const endpoint_address &Where);
@@ -34,10 +39,9 @@
 
 private:
   void accept();
-  admin_answer answer(std::string_view Path) const;
 
   boost::asio::io_context &Context;
-  std::vector<admin_page> Pages;
+  page_handler Handler;
   boost::asio::ip::tcp::acceptor Acceptor;
 };
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -3,6 +3,7 @@
 #include "admin_p.h"
 #include "configsys_p.h"
 #include "datagrams_p.h"
+#include "identity_p.h"
 #include "membersys_p.h"
 #include "quotasys_p.h"
 #include "views_p.h"
@@ -15,14 +16,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <optional>
-#include <random>
 
 namespace magnoliaspread {
 
 namespace asio = boost::asio;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -41,25 +40,6 @@
 /// Longest wait for the quota shares to be released at the end of a drain.
 constexpr milliseconds ReleaseTimeout{2000};
 
-std::uint64_t randomNumber() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device() | 1U;
-}
-
-member_identity identityOf(const instance_settings &Settings,
-                           const clock &Clock) {
-  member_identity Identity;
-  Identity.Name = Settings.Name;
-  Identity.DataCentre = Settings.DataCentre;
-  Identity.Region = Settings.Region;
-  Identity.Incarnation = randomNumber();
-  Identity.Epoch = static_cast<std::uint64_t>(
-      duration_cast<seconds>(Clock.wall().time_since_epoch()).count());
-  Identity.Internal = Settings.Internal;
-  Identity.Public = Settings.Public;
-  return Identity;
-}
-
 http_store_settings storeSettings(const instance_settings &Settings) {
   http_store_settings Store;
   Store.Platform = Settings.Platform;
--- /dev/null
+++ b/packages/daemon/src/follower.cpp
@@ -0,0 +1,202 @@
+#include "follower_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A drain or an evacuation has to be known in 2.5 s (RULES, DRAIN), so a poll
+/// may be late once.
+constexpr milliseconds PollPeriod{900};
+/// The whole list repairs what changes have left out.
+constexpr milliseconds ListPeriod{8000};
+/// Less than half of the time for which keys are served without proof
+/// (RULES, CONFIG: 5 s), so that a read may be lost.
+constexpr milliseconds RoutesPeriod{1800};
+constexpr milliseconds EvacuationsPeriod{4000};
+/// Pause after a read that failed.
+constexpr milliseconds RetryPause{300};
+
+} // namespace
+
+platform_follower::platform_follower(
+    object_store &Store, const fleet_platform &Platform, const clock &Clock,
+    target_registry &Registry, std::uint64_t Seed, routes_handler OnRoutes)
+    : Store(Store), Platform(Platform), Clock(Clock), Registry(Registry),
+      OnRoutes(std::move(OnRoutes)), Random(Seed), NextPoll(Clock.now()),
+      NextList(Clock.now()), NextRoutes(Clock.now()),
+      NextEvacuations(Clock.now()) {}
+
+/// Spreads the instances' reads over time.
+milliseconds platform_follower::jittered(milliseconds Period) {
+  const std::int64_t Spread = Period.count() / 10;
+  std::uniform_int_distribution<std::int64_t> Draw(-Spread, Spread);
+  return Period + milliseconds(Draw(Random));
+}
+
+void platform_follower::refresh() {
+  const steady_time Now = Clock.now();
+  NextPoll = NextList = NextRoutes = NextEvacuations = Now;
+}
+
+void platform_follower::tick() {
+  const steady_time Now = Clock.now();
+  Registry.tick(Now);
+  if (!PollingTargets && Now >= NextPoll)
+    pollTargets();
+  if (!ReadingRoutes && (Now >= NextRoutes || RoutesAt < Newest))
+    readRoutes();
+  if (!ReadingEvacuations && (Now >= NextEvacuations || EvacuationsAt < Newest))
+    readEvacuations();
+}
+
+void platform_follower::noteRevision(object_version Revision) {
+  Newest = std::max(Newest, Revision);
+}
+
+/// Logs the loss and the return of the platform, once each.
+void platform_follower::noteEnd(std::string_view What, const error *Failure) {
+  if (Failure == nullptr)
+    Registry.platformAnswered(Clock.now());
+  if ((Failure != nullptr) == Lost)
+    return;
+  Lost = Failure != nullptr;
+  logEvent(Lost ? log_level::Warning : log_level::Info,
+           Lost ? "platform_lost" : "platform_regained",
+           {{"read", What},
+            {"detail", Failure == nullptr ? std::string() : Failure->Detail},
+            {"revision", Newest}});
+}
+
+void platform_follower::pollTargets() {
+  PollingTargets = true;
+  const steady_time Now = Clock.now();
+  NextPoll = Now + jittered(PollPeriod);
+  if (TargetsAt == NoObject || Now >= NextList)
+    listTargets();
+  else
+    pollChanges();
+}
+
+void platform_follower::putTarget(const stored_object &Object) {
+  const std::string Name = Object.Name.substr(Platform.targetsPrefix().size());
+  const result<target_record> Read = Platform.readTarget(Name, Object.Value);
+  if (!failed(Read))
+    return Registry.put(valueOf(Read), Clock.now());
+  logEvent(log_level::Warning, "target_unreadable",
+           {{"target", Name}, {"detail", errorOf(Read).Detail}});
+  Registry.remove(Name, Clock.now());
+}
+
+void platform_follower::listTargets() {
+  Store.list(
+      {Platform.targetsPrefix()}, [this](const result<object_list> &List) {
+        PollingTargets = false;
+        noteEnd("targets", failed(List) ? &errorOf(List) : nullptr);
+        if (failed(List)) {
+          NextPoll = Clock.now() + jittered(RetryPause);
+          return;
+        }
+        std::vector<target_record> Records;
+        for (const stored_object &Object : valueOf(List).Objects) {
+          const std::string Name =
+              Object.Name.substr(Platform.targetsPrefix().size());
+          result<target_record> Read = Platform.readTarget(Name, Object.Value);
+          if (!failed(Read))
+            Records.push_back(std::move(valueOf(Read)));
+          else if (TargetsAt == NoObject)
+            logEvent(log_level::Warning, "target_unreadable",
+                     {{"target", Name}, {"detail", errorOf(Read).Detail}});
+        }
+        Registry.replaceAll(Records, Clock.now());
+        TargetsAt = valueOf(List).Revision;
+        noteRevision(TargetsAt);
+        NextList = Clock.now() + jittered(ListPeriod);
+      });
+}
+
+void platform_follower::pollChanges() {
+  Store.changes({Platform.targetsPrefix(), TargetsAt, milliseconds(0)},
+                [this](const result<changes_answer> &Answer) {
+                  PollingTargets = false;
+                  noteEnd("changes",
+                          failed(Answer) ? &errorOf(Answer) : nullptr);
+                  if (failed(Answer)) {
+                    NextPoll = Clock.now() + jittered(RetryPause);
+                    return;
+                  }
+                  takeChanges(valueOf(Answer));
+                });
+}
+
+void platform_follower::takeChanges(const changes_answer &Answer) {
+  if (Answer.HistoryGone) {
+    logEvent(log_level::Info, "history_gone", {{"since", TargetsAt}});
+    TargetsAt = NoObject;
+    NextPoll = Clock.now();
+    return;
+  }
+  for (const object_change &Change : Answer.Changes) {
+    if (!Change.Removed) {
+      putTarget(Change.Object);
+      continue;
+    }
+    Registry.remove(Change.Object.Name.substr(Platform.targetsPrefix().size()),
+                    Clock.now());
+  }
+  TargetsAt = std::max(TargetsAt, Answer.Revision);
+  noteRevision(Answer.Revision);
+}
+
+void platform_follower::readRoutes() {
+  ReadingRoutes = true;
+  const boot_time AsOf = Clock.boot();
+  const object_version Seen = Newest;
+  NextRoutes = Clock.now() + jittered(RoutesPeriod);
+  Store.get({Platform.routesObject()},
+            [this, AsOf, Seen](const result<stored_object> &Object) {
+              ReadingRoutes = false;
+              const bool Unanswered =
+                  failed(Object) &&
+                  errorOf(Object).Kind != error_kind::NotFound;
+              noteEnd("routes", Unanswered ? &errorOf(Object) : nullptr);
+              if (failed(Object)) {
+                NextRoutes = Clock.now() + jittered(RetryPause);
+                RoutesAt = Newest;
+                return;
+              }
+              HaveRoutes = true;
+              RoutesAt = std::max(Seen, valueOf(Object).Version);
+              OnRoutes({valueOf(Object).Version, valueOf(Object).Value}, AsOf);
+            });
+}
+
+void platform_follower::readEvacuations() {
+  ReadingEvacuations = true;
+  const object_version Seen = Newest;
+  NextEvacuations = Clock.now() + jittered(EvacuationsPeriod);
+  Store.list({Platform.evacuationsPrefix()},
+             [this, Seen](const result<object_list> &List) {
+               ReadingEvacuations = false;
+               noteEnd("evacuations", failed(List) ? &errorOf(List) : nullptr);
+               if (failed(List)) {
+                 NextEvacuations = Clock.now() + jittered(RetryPause);
+                 EvacuationsAt = Newest;
+                 return;
+               }
+               std::set<std::string> Names;
+               for (const stored_object &Object : valueOf(List).Objects)
+                 Names.insert(
+                     Object.Name.substr(Platform.evacuationsPrefix().size()));
+               HaveEvacuations = true;
+               EvacuationsAt = std::max(Seen, valueOf(List).Revision);
+               Registry.setEvacuated(std::move(Names), Clock.now());
+             });
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/daemon/src/follower_p.h
@@ -0,0 +1,82 @@
+/// Follows the platform's objects that the gate works from: the routes, the
+/// targets and the evacuated data centres. Every read is made by polling, so
+/// that an answer proves what was current when it was asked for.
+#ifndef MAGNOLIASPREAD_FOLLOWER_P_H
+#define MAGNOLIASPREAD_FOLLOWER_P_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/fleet_platform.h>
+#include <magnoliaspread/platform.h>
+#include <magnoliaspread/registry.h>
+
+#include <functional>
+#include <random>
+#include <string>
+
+namespace magnoliaspread {
+
+/// The configuration as the platform holds it.
+struct routes_object {
+  object_version Version = NoObject;
+  std::string Json;
+};
+
+class platform_follower {
+public:
+  using routes_handler =
+      std::function<void(const routes_object &Object, boot_time AsOf)>;
+
+  platform_follower(object_store &Store, const fleet_platform &Platform,
+                    const clock &Clock, target_registry &Registry,
+                    std::uint64_t Seed, routes_handler OnRoutes);
+
+  /// Starts the reads that are due.
+  void tick();
+
+  /// Reads everything at the next tick.
+  void refresh();
+
+  /// All three have been read at least once.
+  bool complete() const {
+    return HaveRoutes && TargetsAt != NoObject && HaveEvacuations;
+  }
+
+private:
+  void pollTargets();
+  void listTargets();
+  void pollChanges();
+  void takeChanges(const changes_answer &Answer);
+  void readRoutes();
+  void readEvacuations();
+  void noteRevision(object_version Revision);
+  void noteEnd(std::string_view What, const error *Failure);
+  void putTarget(const stored_object &Object);
+  std::chrono::milliseconds jittered(std::chrono::milliseconds Period);
+
+  object_store &Store;
+  const fleet_platform &Platform;
+  const clock &Clock;
+  target_registry &Registry;
+  routes_handler OnRoutes;
+  std::mt19937_64 Random;
+  /// Targets are known as of this revision; NoObject before the first list.
+  object_version TargetsAt = NoObject;
+  /// Of the platform, as last seen.
+  object_version Newest = NoObject;
+  object_version RoutesAt = NoObject;
+  object_version EvacuationsAt = NoObject;
+  bool HaveRoutes = false;
+  bool HaveEvacuations = false;
+  bool PollingTargets = false;
+  bool ReadingRoutes = false;
+  bool ReadingEvacuations = false;
+  bool Lost = false;
+  steady_time NextPoll;
+  steady_time NextList;
+  steady_time NextRoutes;
+  steady_time NextEvacuations;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/gateway.cpp
@@ -0,0 +1,521 @@
+#include <magnoliaspread/gateway.h>
+
+#include "admin_p.h"
+#include "datagrams_p.h"
+#include "follower_p.h"
+#include "identity_p.h"
+#include "membersys_p.h"
+
+#include <magnoliaspread/gate.h>
+#include <magnoliaspread/http_store.h>
+#include <magnoliaspread/log.h>
+#include <magnoliaspread/ownership.h>
+#include <magnoliaspread/quota.h>
+
+#include <algorithm>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace magnoliaspread {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One exchange with the platform: several times its 4 ms (site files), and
+/// its slowest, sixty times that.
+constexpr milliseconds CallTimeout{700};
+constexpr milliseconds OperationTimeout{1400};
+constexpr milliseconds LargestBackoff{800};
+/// Keys are served this much less than a withdrawn key may be used, for the
+/// way from the platform's answer to the request's end.
+constexpr milliseconds RevocationMargin{600};
+constexpr milliseconds MeasurePeriod{1000};
+constexpr milliseconds PeersPeriod{250};
+/// A draining instance takes new connections for this long: callers keep the
+/// directory's answer for its time to live, and a little longer.
+constexpr milliseconds AcceptGrace{700};
+/// Between the close of the public port and the end, at least.
+constexpr milliseconds CloseGrace{300};
+/// Left of the platform's grace when requests in flight are given up.
+constexpr milliseconds GraceMargin{400};
+/// Instances that may send to a cold target, so that together they keep to
+/// its rate.
+constexpr std::size_t ColdOwners = 3;
+/// Part of a cold target's rate that is used.
+constexpr double ColdPart = 0.9;
+/// A minted share holds this long without a tick.
+constexpr milliseconds ShareFence{30000};
+/// Parts per million.
+constexpr double Million = 1e6;
+/// Part of the fleet's retry allowance that is used, for requests that are
+/// counted in another window.
+constexpr double RetryPart = 0.7;
+
+http_store_settings storeSettings(const instance_settings &Settings,
+                                  const fleet_platform &Platform) {
+  http_store_settings Store;
+  Store.Protocol = &Platform.protocol();
+  Store.Platform = Settings.Platform;
+  Store.Pace.MaxBackoff = LargestBackoff;
+  Store.CallTimeout = CallTimeout;
+  Store.OperationTimeout = OperationTimeout;
+  return Store;
+}
+
+gate_settings gateSettings(const instance_settings &Settings) {
+  gate_settings Gate;
+  Gate.Public = Settings.Public;
+  Gate.DataCentre = Settings.DataCentre;
+  Gate.Region = Settings.Region;
+  for (const auto &[DataCentre, Region] : Settings.Gateway->Regions)
+    Gate.Regions.emplace(DataCentre, Region);
+  const milliseconds Revocation = Settings.Gateway->Revocation;
+  if (Revocation > milliseconds(0))
+    Gate.KeyProof = std::max(milliseconds(1), Revocation - RevocationMargin);
+  Gate.RetryRatio = Settings.Gateway->RetryRatio * RetryPart;
+  return Gate;
+}
+
+std::string textOf(const endpoint_address &Address) {
+  return Address.Address + ':' + std::to_string(Address.Port);
+}
+
+class gateway {
+public:
+  gateway(const instance_settings &Settings, const fleet_platform &Platform,
+          const clock &Clock, const fleet_key &Key, settings_reader Reload);
+
+  status run();
+
+private:
+  status open();
+  void awaitSignal();
+  void reload();
+  void tick();
+  void takeRoutes(const routes_object &Object, boot_time AsOf);
+  void publishTargets(steady_time Now);
+  double coldRate(const target_record &Record) const;
+  void runQuota(steady_time Now);
+  std::size_t fleetSize() const;
+  void receive(const endpoint_address &From, const received_datagram &Datagram);
+  void receive(std::uint64_t Sender, const quota_message &Message);
+  void sendTo(const std::optional<member_row> &Row,
+              const control_message &Message);
+  std::vector<member_row> peers() const;
+  void measure(steady_time Now);
+  bool serving() const;
+  std::vector<std::string> directory() const;
+  admin_answer directoryPage(std::string_view Target) const;
+  admin_answer readyPage(std::string_view Target) const;
+  void beginDrain();
+  void watchDrain(steady_time Now);
+
+  const instance_settings &Settings;
+  const fleet_platform &Platform;
+  const clock &Clock;
+  settings_reader Reload;
+  gate_settings GateSettings;
+  member_identity Identity;
+  asio::io_context Context{1};
+  http_store Store;
+  purse Tokens;
+  instance_metrics Metrics;
+  datagram_port Datagrams;
+  member_system Members;
+  quota_bank Bank;
+  target_registry Registry;
+  platform_follower Follower;
+  gate Gate;
+  admin_port Admin;
+  admin_port Directory;
+  admin_port Ready;
+  asio::steady_timer Timer;
+  asio::signal_set Signals;
+  std::vector<std::string> DataCentres;
+  route_index_ptr InForce;
+  boot_time ProvedAt;
+  std::uint64_t TargetsSeen = 0;
+  steady_time StartedAt;
+  steady_time NextPeers;
+  steady_time NextMeasure;
+  std::uint32_t ShareUsed = 0;
+  std::optional<steady_time> DrainingSince;
+  std::optional<steady_time> ClosedAt;
+};
+
+registry_settings registrySettings(const gateway_settings &Gateway) {
+  registry_settings Registry;
+  Registry.AwayAfter = Gateway.TargetHeartbeat + Gateway.TargetHeartbeat;
+  return Registry;
+}
+
+gateway::gateway(const instance_settings &Settings,
+                 const fleet_platform &Platform, const clock &Clock,
+                 const fleet_key &Key, settings_reader Reload)
+    : Settings(Settings), Platform(Platform), Clock(Clock),
+      Reload(std::move(Reload)), GateSettings(gateSettings(Settings)),
+      Identity(identityOf(Settings, Clock)),
+      Store(Context, storeSettings(Settings, Platform), Clock, randomNumber()),
+      Datagrams(Context, Key, Identity.Incarnation,
+                [this](const endpoint_address &From,
+                       const received_datagram &Row) { receive(From, Row); }),
+      Members(Context, Store, Datagrams, Clock, Settings, Identity,
+              randomNumber(), [](std::uint64_t) {}),
+      Bank({Identity.Incarnation, randomNumber()}, Tokens, Clock.now()),
+      Registry(registrySettings(*Settings.Gateway)),
+      Follower(Store, Platform, Clock, Registry, randomNumber(),
+               [this](const routes_object &Object, boot_time AsOf) {
+                 takeRoutes(Object, AsOf);
+               }),
+      Gate(Context, GateSettings, Clock, Platform.dialect(), Tokens, Metrics,
+           randomNumber()),
+      Admin(Context, {{"/metrics",
+                       [this] {
+                         return admin_answer{200, "text/plain; version=0.0.4",
+                                             Metrics.exposition()};
+                       }}}),
+      Directory(
+          Context,
+          [this](std::string_view Target) { return directoryPage(Target); }),
+      Ready(Context,
+            [this](std::string_view Target) { return readyPage(Target); }),
+      Timer(Context), Signals(Context, SIGTERM, SIGINT, SIGHUP),
+      StartedAt(Clock.now()) {
+  for (const auto &[DataCentre, Region] : Settings.Gateway->Regions)
+    DataCentres.push_back(DataCentre);
+  Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
+}
+
+/// Puts a newer configuration in force, and notes when it was the newest.
+void gateway::takeRoutes(const routes_object &Object, boot_time AsOf) {
+  result<route_table> Read = Platform.readRoutes(Object.Json);
+  if (failed(Read)) {
+    logEvent(log_level::Error, "routes_unreadable",
+             {{"revision", Object.Version}, {"detail", errorOf(Read).Detail}});
+    return;
+  }
+  ProvedAt = std::max(ProvedAt, AsOf);
+  Gate.setProved(AsOf);
+  const std::uint64_t Version = valueOf(Read).Version;
+  if (InForce != nullptr && Version <= InForce->table().Version)
+    return;
+  InForce = std::make_shared<route_index>(std::move(valueOf(Read)));
+  Gate.setRoutes(InForce);
+  std::vector<limit_row> Limits;
+  for (const routed_workspace &Row : InForce->table().Workspaces)
+    if (Row.Rate > 0)
+      Limits.push_back({workspaceLimit(Row.Name), Row.Rate, Row.Burst});
+  Bank.setLimits(Version, Limits, Clock.now());
+  Members.members().setConfig(Clock.now(), {Version, 0});
+  TargetsSeen = 0;
+  logEvent(log_level::Info, "routes_in_force",
+           {{"version", Version},
+            {"revision", Object.Version},
+            {"routes", InForce->table().Routes.size()},
+            {"keys", InForce->table().Keys.size()}});
+}
+
+/// What this instance may send to the target while it is cold. A few
+/// instances of the target's region share its rate; the others send nothing.
+double gateway::coldRate(const target_record &Record) const {
+  const routed_service *Service =
+      InForce == nullptr ? nullptr : InForce->service(Record.Service);
+  const auto Region = Settings.Gateway->Regions.find(Record.DataCentre);
+  if (Service == nullptr || Region == Settings.Gateway->Regions.end() ||
+      Region->second != Settings.Region)
+    return 0;
+  const std::uint64_t Target = stableId(Record.Name);
+  const std::uint64_t Own = rendezvousScore(Target, stableId(Settings.Name));
+  std::size_t Better = 0;
+  std::size_t Instances = 1;
+  for (const member_row &Row : peers()) {
+    if (Row.Identity.Region != Settings.Region)
+      continue;
+    ++Instances;
+    Better += rendezvousScore(Target, stableId(Row.Identity.Name)) > Own;
+  }
+  if (Better >= ColdOwners)
+    return 0;
+  return Service->ColdRate * ColdPart /
+         static_cast<double>(std::min(Instances, ColdOwners));
+}
+
+void gateway::publishTargets(steady_time Now) {
+  if (InForce == nullptr || Registry.revision() == TargetsSeen)
+    return;
+  TargetsSeen = Registry.revision();
+  std::vector<gate_target> Targets;
+  std::size_t Open = 0;
+  for (const registered_target &Row : Registry.targets()) {
+    Open += Row.Open;
+    Targets.push_back({Row, Row.ColdUntil > Now ? coldRate(Row.Record) : 0.0});
+  }
+  Gate.setTargets(Targets);
+  logEvent(
+      log_level::Info, "targets_changed",
+      {{"targets", Targets.size()}, {"open", Open}, {"change", TargetsSeen}});
+}
+
+std::vector<member_row> gateway::peers() const {
+  std::vector<member_row> Peers;
+  for (const std::string &DataCentre : DataCentres)
+    for (const member_row &Row :
+         Members.members().lookupInstances(Clock.now(), DataCentre))
+      if (Row.Identity.Name != Settings.Name)
+        Peers.push_back(Row);
+  return Peers;
+}
+
+/// Instances that may mint a share of the limits: all that are registered, and
+/// all that are known.
+std::size_t gateway::fleetSize() const {
+  return std::max(Members.registered().value_or(0), peers().size()) + 1;
+}
+
+void gateway::runQuota(steady_time Now) {
+  if (Now >= NextPeers) {
+    NextPeers = Now + PeersPeriod;
+    std::vector<quota_peer> Peers;
+    for (const member_row &Row : peers())
+      Peers.push_back(
+          {Row.Identity.Name, Row.Identity.Region == Settings.Region});
+    Bank.setPeers(Peers);
+    // A share only shrinks while the fleet is being learned.
+    if (Members.registered() || !Peers.empty()) {
+      const auto Share = static_cast<std::uint32_t>(
+          Million / static_cast<double>(fleetSize()));
+      ShareUsed = Share;
+    }
+  }
+  std::vector<minted_share> Shares;
+  if (ShareUsed > 0)
+    Shares.push_back({0, ShareUsed, StartedAt, Now + ShareFence});
+  Bank.setShares(Shares, Now);
+  for (const outgoing_ask &Row : Bank.tick(Now))
+    sendTo(Members.members().find(Row.To), Row.Ask);
+  std::vector<token_wait> Waits;
+  if (InForce != nullptr)
+    for (const routed_workspace &Row : InForce->table().Workspaces) {
+      const milliseconds Wait =
+          Row.Rate > 0
+              ? Bank.retryAfter(workspaceLimit(Row.Name), MilliPerToken, Now)
+              : milliseconds(0);
+      if (Wait > milliseconds(0))
+        Waits.push_back({Row.Name, Wait});
+    }
+  Gate.setTokenWaits(Waits);
+}
+
+void gateway::sendTo(const std::optional<member_row> &Row,
+                     const control_message &Message) {
+  if (Row)
+    Datagrams.send({Row->Identity.Internal}, Message);
+}
+
+void gateway::receive(const endpoint_address &From,
+                      const received_datagram &Datagram) {
+  const control_message &Message = Datagram.Message;
+  if (const auto *Member = std::get_if<member_message>(&Message))
+    return Members.receive(From, *Member);
+  if (const auto *Limits = std::get_if<quota_message>(&Message))
+    return receive(Datagram.Sender, *Limits);
+  if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
+    Gate.receive(*Notice);
+}
+
+void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
+  const auto Row = Members.members().findIncarnation(Sender);
+  if (const auto *Ask = std::get_if<token_ask>(&Message))
+    if (const auto Grant = Bank.answer(*Ask, Clock.now()))
+      return sendTo(Row, *Grant);
+  if (const auto *Grant = std::get_if<token_grant>(&Message); Grant && Row)
+    Bank.accept(Row->Identity.Name, *Grant, Clock.now());
+}
+
+bool gateway::serving() const {
+  const bool Proved = GateSettings.KeyProof == milliseconds(0) ||
+                      Clock.boot() - ProvedAt < GateSettings.KeyProof;
+  return InForce != nullptr && Registry.revision() > 0 && Proved;
+}
+
+/// Instances for callers: those of this data centre, else of the region, else
+/// of all.
+std::vector<std::string> gateway::directory() const {
+  std::vector<std::string> Found;
+  const bool Own = serving() && !DrainingSince;
+  if (Own)
+    Found.push_back(textOf(Settings.Public));
+  int Nearest = Own ? 0 : 3;
+  for (const member_row &Row : peers()) {
+    if (!Row.Report.PlatformReachable && Own)
+      continue;
+    int Distance = 2;
+    if (Row.Identity.DataCentre == Settings.DataCentre)
+      Distance = 0;
+    else if (Row.Identity.Region == Settings.Region)
+      Distance = 1;
+    if (Distance > Nearest)
+      continue;
+    if (Distance < Nearest)
+      Found.clear();
+    Nearest = Distance;
+    Found.push_back(textOf(Row.Identity.Public));
+  }
+  return Found;
+}
+
+admin_answer gateway::directoryPage(std::string_view Target) const {
+  if (!Platform.dialect().readDirectory(Target))
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const std::vector<std::string> Addresses = directory();
+  if (Addresses.empty())
+    return {503, "application/json", "{\"error\":\"no_instance\"}"};
+  return {200, "application/json",
+          Platform.dialect().directoryAnswer(Addresses, Settings.LookupTtl)};
+}
+
+admin_answer gateway::readyPage(std::string_view Target) const {
+  if (!Platform.dialect().isReadiness(Target))
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const bool Takes = serving() && !DrainingSince;
+  return {Takes ? 200U : 503U, "application/json",
+          Takes ? "{\"ready\":true}" : "{\"ready\":false}"};
+}
+
+void gateway::measure(steady_time Now) {
+  NextMeasure = Now + MeasurePeriod;
+  const gate_counts Counts = Gate.counts();
+  instance_gauges Gauges;
+  Gauges.InFlight = Counts.InFlight;
+  Gauges.QueueLength = Counts.Waiting;
+  Gauges.Connections = Counts.Connections;
+  Gauges.ConfigVersion = InForce == nullptr ? 0 : InForce->table().Version;
+  Gauges.ConfigStaleness = duration_cast<milliseconds>(Clock.boot() - ProvedAt);
+  Gauges.PlatformReachable = Store.reachable();
+  if (DrainingSince)
+    Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
+  Metrics.setGauges(Gauges);
+}
+
+void gateway::tick() {
+  const steady_time Now = Clock.now();
+  Members.tick();
+  Follower.tick();
+  publishTargets(Now);
+  runQuota(Now);
+  Gate.tick();
+  for (const quarantine_notice &Notice : Gate.notices())
+    for (const member_row &Row : peers())
+      Datagrams.send({Row.Identity.Internal}, Notice);
+  if (Now >= NextMeasure)
+    measure(Now);
+  if (Members.members().superseded())
+    beginDrain();
+  if (DrainingSince)
+    watchDrain(Now);
+  Timer.expires_after(Settings.ControlTick);
+  Timer.async_wait([this](boost::system::error_code Stopped) {
+    if (!Stopped)
+      tick();
+  });
+}
+
+void gateway::beginDrain() {
+  if (DrainingSince)
+    return;
+  DrainingSince = Clock.now();
+  logEvent(
+      log_level::Info, "drain_started",
+      {{"instance", Settings.Name}, {"in_flight", Gate.counts().InFlight}});
+  Gate.setLeaving();
+  Members.leave();
+}
+
+void gateway::watchDrain(steady_time Now) {
+  const auto Since = Now - *DrainingSince;
+  if (!ClosedAt && Since >= Settings.LookupTtl + AcceptGrace) {
+    Gate.stopAccepting();
+    ClosedAt = Now;
+  }
+  const bool Late = Since >= Settings.Gateway->Grace - GraceMargin;
+  const bool Ended =
+      ClosedAt && Now - *ClosedAt >= CloseGrace && Gate.counts().InFlight == 0;
+  if (!Late && !Ended)
+    return;
+  logEvent(log_level::Info, "stopped",
+           {{"instance", Settings.Name},
+            {"drain_ms", duration_cast<milliseconds>(Since).count()},
+            {"in_flight", Gate.counts().InFlight}});
+  Context.stop();
+}
+
+status gateway::open() {
+  if (status Opened = Datagrams.open(Settings.Internal); failed(Opened))
+    return Opened;
+  if (status Opened = Admin.open(Settings.Admin); failed(Opened))
+    return Opened;
+  if (status Opened = Directory.open(Settings.Gateway->Directory);
+      failed(Opened))
+    return Opened;
+  if (status Opened = Ready.open(Settings.Gateway->Ready); failed(Opened))
+    return Opened;
+  return Gate.open();
+}
+
+/// Takes over what can change while the process runs; ports and names can't.
+void gateway::reload() {
+  const result<instance_settings> Read = Reload();
+  if (failed(Read))
+    return logEvent(log_level::Error, "reload_failed",
+                    {{"detail", errorOf(Read).Detail}});
+  logEvent(log_level::Info, "reloaded", {{"instance", Settings.Name}});
+  Follower.refresh();
+}
+
+void gateway::awaitSignal() {
+  Signals.async_wait([this](boost::system::error_code Stopped, int Signal) {
+    if (Stopped)
+      return;
+    if (Signal == SIGHUP)
+      reload();
+    else
+      beginDrain();
+    awaitSignal();
+  });
+}
+
+status gateway::run() {
+  if (status Opened = open(); failed(Opened))
+    return Opened;
+  awaitSignal();
+  logEvent(log_level::Info, "started",
+           {{"instance", Settings.Name},
+            {"data_centre", Settings.DataCentre},
+            {"incarnation", Identity.Incarnation},
+            {"public", textOf(Settings.Public)}});
+  tick();
+  Context.run();
+  return {};
+}
+
+} // namespace
+
+status runGateway(const instance_settings &Settings,
+                  const fleet_platform &Platform, const clock &Clock,
+                  const settings_reader &Reload) {
+  if (!Settings.Gateway)
+    return error{error_kind::BadSettings,
+                 "field gateway is missing, allowed: an object",
+                 {}};
+  const result<fleet_key> Key = parseFleetKey(Settings.FleetSecret);
+  if (failed(Key))
+    return errorOf(Key);
+  gateway Gateway(Settings, Platform, Clock, valueOf(Key), Reload);
+  return Gateway.run();
+}
+
+} // namespace magnoliaspread
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,7 @@
 /// magnoliaspreadd: one entry instance.
+#include <adapter.h>
 #include <magnoliaspread/control.h>
+#include <magnoliaspread/gateway.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/settings.h>
 
@@ -11,6 +13,7 @@
 
 constexpr int ExitOk = 0;
 constexpr int ExitFailed = 1;
+constexpr const char *SettingsVariable = "MAGNOLIASPREAD_SETTINGS";
 constexpr const char *Version = "magnoliaspreadd 0.1.0";
 
 int reportError(const magnoliaspread::error &Error) {
@@ -27,6 +30,7 @@
   std::string SettingsFile;
   bool CheckOnly = false;
   App.add_option("--settings", SettingsFile, "JSON settings of this instance")
+      ->envname(SettingsVariable)
       ->required();
   App.add_flag("--check", CheckOnly, "check the settings and exit");
   App.footer("Exit codes: 0 drained or checked, 1 failed, above 100 usage.");
@@ -38,8 +42,16 @@
     return ExitOk;
   magnoliaspread::initLog(Argv[0]);
   const magnoliaspread::system_clock Clock;
+  const magnoliaspread::instance_settings &Instance =
+      magnoliaspread::valueOf(Settings);
+  const auto Reload = [&] {
+    return magnoliaspread::loadSettings(SettingsFile);
+  };
   const auto Ended =
-      magnoliaspread::runInstance(magnoliaspread::valueOf(Settings), Clock);
+      Instance.Gateway
+          ? magnoliaspread::runGateway(
+                Instance, magnoliaspread::usersPlatform(), Clock, Reload)
+          : magnoliaspread::runInstance(Instance, Clock);
   if (magnoliaspread::failed(Ended))
     return reportError(magnoliaspread::errorOf(Ended));
   return ExitOk;
--- a/packages/daemon/src/membersys.cpp
+++ b/packages/daemon/src/membersys.cpp
@@ -80,12 +80,21 @@
 
 void member_system::seed() {
   std::vector<seed_address> Seeds = Listed;
+  Seeds.insert(Seeds.end(), Hosts.begin(), Hosts.end());
   for (const peer_settings &Peer : Settings.Peers)
     if (Peer.Name != Settings.Name)
       Seeds.push_back({Peer.DataCentre, Peer.Internal});
   Members.seed(std::move(Seeds));
 }
 
+void member_system::addSeedHosts(const std::vector<std::string> &Names,
+                                 const std::vector<std::string> &DataCentres) {
+  for (const std::string &Host : Names)
+    for (const std::string &DataCentre : DataCentres)
+      Hosts.push_back({DataCentre, {Host, Settings.Internal.Port}});
+  seed();
+}
+
 void member_system::send(const outbox &Messages) {
   for (const outgoing_message &Row : Messages)
     Port.send(Row.To, Row.Message);
@@ -118,6 +127,9 @@
         Registering = false;
         Registered = !failed(Answer);
         NextRegister = Clock.now() + RegisterRetry;
+        // Whoever registered before is in a list that is read from now on.
+        if (Registered)
+          NextList = Clock.now();
       });
 }
 
@@ -132,6 +144,7 @@
     for (const stored_object &Object : valueOf(Answer).Objects)
       if (Object.Name != instanceObjectName(Settings.Name))
         addSeed(Object.Value, Listed);
+    Registrations = Listed.size();
     seed();
   });
 }
--- a/packages/daemon/src/membersys_p.h
+++ b/packages/daemon/src/membersys_p.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,6 +35,15 @@
   /// Tells everyone, and the platform, that this instance leaves.
   void leave();
 
+  /// Seeds of any data centre, beside those of the settings; names and data
+  /// centres are not known.
+  void addSeedHosts(const std::vector<std::string> &Hosts,
+                    const std::vector<std::string> &DataCentres);
+
+  /// Instances that have registered in the platform, without this one; empty
+  /// before the first list.
+  std::optional<std::size_t> registered() const { return Registrations; }
+
   membership &members() { return Members; }
   const membership &members() const { return Members; }
 
@@ -53,6 +63,8 @@
   membership Members;
   death_handler Died;
   std::vector<seed_address> Listed;
+  std::vector<seed_address> Hosts;
+  std::optional<std::size_t> Registrations;
   std::set<std::uint64_t> Probing;
   steady_time NextList;
   steady_time NextRegister;
--- a/packages/platform/include/magnoliaspread/http_store.h
+++ b/packages/platform/include/magnoliaspread/http_store.h
@@ -7,6 +7,7 @@
 #include <magnoliaspread/call_pacer.h>
 #include <magnoliaspread/platform.h>
 #include <magnoliaspread/settings.h>
+#include <magnoliaspread/store_protocol.h>
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -14,6 +15,8 @@
 namespace magnoliaspread {
 
 struct http_store_settings {
+  /// Outlives the store.
+  const store_protocol *Protocol = &plainProtocol();
   endpoint_address Platform;
   pacer_settings Pace;
   /// One exchange on a connection, connecting included.
@@ -46,6 +49,8 @@
   /// One attempt: fails with PlatformUnavailable when the connection breaks or
   /// stays silent past the wait, for the caller to watch again.
   void watch(watch_request Request, completion<watch_answer> Done) override;
+  void changes(changes_request Request,
+               completion<changes_answer> Done) override;
   bool reachable() const override;
   std::optional<wall_time> platformTimeAtLeast() const override;
   const platform_counters &counters() const override;
--- a/packages/platform/include/magnoliaspread/memory_store.h
+++ b/packages/platform/include/magnoliaspread/memory_store.h
@@ -77,6 +77,9 @@
   void remove(remove_request Request, completion<std::monostate> Done) override;
   void list(list_request Request, completion<object_list> Done) override;
   void watch(watch_request Request, completion<watch_answer> Done) override;
+  /// Not offered by this store: BadRequest.
+  void changes(changes_request Request,
+               completion<changes_answer> Done) override;
   bool reachable() const override { return Reachable; }
   std::optional<wall_time> platformTimeAtLeast() const override;
   const platform_counters &counters() const override { return Counters; }
--- a/packages/platform/include/magnoliaspread/platform.h
+++ b/packages/platform/include/magnoliaspread/platform.h
@@ -67,6 +67,32 @@
 /// Lists can lag behind single objects.
 struct object_list {
   std::vector<stored_object> Objects;
+  /// Of the platform when the list's first part was made, to ask for changes
+  /// from; NoObject where the platform doesn't tell.
+  object_version Revision = NoObject;
+};
+
+struct changes_request {
+  /// Of the names, such as "instances/".
+  std::string Prefix;
+  /// Changes after this revision.
+  object_version Since = NoObject;
+  /// Longest wait for one; zero answers at once.
+  std::chrono::milliseconds Wait{0};
+};
+
+struct object_change {
+  stored_object Object;
+  bool Removed = false;
+};
+
+struct changes_answer {
+  std::vector<object_change> Changes;
+  /// To ask from next.
+  object_version Revision = NoObject;
+  /// The platform has forgotten changes since the revision that was asked
+  /// for: list again.
+  bool HistoryGone = false;
 };
 
 struct watch_request {
@@ -84,7 +110,15 @@
   stored_object Object;
 };
 
-enum class call_kind : std::uint8_t { Get, Put, Remove, List, Watch, Count };
+enum class call_kind : std::uint8_t {
+  Get,
+  Put,
+  Remove,
+  List,
+  Watch,
+  Changes,
+  Count
+};
 
 inline constexpr std::size_t CallKinds =
     static_cast<std::size_t>(call_kind::Count);
@@ -147,6 +181,11 @@
 
   virtual void watch(watch_request Request, completion<watch_answer> Done) = 0;
 
+  /// All changes of the objects with one prefix. Platforms without it answer
+  /// BadRequest.
+  virtual void changes(changes_request Request,
+                       completion<changes_answer> Done) = 0;
+
   /// False from the first failed call until the next answered one.
   virtual bool reachable() const = 0;
 
--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -149,15 +149,14 @@
   co_return 0;
 }
 
-http_exchange::http_request
-http_exchange::makeRequest(exchange_request &Request) const {
-  http_request Message(Request.Method, Request.Path, Http11);
+http_exchange::http_request http_exchange::makeRequest(store_call &Call) const {
+  http_request Message(Call.Method, Call.Path, Http11);
   Message.set(http::field::host, Settings.Platform.Address);
-  if (Request.IfMatch)
-    Message.set(http::field::if_match, std::to_string(*Request.IfMatch));
-  if (!Request.Body.empty())
+  if (Call.IfMatch)
+    Message.set(http::field::if_match, std::to_string(*Call.IfMatch));
+  if (!Call.Body.empty())
     Message.set(http::field::content_type, "application/json");
-  Message.body() = std::move(Request.Body);
+  Message.body() = std::move(Call.Body);
   Message.prepare_payload();
   return Message;
 }
@@ -216,7 +215,7 @@
                                               steady_time Deadline) {
   const call_kind Kind = Request.Kind;
   const std::chrono::milliseconds Timeout = Request.Timeout;
-  const http_request Message = makeRequest(Request);
+  const http_request Message = makeRequest(Request.Call);
   if (!co_await waitForPace(Deadline))
     co_return exchange_reply{};
   const steady_time StartedAt = Clock.now();
--- a/packages/platform/src/http_exchange_p.h
+++ b/packages/platform/src/http_exchange_p.h
@@ -19,11 +19,7 @@
 
 struct exchange_request {
   call_kind Kind = call_kind::Get;
-  boost::beast::http::verb Method = boost::beast::http::verb::get;
-  /// Path and query, encoded.
-  std::string Path;
-  std::optional<object_version> IfMatch;
-  std::string Body;
+  store_call Call;
   /// From the last byte sent to the answer.
   std::chrono::milliseconds Timeout{1000};
 };
@@ -106,7 +102,7 @@
   void closeIdle();
   void noteFailure(call_kind Kind, steady_time StartedAt);
   void noteAnswer(const http_response &Response);
-  http_request makeRequest(exchange_request &Request) const;
+  http_request makeRequest(store_call &Call) const;
 
   boost::asio::io_context &Io;
   http_store_settings Settings;
--- a/packages/platform/src/http_store.cpp
+++ b/packages/platform/src/http_store.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/url/encode.hpp>
-#include <boost/url/rfc/unreserved_chars.hpp>
 #include <random>
 #include <utility>
 
@@ -17,10 +15,8 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-namespace urls = boost::urls;
 
 using asio::awaitable;
-using http_verb = boost::beast::http::verb;
 
 namespace {
 
@@ -32,23 +28,10 @@
 constexpr unsigned NotModified = 304;
 constexpr unsigned Missing = 404;
 constexpr unsigned Conflicting = 409;
+constexpr unsigned Gone = 410;
 
 constexpr std::size_t MaxJsonDepth = 64;
 
-std::string objectPath(const std::string &Name) {
-  return "/objects/" + urls::encode(Name, urls::unreserved_chars + '/');
-}
-
-std::string listPath(const std::string &Prefix) {
-  return "/objects?prefix=" + urls::encode(Prefix, urls::unreserved_chars);
-}
-
-std::string watchPath(const watch_request &Request) {
-  return objectPath(Request.Name) +
-         "?watch=" + std::to_string(Request.Version) +
-         "&wait_ms=" + std::to_string(Request.Wait.count());
-}
-
 /// Whether the call may have had its effect without an answer.
 bool isLost(const exchange_reply &Reply) {
   return Reply.Outcome == exchange_outcome::NoAnswer ||
@@ -79,17 +62,6 @@
   return Error ? json::value() : Parsed;
 }
 
-object_version versionIn(const json::value &Parsed) {
-  const json::object *Object = Parsed.if_object();
-  const json::value *Version =
-      Object == nullptr ? nullptr : Object->if_contains("version");
-  if (Version == nullptr)
-    return NoObject;
-  boost::system::error_code Error;
-  const auto Number = Version->to_number<object_version>(Error);
-  return Error ? NoObject : Number;
-}
-
 /// An object as read, with the envelope taken off.
 struct read_object {
   stored_object Object;
@@ -97,21 +69,12 @@
   std::vector<std::string> PriorWriteIds;
 };
 
-/// Empty when \p Parsed isn't an object of the platform.
-std::optional<read_object> readObject(const json::value &Parsed) {
-  const json::object *Fields = Parsed.if_object();
-  const object_version Version = versionIn(Parsed);
-  if (Fields == nullptr || Version == NoObject)
-    return std::nullopt;
-  const json::value *Name = Fields->if_contains("name");
-  const json::value *Value = Fields->if_contains("value");
-  if (Name == nullptr || !Name->is_string() || Value == nullptr)
-    return std::nullopt;
-  envelope Envelope = unwrapValue(*Value);
-  return read_object{
-      {std::string(Name->get_string()), Version, std::move(Envelope.Value)},
-      std::move(Envelope.WriteId),
-      std::move(Envelope.PriorWriteIds)};
+/// Takes the envelope off.
+read_object unwrap(wire_object Object) {
+  envelope Envelope = unwrapValue(Object.Value);
+  return {{std::move(Object.Name), Object.Version, std::move(Envelope.Value)},
+          std::move(Envelope.WriteId),
+          std::move(Envelope.PriorWriteIds)};
 }
 
 /// What is known of the writes that led to one version of an object.
@@ -192,6 +155,8 @@
                                       steady_time Deadline);
   awaitable<result<watch_answer>> watch(watch_request Request,
                                         steady_time Deadline);
+  awaitable<result<changes_answer>> changes(changes_request Request,
+                                            steady_time Deadline);
 
   const http_exchange &exchange() const { return Exchange; }
 
@@ -216,7 +181,9 @@
   awaitable<bool> waitInQueue(steady_time Deadline);
   void finish(call_kind Kind);
 
-  awaitable<exchange_reply> read(call_kind Kind, std::string Path,
+  std::optional<read_object> objectIn(const exchange_reply &Reply,
+                                      const std::string &Name) const;
+  awaitable<exchange_reply> read(call_kind Kind, store_call Call,
                                  steady_time Deadline);
   awaitable<read_back> readBack(const std::string &Name,
                                 const pending_write &Write,
@@ -371,13 +338,20 @@
   return Ids;
 }
 
+std::optional<read_object>
+http_store::operations::objectIn(const exchange_reply &Reply,
+                                 const std::string &Name) const {
+  std::optional<wire_object> Object =
+      Settings.Protocol->readObject(parseJson(Reply.Body), prefixOf(Name));
+  if (!Object)
+    return std::nullopt;
+  return unwrap(std::move(*Object));
+}
+
 awaitable<exchange_reply> http_store::operations::read(call_kind Kind,
-                                                       std::string Path,
+                                                       store_call Call,
                                                        steady_time Deadline) {
-  exchange_request Request;
-  Request.Kind = Kind;
-  Request.Path = std::move(Path);
-  Request.Timeout = Settings.CallTimeout;
+  const exchange_request Request{Kind, std::move(Call), Settings.CallTimeout};
   exchange_reply Reply;
   do
     Reply = co_await Exchange.call(Request, Deadline);
@@ -391,13 +365,13 @@
 
 awaitable<result<stored_object>>
 http_store::operations::get(get_request Request, steady_time Deadline) {
-  const exchange_reply Reply =
-      co_await read(call_kind::Get, objectPath(Request.Name), Deadline);
+  const exchange_reply Reply = co_await read(
+      call_kind::Get, Settings.Protocol->get(Request.Name), Deadline);
   if (answeredWith(Reply, Missing))
     co_return error{error_kind::NotFound, Request.Name, {}};
   if (!answeredWith(Reply, Ok))
     co_return unexpected(Reply);
-  std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  std::optional<read_object> Read = objectIn(Reply, Request.Name);
   if (!Read)
     co_return unavailable("malformed object");
   remember(*Read);
@@ -406,27 +380,58 @@
 
 awaitable<result<object_list>>
 http_store::operations::list(list_request Request, steady_time Deadline) {
-  const exchange_reply Reply =
-      co_await read(call_kind::List, listPath(Request.Prefix), Deadline);
-  if (!answeredWith(Reply, Ok))
-    co_return unexpected(Reply);
-  const json::value Parsed = parseJson(Reply.Body);
-  const json::array *Rows = Parsed.if_array();
-  if (Rows == nullptr)
-    co_return unavailable("malformed list");
   object_list List;
-  for (const json::value &Row : *Rows)
-    if (std::optional<read_object> Read = readObject(Row))
-      List.Objects.push_back(std::move(Read->Object));
+  std::string After;
+  for (bool More = true; More;) {
+    const exchange_reply Reply =
+        co_await read(call_kind::List,
+                      Settings.Protocol->list(Request.Prefix, After), Deadline);
+    if (!answeredWith(Reply, Ok))
+      co_return unexpected(Reply);
+    std::optional<wire_page> Page =
+        Settings.Protocol->readPage(parseJson(Reply.Body), Request.Prefix);
+    if (!Page)
+      co_return unavailable("malformed list");
+    if (After.empty())
+      List.Revision = Page->Revision;
+    More = Page->More && !Page->Objects.empty();
+    for (wire_object &Row : Page->Objects)
+      List.Objects.push_back(unwrap(std::move(Row)).Object);
+    if (More)
+      After = List.Objects.back().Name.substr(Request.Prefix.size());
+  }
   co_return List;
 }
 
+awaitable<result<changes_answer>>
+http_store::operations::changes(changes_request Request, steady_time Deadline) {
+  const exchange_request Call{call_kind::Changes,
+                              Settings.Protocol->changes(Request),
+                              Request.Wait + Settings.WatchSlack};
+  const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
+  changes_answer Answer;
+  Answer.HistoryGone = answeredWith(Reply, Gone);
+  if (Answer.HistoryGone)
+    co_return Answer;
+  if (!answeredWith(Reply, Ok))
+    co_return unexpected(Reply);
+  std::optional<wire_changes> Read =
+      Settings.Protocol->readChanges(parseJson(Reply.Body), Request.Prefix);
+  if (!Read)
+    co_return unavailable("malformed changes");
+  ++Exchange.Counters.of(call_kind::Changes).Succeeded;
+  Answer.Revision = Read->Revision;
+  for (wire_change &Row : Read->Changes)
+    Answer.Changes.push_back(
+        {unwrap(std::move(Row.Object)).Object, Row.Removed});
+  co_return Answer;
+}
+
 awaitable<result<watch_answer>>
 http_store::operations::watch(watch_request Request, steady_time Deadline) {
-  exchange_request Call;
-  Call.Kind = call_kind::Watch;
-  Call.Path = watchPath(Request);
-  Call.Timeout = Request.Wait + Settings.WatchSlack;
+  const exchange_request Call{call_kind::Watch,
+                              Settings.Protocol->watch(Request),
+                              Request.Wait + Settings.WatchSlack};
   const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
   watch_answer Answer;
   Answer.Object = {Request.Name, Request.Version, {}};
@@ -442,7 +447,7 @@
   }
   if (!answeredWith(Reply, Ok))
     co_return unexpected(Reply);
-  std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  std::optional<read_object> Read = objectIn(Reply, Request.Name);
   if (!Read)
     co_return unavailable("malformed object");
   remember(*Read);
@@ -472,13 +477,13 @@
 awaitable<http_store::operations::read_back> http_store::operations::readBack(
     const std::string &Name, const pending_write &Write, steady_time Deadline) {
   const exchange_reply Reply =
-      co_await read(call_kind::Get, objectPath(Name), Deadline);
+      co_await read(call_kind::Get, Settings.Protocol->get(Name), Deadline);
   read_back Found;
   if (answeredWith(Reply, Missing))
     Found.Effect = effectWhenMissing(Write);
   if (!answeredWith(Reply, Ok))
     co_return Found;
-  const std::optional<read_object> Read = readObject(parseJson(Reply.Body));
+  const std::optional<read_object> Read = objectIn(Reply, Name);
   if (!Read)
     co_return Found;
   Found.Effect = effectOf(Write, *Read);
@@ -517,7 +522,8 @@
                                 const pending_write &Write,
                                 const exchange_reply &Reply) {
   ++Exchange.Counters.of(call_kind::Put).Succeeded;
-  const object_version Version = versionIn(parseJson(Reply.Body));
+  const object_version Version =
+      Settings.Protocol->versionIn(parseJson(Reply.Body));
   std::vector<std::string> Prior;
   if (Request.IfVersion)
     Prior = lineageOf(Request.Name, *Request.IfVersion);
@@ -528,14 +534,10 @@
 awaitable<result<put_answer>>
 http_store::operations::put(put_request Request, steady_time Deadline) {
   const pending_write Write = beginWrite(Request);
-  exchange_request Call;
-  Call.Kind = call_kind::Put;
-  Call.Method = http_verb::put;
-  Call.Path = objectPath(Request.Name);
-  Call.IfMatch = Request.IfVersion;
-  Call.Body = envelopeFor(Request, Write);
-  Call.Timeout = Settings.CallTimeout;
-  if (Call.Body.size() > MaxObjectBytes)
+  const std::string Value = envelopeFor(Request, Write);
+  exchange_request Call{call_kind::Put, Settings.Protocol->put(Request, Value),
+                        Settings.CallTimeout};
+  if (Value.size() > MaxObjectBytes)
     co_return error{error_kind::BadRequest, "value too large", {}};
   bool MayHaveRun = false;
   while (true) {
@@ -549,6 +551,11 @@
       co_return error{error_kind::VersionConflict, Request.Name, {}};
     if (Reply.Outcome == exchange_outcome::NotSent)
       continue;
+    if (answeredWith(Reply, Missing) && !Request.IfVersion)
+      if (auto Create = Settings.Protocol->create(Request, Value)) {
+        Call.Call = std::move(*Create);
+        continue;
+      }
     if (!isLost(Reply) && !Conflicts)
       co_return unexpected(Reply);
     MayHaveRun = true;
@@ -561,12 +568,9 @@
 
 awaitable<result<std::monostate>>
 http_store::operations::remove(remove_request Request, steady_time Deadline) {
-  exchange_request Call;
-  Call.Kind = call_kind::Remove;
-  Call.Method = http_verb::delete_;
-  Call.Path = objectPath(Request.Name);
-  Call.IfMatch = Request.IfVersion;
-  Call.Timeout = Settings.CallTimeout;
+  const exchange_request Call{call_kind::Remove,
+                              Settings.Protocol->remove(Request),
+                              Settings.CallTimeout};
   call_counters &Counters = Exchange.Counters.of(call_kind::Remove);
   bool MayHaveRun = false;
   while (true) {
@@ -643,6 +647,15 @@
       });
 }
 
+void http_store::changes(changes_request Request,
+                         completion<changes_answer> Done) {
+  Operations->start<changes_answer>(
+      call_kind::Changes, std::move(Done),
+      [Self = Operations.get(), Request](steady_time Deadline) {
+        return Self->changes(Request, Deadline);
+      });
+}
+
 bool http_store::reachable() const {
   return Operations->exchange().reachable();
 }
--- a/packages/platform/src/memory_store.cpp
+++ b/packages/platform/src/memory_store.cpp
@@ -117,6 +117,13 @@
   finish<stored_object>(call_kind::Get, Done, std::move(*Found));
 }
 
+void memory_store::changes(changes_request /*Request*/,
+                           completion<changes_answer> Done) {
+  ++Counters.of(call_kind::Changes).Sent;
+  finish<changes_answer>(call_kind::Changes, Done,
+                         error{error_kind::BadRequest, "no changes here", {}});
+}
+
 void memory_store::put(put_request Request, completion<put_answer> Done) {
   ++Counters.of(call_kind::Put).Sent;
   if (unavailable())
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -7,6 +7,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +32,29 @@
   endpoint_address Public;
 };
 
+/// For instances that are the gate of a platform on which targets register
+/// themselves and operators keep the routes.
+struct gateway_settings {
+  /// Callers ask here which instances to use.
+  endpoint_address Directory;
+  /// The platform asks here whether this instance takes requests.
+  endpoint_address Ready;
+  /// Region of each data centre.
+  std::map<std::string, std::string> Regions;
+  /// Hosts of other instances; they listen on the port of Internal too.
+  std::vector<std::string> Seeds;
+  /// A withdrawn key may be used for this long; zero is no bound.
+  std::chrono::milliseconds Revocation{5000};
+  /// Second sends of a service against its requests over the whole fleet.
+  double RetryRatio = 0.2;
+  /// Second sends of a service at once, over the whole fleet.
+  double RetrySlack = 60;
+  /// Pause between two reports of a target to the platform.
+  std::chrono::milliseconds TargetHeartbeat{1500};
+  /// The platform kills an instance this long after it told it to end.
+  std::chrono::milliseconds Grace{6000};
+};
+
 struct instance_settings {
   std::string Name;
   std::string Region;
@@ -58,6 +83,7 @@
   /// Seeds membership when the platform can't be reached at the start. May
   /// name the instance itself.
   std::vector<peer_settings> Peers;
+  std::optional<gateway_settings> Gateway;
 };
 
 /// Reads the settings file's JSON text. The error names the file, the field,
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -21,11 +21,31 @@
 constexpr double MinLeaseMs = 500;
 constexpr double MaxLeaseMs = 600000;
 
+/// Reads "address:port".
+bool readShortAddress(std::string_view Text, endpoint_address &Address) {
+  const std::size_t Colon = Text.rfind(':');
+  std::uint16_t Port = 0;
+  if (Colon == Text.npos || !fromText(Text.substr(Colon + 1), Port))
+    return false;
+  const std::string Host(Text.substr(0, Colon));
+  if (!allows(textField("address", presence::Required, text_rule::IpAddress),
+              Host))
+    return false;
+  Address = {Host, Port};
+  return true;
+}
+
 void readAddress(object_reader &Reader, std::string_view Name,
                  endpoint_address &Address, read_fault &Fault) {
   const boost::json::value *Json = Reader.take(Name, presence::Required);
   if (!Json)
     return;
+  if (Json->is_string()) {
+    if (!readShortAddress(Json->get_string(), Address))
+      Reader.reject(textField(Name, presence::Required, text_rule::Free), *Json,
+                    "an IP number and a port, such as \"127.0.0.1:8080\"");
+    return;
+  }
   object_reader Part(*Json, Reader.nameOf(Name), Fault);
   Part(textField("address", presence::Required, text_rule::IpAddress),
        Address.Address);
@@ -81,6 +101,62 @@
          Settings.MaxHeaderBytes);
 }
 
+void readRegions(object_reader &Reader, gateway_settings &Gateway,
+                 read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.take("data_centres", presence::Required);
+  if (!Json)
+    return;
+  const boost::json::object *Rows = Json->if_object();
+  if (Rows == nullptr)
+    return Reader.reject(
+        textField("data_centres", presence::Required, text_rule::Free), *Json,
+        "an object from data centre to region");
+  object_reader Part(*Json, Reader.nameOf("data_centres"), Fault);
+  for (const auto &Row : *Rows)
+    Part(textField(Row.key(), presence::Required, text_rule::Name),
+         Gateway.Regions[std::string(Row.key())]);
+}
+
+void readSeeds(object_reader &Reader, gateway_settings &Gateway) {
+  const boost::json::array *Array = Reader.takeArray("seeds");
+  if (!Array)
+    return;
+  for (const boost::json::value &Json : *Array) {
+    endpoint_address Seed;
+    if (!Json.is_string() || !readShortAddress(Json.get_string(), Seed))
+      Reader.reject(textField("seeds", presence::Optional, text_rule::Free),
+                    Json, "texts such as \"127.0.0.1:8080\"");
+    else
+      Gateway.Seeds.push_back(Seed.Address);
+  }
+}
+
+void readGateway(object_reader &Reader, instance_settings &Settings,
+                 read_fault &Fault) {
+  const boost::json::value *Json = Reader.take("gateway", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Part(*Json, Reader.nameOf("gateway"), Fault);
+  gateway_settings &Gateway = Settings.Gateway.emplace();
+  readAddress(Part, "directory", Gateway.Directory, Fault);
+  readAddress(Part, "ready", Gateway.Ready, Fault);
+  readRegions(Part, Gateway, Fault);
+  readSeeds(Part, Gateway);
+  Part(numberField("revocation_ms", presence::Optional, 0, MaxMilliseconds),
+       Gateway.Revocation);
+  Part(numberField("retry_ratio", presence::Optional, 0, 1),
+       Gateway.RetryRatio);
+  Part(numberField("retry_slack", presence::Optional, 0, MaxCount),
+       Gateway.RetrySlack);
+  Part(numberField("target_heartbeat_ms", presence::Optional, 1,
+                   MaxMilliseconds),
+       Gateway.TargetHeartbeat);
+  Part(numberField("grace_ms", presence::Optional, 0, MaxMilliseconds),
+       Gateway.Grace);
+  Part.finish();
+}
+
 bool isSecretText(std::string_view Text) {
   return Text.size() == SecretLength &&
          Text.find_first_not_of("0123456789abcdefABCDEF") == Text.npos;
@@ -130,6 +206,7 @@
   readAddress(Reader, "platform", Settings.Platform, Fault);
   readLimits(Reader, Settings);
   readPeers(Reader, Settings.Peers, Fault);
+  readGateway(Reader, Settings, Fault);
   readSecret(Reader, FileName, Settings, Fault);
   Reader.finish();
   if (Fault.found())
--- /dev/null
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -0,0 +1,98 @@
+/// The gate: takes requests of callers by host and path and sends each to a
+/// target of its route's service over a direct connection. Runs on the
+/// io_context of the control systems; there are no threads of its own.
+#ifndef MAGNOLIASPREAD_GATE_H
+#define MAGNOLIASPREAD_GATE_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/gate_dialect.h>
+#include <magnoliaspread/metrics.h>
+#include <magnoliaspread/purse.h>
+#include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/registry.h>
+#include <magnoliaspread/routes.h>
+#include <magnoliaspread/view.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+struct gate_settings {
+  endpoint_address Public;
+  std::string DataCentre;
+  std::string Region;
+  /// Region of each data centre.
+  name_map<std::string> Regions;
+  /// Keyed requests are served only while the configuration is known to have
+  /// been current less than this ago; zero is no bound.
+  std::chrono::milliseconds KeyProof{0};
+  /// Second sends of a service against its requests, and at once.
+  double RetryRatio = 0.1;
+  double RetryBurst = 3;
+  /// Bodies held at a time, in bytes; further requests are refused.
+  std::size_t MaxHeldBytes = 32u << 20;
+};
+
+/// A target with what this instance may send to it.
+struct gate_target {
+  registered_target Target;
+  /// Requests a second that this instance may send while it is cold.
+  double ColdRate = 0;
+};
+
+struct gate_counts {
+  /// Requests between their head and the end of their answer.
+  std::size_t InFlight = 0;
+  std::size_t Waiting = 0;
+  std::size_t Connections = 0;
+};
+
+class gate {
+public:
+  /// All references outlive the gate.
+  gate(boost::asio::io_context &Context, const gate_settings &Settings,
+       const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
+       instance_metrics &Metrics, std::uint64_t Seed);
+  ~gate();
+  gate(const gate &) = delete;
+  gate &operator=(const gate &) = delete;
+
+  /// BadSettings when the port can't be opened.
+  status open();
+
+  void setRoutes(route_index_ptr Routes);
+  /// The configuration in force was the newest one then.
+  void setProved(boot_time At);
+  void setTargets(const std::vector<gate_target> &Targets);
+  void setTokenWaits(const std::vector<token_wait> &Waits);
+  /// Connections are closed after each answer from now on.
+  void setLeaving();
+
+  /// Runs what is due; call every few tens of milliseconds.
+  void tick();
+
+  /// Closes the public port, and connections that carry no request.
+  void stopAccepting();
+
+  /// Takes in a notice of a peer.
+  void receive(const quarantine_notice &Notice);
+  /// Notices for every peer, at most once a second.
+  std::vector<quarantine_notice> notices();
+
+  gate_counts counts() const;
+
+  /// Shared with the connections; private to the package.
+  struct state;
+
+private:
+  std::unique_ptr<state> State;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/include/magnoliaspread/index.h
+++ b/packages/traffic/include/magnoliaspread/index.h
@@ -4,28 +4,16 @@
 #define MAGNOLIASPREAD_INDEX_H
 
 #include <magnoliaspread/handle.h>
+#include <magnoliaspread/namemap.h>
 #include <magnoliaspread/table.h>
 
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace magnoliaspread {
 
-/// Lets maps keyed by std::string be searched with a string_view.
-struct name_hash {
-  using is_transparent = void;
-  std::size_t operator()(std::string_view Name) const {
-    return std::hash<std::string_view>{}(Name);
-  }
-};
-
-template <class Value>
-using name_map =
-    std::unordered_map<std::string, Value, name_hash, std::equal_to<>>;
-
 /// Handles are row numbers of Table and hold for this version only.
 struct config_index {
   config_table Table;
--- /dev/null
+++ b/packages/traffic/src/gate.cpp
@@ -0,0 +1,371 @@
+#include "gate_p.h"
+
+#include <magnoliaspread/log.h>
+#include <magnoliaspread/ownership.h>
+
+#include <algorithm>
+#include <set>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int ListenBacklog = 512;
+constexpr milliseconds AcceptPause{10};
+constexpr milliseconds SweepPeriod{1000};
+/// Pause between two looks at the requests that wait, while any do.
+constexpr milliseconds PollPeriod{15};
+/// A target whose connection broke and that can't be reached in this time has
+/// died.
+constexpr milliseconds DeathWindow{2500};
+constexpr milliseconds NoticePeriod{1000};
+constexpr std::size_t NoticesAtOnce = 8;
+/// Targets that die of a request before it is quarantined (RULES, BUDGET: from
+/// the third crash on).
+constexpr std::uint32_t DeathsToQuarantine = 3;
+
+silence_settings silence() {
+  silence_settings Silence;
+  // Below the targets' idle timeout of 10 s (site files) by a margin.
+  Silence.MaxIdle = milliseconds(7000);
+  Silence.ProbeAfterForOnce = milliseconds(1500);
+  return Silence;
+}
+
+quarantine_settings quarantineSettings() {
+  quarantine_settings Quarantine;
+  Quarantine.DeathsWhenAlone = DeathsToQuarantine;
+  Quarantine.DeathsInCompany = DeathsToQuarantine;
+  return Quarantine;
+}
+
+/// Numbers of the regions, in the order of their names.
+name_map<std::size_t> numberRegions(const name_map<std::string> &Regions) {
+  std::set<std::string> Names;
+  for (const auto &[DataCentre, Region] : Regions)
+    Names.insert(Region);
+  name_map<std::size_t> Numbers;
+  for (const std::string &Name : Names)
+    Numbers.emplace(Name, Numbers.size());
+  return Numbers;
+}
+
+status openAcceptor(tcp::acceptor &Acceptor, const endpoint_address &Where) {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  const tcp::endpoint Endpoint(Address, Where.Port);
+  if (!Failure)
+    Acceptor.open(Endpoint.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Endpoint, Failure);
+  if (!Failure)
+    Acceptor.listen(ListenBacklog, Failure);
+  if (!Failure)
+    return {};
+  return error{
+      error_kind::BadSettings, "public port: " + Failure.message(), {}};
+}
+
+} // namespace
+
+gate::state::state(asio::io_context &Context, const gate_settings &Settings,
+                   const clock &Clock, const gate_dialect &Dialect,
+                   purse &Tokens, instance_metrics &Metrics, std::uint64_t Seed)
+    : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
+      Tokens(Context, Clock, Tokens), Metrics(Metrics),
+      Pool(Context, Clock, silence()), Quarantine(quarantineSettings()),
+      RegionNumbers(numberRegions(Settings.Regions)), NextId(Seed),
+      Acceptor(Context), PollTimer(Context) {}
+
+asio::awaitable<void> gate::state::acceptAll() {
+  for (;;) {
+    auto [Failure, Socket] = co_await Acceptor.async_accept(Awaited);
+    if (Failure == asio::error::operation_aborted ||
+        Failure == asio::error::bad_descriptor)
+      co_return;
+    if (Failure) {
+      logEvent(log_level::Warning, "accept_failed",
+               {{"detail", Failure.message()}});
+      asio::steady_timer Pause(Context, AcceptPause);
+      co_await Pause.async_wait(Awaited);
+      continue;
+    }
+    asio::co_spawn(Context, serveCaller(std::move(Socket), *this),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> gate::state::sweepPool() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(SweepPeriod);
+    co_await Timer.async_wait(Awaited);
+    Pool.sweep();
+  }
+}
+
+/// Looks again at requests that wait: other instances' load on a target fades
+/// without a message.
+asio::awaitable<void> gate::state::pollWaiting() {
+  while (!Waiters.empty()) {
+    PollTimer.expires_after(PollPeriod);
+    co_await PollTimer.async_wait(Awaited);
+    wakePlaced();
+  }
+}
+
+void gate::state::wakePlaced() {
+  for (place_grant &Grant : Placer.poll(Clock.now())) {
+    const auto Found = Waiters.find(Grant.Id);
+    if (Found == Waiters.end())
+      continue;
+    Found->second->Verdict = std::move(Grant.Verdict);
+    Found->second->Signal.cancel();
+  }
+}
+
+asio::awaitable<result<target_handle>>
+gate::state::place(const place_request &Request) {
+  placement_verdict Verdict = Placer.place(Request, Clock.now());
+  if (std::holds_alternative<place_wait>(Verdict)) {
+    place_waiter Waiter(Context);
+    Waiter.Signal.expires_at(Request.Deadline);
+    Waiters.emplace(Request.Id, &Waiter);
+    if (Waiters.size() == 1)
+      asio::co_spawn(Context, pollWaiting(), asio::detached);
+    co_await Waiter.Signal.async_wait(Awaited);
+    Waiters.erase(Request.Id);
+    if (!Waiter.Verdict) {
+      Placer.cancel(Request.Id);
+      co_return error{
+          error_kind::DeadlineExpired, "no target had room in time", {}};
+    }
+    Verdict = std::move(*Waiter.Verdict);
+  }
+  if (const auto *Send = std::get_if<place_send>(&Verdict))
+    co_return Send->Target;
+  co_return std::get<error>(Verdict);
+}
+
+void gate::state::finished(const target_end &End) {
+  Placer.finished(End, Clock.now());
+  if (Placer.waiting() > 0)
+    wakePlaced();
+}
+
+void gate::state::countRequest(const std::string &Service) {
+  retry_account &Account = Retries[Service];
+  Account.Tokens =
+      std::min(Settings.RetryBurst, Account.Tokens + Settings.RetryRatio);
+}
+
+bool gate::state::takeRetry(const std::string &Service) {
+  retry_account &Account = Retries[Service];
+  if (Account.Tokens < 1)
+    return false;
+  Account.Tokens -= 1;
+  return true;
+}
+
+std::string gate::state::pickService(const route_row &Route) {
+  double Sum = 0;
+  for (const route_part &Part : Route.Parts)
+    Sum += Part.Weight;
+  double Left = draw(Draws[Route.Name]) * Sum;
+  for (const route_part &Part : Route.Parts) {
+    if (Left < Part.Weight)
+      return Part.Service;
+    Left -= Part.Weight;
+  }
+  return Route.Parts.empty() ? std::string() : Route.Parts.back().Service;
+}
+
+/// Regions in which the request may run; where route and workspace both have
+/// homes, both bind. None set is all.
+home_regions gate::state::homesOf(const route_row &Route,
+                                  const routed_workspace *Workspace) const {
+  const auto MaskOf = [this](const std::vector<std::string> &Names) {
+    home_regions Mask;
+    for (const std::string &Name : Names)
+      if (const auto Found = RegionNumbers.find(Name);
+          Found != RegionNumbers.end())
+        Mask.set(Found->second);
+    return Mask;
+  };
+  home_regions Homes = MaskOf(Route.HomeRegions);
+  if (Workspace == nullptr || Workspace->HomeRegions.empty())
+    return Homes;
+  const home_regions Other = MaskOf(Workspace->HomeRegions);
+  return Route.HomeRegions.empty() ? Other : Homes & Other;
+}
+
+bool gate::state::keysProved() const {
+  return Settings.KeyProof == milliseconds(0) ||
+         Clock.boot() - ProvedAt < Settings.KeyProof;
+}
+
+namespace {
+
+error unproved() {
+  return {error_kind::NoCapacity, "the configuration may be out of date", {}};
+}
+
+} // namespace
+
+result<gate_request> gate::state::admit(const whole_request &Request,
+                                        steady_time Arrived) {
+  if (Routes == nullptr)
+    return error{error_kind::NoCapacity, "no configuration is in force", {}};
+  const caller_head Head = Dialect.read(Request.base());
+  gate_request Admitted;
+  Admitted.Id = Head.Id;
+  Admitted.Routes = Routes;
+  Admitted.Route = Routes->find(Head.Host, Request.target());
+  if (Admitted.Route == nullptr)
+    return keysProved() ? error{error_kind::UnknownRoute, "no such route", {}}
+                        : unproved();
+  const route_row &Route = *Admitted.Route;
+  if (Routes->table().KeysNeeded && !Route.Open) {
+    if (!keysProved())
+      return unproved();
+    Admitted.Workspace = Routes->workspaceOf(Head.Key);
+    if (Admitted.Workspace == nullptr)
+      return error{error_kind::KeyUnknown, "no workspace holds this key", {}};
+  }
+  Admitted.Service = pickService(Route);
+  place_request &Place = Admitted.Place;
+  Place.Service = Services.find(Admitted.Service);
+  Place.Homes = homesOf(Route, Admitted.Workspace);
+  const bool HasHomes =
+      !Route.HomeRegions.empty() || (Admitted.Workspace != nullptr &&
+                                     !Admitted.Workspace->HomeRegions.empty());
+  if (!Place.Service.valid() || (HasHomes && Place.Homes.none()))
+    return error{error_kind::NoCapacity, "no target may serve the route", {}};
+  Place.Id = ++NextId;
+  Place.Kind = stableId(Route.Prefix + Route.Host + Admitted.Service);
+  if (Route.Sticky && !Head.Object.empty())
+    Place.Object = rendezvousScore(Place.Kind, stableId(Head.Object)) | 1U;
+  Place.Priority = Route.Priority;
+  if (Admitted.Workspace != nullptr)
+    Place.Priority += Admitted.Workspace->Priority << 8U;
+  Place.Arrived = Arrived;
+  const milliseconds Patience = Head.Patience.value_or(Route.Timeout);
+  Place.Deadline = Arrived + std::min(Patience, Route.Timeout);
+  Place.GoodUntil = Arrived + Route.LatencyTarget;
+  Place.BodyBytes = Request.body().size();
+  Admitted.Fingerprint = fingerprintOf(
+      {Admitted.Workspace == nullptr ? std::string_view()
+                                     : Admitted.Workspace->Name,
+       Request.method_string(), Request.target(), Request.body()});
+  return Admitted;
+}
+
+gate::gate(asio::io_context &Context, const gate_settings &Settings,
+           const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
+           instance_metrics &Metrics, std::uint64_t Seed)
+    : State(std::make_unique<state>(Context, Settings, Clock, Dialect, Tokens,
+                                    Metrics, Seed)) {}
+
+gate::~gate() = default;
+
+status gate::open() {
+  status Opened = openAcceptor(State->Acceptor, State->Settings.Public);
+  if (failed(Opened))
+    return Opened;
+  asio::co_spawn(State->Context, State->acceptAll(), asio::detached);
+  asio::co_spawn(State->Context, State->sweepPool(), asio::detached);
+  return {};
+}
+
+void gate::setRoutes(route_index_ptr Routes) {
+  State->Routes = std::move(Routes);
+  for (const routed_service &Service : State->Routes->table().Services)
+    State->Services.intern(Service.Name);
+}
+
+void gate::setProved(boot_time At) {
+  State->ProvedAt = std::max(State->ProvedAt, At);
+}
+
+void gate::setTargets(const std::vector<gate_target> &Rows) {
+  std::vector<placer_target> Placed;
+  for (const gate_target &Row : Rows) {
+    const target_record &Record = Row.Target.Record;
+    const std::size_t Index = Row.Target.Handle.Index;
+    if (Index >= State->Targets.size())
+      State->Targets.resize(Index + 1);
+    State->Targets[Index] = {Record.Name, Record.Address};
+    if (!Row.Target.Open)
+      State->Pool.dropIdle(Record.Address);
+    placer_target Target;
+    Target.Handle = Row.Target.Handle;
+    Target.Service = State->Services.intern(Record.Service);
+    const auto Region = State->Settings.Regions.find(Record.DataCentre);
+    if (!Target.Service.valid() || Region == State->Settings.Regions.end())
+      continue;
+    Target.Id = stableId(Record.Name);
+    Target.Slots = Record.Slots;
+    Target.Region =
+        static_cast<std::uint8_t>(State->RegionNumbers[Region->second]);
+    if (Record.DataCentre == State->Settings.DataCentre)
+      Target.Distance = target_distance::DataCentre;
+    else
+      Target.Distance = Region->second == State->Settings.Region
+                            ? target_distance::Region
+                            : target_distance::Remote;
+    Target.Open = Row.Target.Open;
+    Target.ColdUntil = Row.Target.ColdUntil;
+    Target.ColdRate = Row.ColdRate;
+    if (State->Routes != nullptr)
+      if (const routed_service *Service =
+              State->Routes->service(Record.Service))
+        Target.ColdTime = Service->ColdTime;
+    Placed.push_back(Target);
+  }
+  State->Placer.setTargets(Placed, State->Clock.now());
+}
+
+void gate::setTokenWaits(const std::vector<token_wait> &Waits) {
+  State->Tokens.publish(Waits);
+}
+
+void gate::setLeaving() { State->Leaving = true; }
+
+void gate::tick() {
+  const steady_time Now = State->Clock.now();
+  State->Tokens.tick();
+  while (!State->Broken.empty() &&
+         Now - State->Broken.front().Since >= DeathWindow) {
+    State->Quarantine.ended(State->Broken.front().Id);
+    State->Broken.pop_front();
+  }
+}
+
+void gate::stopAccepting() {
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+  for (const auto &[Id, Socket] : State->IdleCallers)
+    Socket->cancel(Ignored);
+}
+
+void gate::receive(const quarantine_notice &Notice) {
+  State->Quarantine.merge(Notice, State->Clock.now());
+}
+
+std::vector<quarantine_notice> gate::notices() {
+  const steady_time Now = State->Clock.now();
+  if (Now < State->NextNotices)
+    return {};
+  State->NextNotices = Now + NoticePeriod;
+  return State->Quarantine.notices(NoticesAtOnce, Now);
+}
+
+gate_counts gate::counts() const {
+  return {State->InFlight, State->Placer.waiting(), State->Connections};
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/gate_p.h
@@ -0,0 +1,116 @@
+/// What the connections of one gate share.
+#ifndef MAGNOLIASPREAD_GATE_P_H
+#define MAGNOLIASPREAD_GATE_P_H
+
+#include "names_p.h"
+#include "net_p.h"
+#include "pool_p.h"
+#include "target_call_p.h"
+#include "tokens_p.h"
+
+#include <magnoliaspread/gate.h>
+#include <magnoliaspread/placer.h>
+#include <magnoliaspread/quarantine.h>
+#include <magnoliaspread/retry.h>
+#include <magnoliaspread/shift.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace magnoliaspread {
+
+/// A request that may be sent to a target.
+struct gate_request {
+  std::string Id;
+  /// Keeps Route and Workspace alive.
+  route_index_ptr Routes;
+  const route_row *Route = nullptr;
+  /// Null on a route that is open to all.
+  const routed_workspace *Workspace = nullptr;
+  std::string Service;
+  place_request Place;
+  request_fingerprint Fingerprint = 0;
+};
+
+/// An attempt whose connection broke; its target may turn out to have died.
+struct broken_attempt {
+  attempt_id Id = 0;
+  steady_time Since;
+};
+
+struct gate::state {
+  state(asio::io_context &Context, const gate_settings &Settings,
+        const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
+        instance_metrics &Metrics, std::uint64_t Seed);
+
+  asio::awaitable<void> acceptAll();
+  asio::awaitable<void> sweepPool();
+  asio::awaitable<void> pollWaiting();
+
+  /// Checks route, key and homes; nothing is sent or counted yet.
+  result<gate_request> admit(const whole_request &Request, steady_time Arrived);
+  /// Waits until the request may be sent; errors are not run.
+  asio::awaitable<result<target_handle>> place(const place_request &Request);
+  void wakePlaced();
+  void finished(const target_end &End);
+  bool takeRetry(const std::string &Service);
+  void countRequest(const std::string &Service);
+  std::string pickService(const route_row &Route);
+  home_regions homesOf(const route_row &Route,
+                       const routed_workspace *Workspace) const;
+  bool keysProved() const;
+
+  struct place_waiter {
+    explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
+    asio::steady_timer Signal;
+    std::optional<placement_verdict> Verdict;
+  };
+
+  struct known_target {
+    std::string Name;
+    endpoint_address Address;
+  };
+
+  struct retry_account {
+    double Tokens = 0;
+  };
+
+  asio::io_context &Context;
+  const gate_settings &Settings;
+  const clock &Clock;
+  const gate_dialect &Dialect;
+  token_gate Tokens;
+  instance_metrics &Metrics;
+  placer Placer{placer_policy{}};
+  upstream_pool Pool;
+  quarantine Quarantine;
+  route_index_ptr Routes;
+  boot_time ProvedAt;
+  bool Leaving = false;
+  stable_names<service_handle> Services{MaxServices};
+  name_map<std::size_t> RegionNumbers;
+  /// By target handle.
+  std::vector<known_target> Targets;
+  std::unordered_map<std::uint64_t, place_waiter *> Waiters;
+  name_map<retry_account> Retries;
+  /// Draws by route, to follow the weights of its parts.
+  name_map<even_draw> Draws;
+  std::deque<broken_attempt> Broken;
+  std::map<std::uint64_t, tcp::socket *> IdleCallers;
+  std::uint64_t NextId = 0;
+  std::size_t InFlight = 0;
+  std::size_t Connections = 0;
+  std::size_t HeldBytes = 0;
+  steady_time NextNotices;
+  tcp::acceptor Acceptor;
+  asio::steady_timer PollTimer;
+};
+
+/// Serves one caller's connection, request after request.
+asio::awaitable<void> serveCaller(tcp::socket Socket, gate::state &State);
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/gate_session.cpp
@@ -0,0 +1,465 @@
+#include "gate_p.h"
+#include "timers_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace magnoliaspread {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Callers reuse a connection until shortly before the limit on idle ones.
+constexpr milliseconds IdleMargin{1000};
+/// Longest time to hand an answer to a caller that reads slowly.
+constexpr milliseconds WriteTimeout{10000};
+/// Connections that are tried for one request before it is given up.
+constexpr std::uint32_t MaxUnreachable = 3;
+/// A repeatable request that has no answer after this many of its expected
+/// times is sent to another target.
+constexpr int SilentTimes = 4;
+constexpr milliseconds LeastSilence{500};
+/// A further attempt needs at least this much time.
+constexpr milliseconds LeastAttempt{50};
+
+bool hasClosed(tcp::socket &Socket) {
+  error_code Failure;
+  Socket.non_blocking(true, Failure);
+  char Byte = 0;
+  const std::size_t Count = Socket.receive(asio::buffer(&Byte, 1),
+                                           tcp::socket::message_peek, Failure);
+  return Failure != asio::error::would_block && Count == 0;
+}
+
+/// How one request ended.
+struct request_outcome {
+  std::optional<whole_answer> Answer;
+  error Error;
+  /// Some target may have run it.
+  bool MayHaveRun = false;
+  std::uint32_t Sends = 0;
+  std::uint32_t Unreachable = 0;
+  std::string Target;
+  microseconds Waited{0};
+};
+
+class gate_session {
+public:
+  gate_session(tcp::socket Connected, gate::state &State)
+      : Socket(std::move(Connected)), State(State), Number(++State.NextId) {}
+
+  asio::awaitable<void> run();
+
+private:
+  using request_parser = http::request_parser<http::string_body>;
+
+  asio::awaitable<bool> awaitRequest();
+  asio::awaitable<bool> readRequest();
+  asio::awaitable<bool> serve();
+  asio::awaitable<bool> refuseRead(error_code Failure, bool HeadCame);
+  asio::awaitable<request_outcome> steer(gate_request &Request);
+  asio::awaitable<void> runAttempts(gate_request &Request,
+                                    request_outcome &Outcome);
+  asio::awaitable<bool> attempt(gate_request &Request, target_handle Target,
+                                request_outcome &Outcome);
+  asio::awaitable<upstream_ptr> reach(const gate_request &Request,
+                                      target_handle Target,
+                                      request_outcome &Outcome);
+  whole_request requestFor(const gate_request &Request,
+                           target_handle Target) const;
+  bool take(gate_request &Request, target_handle Target, call_result Result,
+            std::chrono::nanoseconds Took, request_outcome &Outcome);
+  bool mayRetry(const gate_request &Request, const request_outcome &Outcome,
+                bool NotRun);
+  asio::awaitable<bool> answer(whole_answer Answer);
+  asio::awaitable<bool> refuse(const error &Error, std::string_view Id);
+  void logEnd(const gate_request &Request, const request_outcome &Outcome);
+  caller_limits limits() const;
+
+  tcp::socket Socket;
+  gate::state &State;
+  std::uint64_t Number;
+  beast::flat_buffer Buffer;
+  std::optional<request_parser> Parser;
+  whole_request Request;
+  steady_time ArrivedAt;
+};
+
+caller_limits gate_session::limits() const {
+  return State.Routes == nullptr ? caller_limits()
+                                 : State.Routes->table().Limits;
+}
+
+/// Waits for the first byte of the next request.
+asio::awaitable<bool> gate_session::awaitRequest() {
+  if (Buffer.size() > 0)
+    co_return true;
+  read_timer Timer(Socket, limits().IdleTimeout + IdleMargin);
+  State.IdleCallers.emplace(Number, &Socket);
+  auto [Failure] = co_await Socket.async_wait(tcp::socket::wait_read, Awaited);
+  State.IdleCallers.erase(Number);
+  co_return !Failure && !hasClosed(Socket);
+}
+
+asio::awaitable<bool> gate_session::refuseRead(error_code Failure,
+                                               bool HeadCame) {
+  const bool Stalled = Failure == asio::error::operation_aborted;
+  if (!Stalled && Failure.category() !=
+                      http::make_error_code(http::error::bad_method).category())
+    co_return false;
+  if (Failure == http::error::end_of_stream ||
+      Failure == http::error::partial_message)
+    co_return false;
+  error_kind Kind = error_kind::BadRequest;
+  if (Stalled)
+    Kind = error_kind::RequestStalled;
+  else if (Failure == http::error::body_limit)
+    Kind = error_kind::BodyTooLarge;
+  else if (Failure == http::error::header_limit ||
+           (!HeadCame && Failure == http::error::buffer_overflow))
+    Kind = error_kind::HeaderTooLarge;
+  Request.keep_alive(false);
+  co_await refuse({Kind, Failure.message(), {}}, {});
+  co_await linger(Socket);
+  co_return false;
+}
+
+asio::awaitable<bool> gate_session::readRequest() {
+  if (!co_await awaitRequest())
+    co_return false;
+  ArrivedAt = State.Clock.now();
+  const caller_limits Limits = limits();
+  Parser.emplace();
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  Parser->body_limit(Limits.BodyBytes);
+  error_code Failure;
+  {
+    read_timer Timer(Socket, Limits.HeaderTimeout);
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read_header(Socket, Buffer, *Parser, Awaited);
+  }
+  if (Failure)
+    co_return co_await refuseRead(Failure, false);
+  if (Parser->get()[http::field::expect] == "100-continue") {
+    constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(Socket, asio::buffer(Line), Awaited);
+  }
+  if (!Parser->is_done()) {
+    read_timer Timer(Socket, Limits.IdleTimeout);
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read(Socket, Buffer, *Parser, Awaited);
+  }
+  if (Failure)
+    co_return co_await refuseRead(Failure, true);
+  Request = Parser->release();
+  co_return true;
+}
+
+asio::awaitable<bool> gate_session::answer(whole_answer Answer) {
+  const bool Keep = Request.keep_alive() && !State.Leaving;
+  Answer.keep_alive(Keep);
+  read_timer Timer(Socket, WriteTimeout);
+  auto [Failure, Count] = co_await http::async_write(Socket, Answer, Awaited);
+  co_return Keep && !Failure;
+}
+
+asio::awaitable<bool> gate_session::refuse(const error &Error,
+                                           std::string_view Id) {
+  whole_answer Answer;
+  Answer.version(11);
+  State.Dialect.refuse(Answer.base(), Error, Id);
+  Answer.prepare_payload();
+  co_return co_await answer(std::move(Answer));
+}
+
+whole_request gate_session::requestFor(const gate_request &Wanted,
+                                       target_handle Target) const {
+  whole_request Copy = Request;
+  target_head Head;
+  Head.TargetName = State.Targets[Target.Index].Name;
+  if (Wanted.Workspace != nullptr)
+    Head.Workspace = Wanted.Workspace->Name;
+  Head.TimeLeft = std::max(
+      milliseconds(1),
+      duration_cast<milliseconds>(Wanted.Place.Deadline - State.Clock.now()));
+  State.Dialect.address(Copy.base(), Head);
+  Copy.version(11);
+  Copy.keep_alive(true);
+  Copy.prepare_payload();
+  return Copy;
+}
+
+/// A connection to the target; null when there is none, with the target's end
+/// counted.
+asio::awaitable<upstream_ptr> gate_session::reach(const gate_request &Wanted,
+                                                  target_handle Target,
+                                                  request_outcome &Outcome) {
+  const endpoint_address Address = State.Targets[Target.Index].Address;
+  upstream_ptr Idle = State.Pool.takeIdle(Address, Wanted.Route->Repeatable);
+  if (Idle != nullptr)
+    co_return Idle;
+  auto Fresh = co_await State.Pool.connect(Address, Wanted.Place.Deadline);
+  if (!failed(Fresh))
+    co_return std::move(valueOf(Fresh));
+  ++Outcome.Unreachable;
+  Outcome.Error = errorOf(Fresh);
+  State.finished({Target, 0, 0, target_result::Unreachable, {}, {}});
+  State.Quarantine.targetDied(Target, State.Clock.now());
+  co_return nullptr;
+}
+
+bool gate_session::mayRetry(const gate_request &Wanted,
+                            const request_outcome &Outcome, bool NotRun) {
+  if (!NotRun && !Wanted.Route->Repeatable)
+    return false;
+  if (Outcome.Sends >= Wanted.Route->MaxAttempts ||
+      Wanted.Place.Deadline - State.Clock.now() < LeastAttempt)
+    return false;
+  return State.takeRetry(Wanted.Service);
+}
+
+namespace {
+
+target_result resultOf(call_end End, unsigned Status) {
+  constexpr unsigned FirstServerError = 500;
+  switch (End) {
+  case call_end::Answered:
+    return Status >= FirstServerError ? target_result::Failed
+                                      : target_result::Answered;
+  case call_end::NotRun:
+    return target_result::Shed;
+  case call_end::Misdirected:
+    return target_result::Misdirected;
+  case call_end::Broken:
+    return target_result::Failed;
+  case call_end::Silent:
+    return target_result::TimedOut;
+  case call_end::DeadlinePassed:
+  case call_end::CallerGone:
+    return target_result::Abandoned;
+  }
+  return target_result::Abandoned;
+}
+
+error_kind errorOfEnd(call_end End) {
+  switch (End) {
+  case call_end::NotRun:
+  case call_end::Misdirected:
+    return error_kind::TargetShed;
+  case call_end::Silent:
+  case call_end::DeadlinePassed:
+    return error_kind::TargetTimeout;
+  case call_end::CallerGone:
+    return error_kind::CallerGone;
+  default:
+    return error_kind::TargetFailed;
+  }
+}
+
+} // namespace
+
+/// Takes in the end of one attempt; true when another may be made.
+bool gate_session::take(gate_request &Wanted, target_handle Target,
+                        call_result Result, std::chrono::nanoseconds Took,
+                        request_outcome &Outcome) {
+  const bool NotRun =
+      Result.End == call_end::NotRun || Result.End == call_end::Misdirected;
+  const target_result Verdict =
+      resultOf(Result.End, Result.Answer.result_int());
+  State.finished({Target, Wanted.Place.Object, Wanted.Place.Kind, Verdict, Took,
+                  Result.Head.Report});
+  Outcome.MayHaveRun = Outcome.MayHaveRun || !NotRun;
+  Outcome.Error = {errorOfEnd(Result.End), std::move(Result.Detail), {}};
+  const bool Done = Result.End == call_end::Answered;
+  if (Done)
+    Outcome.Answer = std::move(Result.Answer);
+  if (Verdict == target_result::Answered ||
+      Result.End == call_end::CallerGone ||
+      Result.End == call_end::DeadlinePassed ||
+      !mayRetry(Wanted, Outcome, NotRun))
+    return false;
+  Wanted.Place.Tried.push_back(Target);
+  return true;
+}
+
+asio::awaitable<bool> gate_session::attempt(gate_request &Wanted,
+                                            target_handle Target,
+                                            request_outcome &Outcome) {
+  upstream_ptr Connection = co_await reach(Wanted, Target, Outcome);
+  if (Connection == nullptr) {
+    Wanted.Place.Tried.push_back(Target);
+    co_return Outcome.Unreachable < MaxUnreachable;
+  }
+  const whole_request Message = requestFor(Wanted, Target);
+  target_call Call;
+  Call.Request = &Message;
+  Call.Id = Wanted.Id;
+  Call.Deadline = Wanted.Place.Deadline;
+  Call.EndsWithCaller = Wanted.Route->Repeatable;
+  if (Wanted.Route->Repeatable && Outcome.Sends + 1 < Wanted.Route->MaxAttempts)
+    Call.HeadTimeout =
+        std::max(LeastSilence,
+                 duration_cast<milliseconds>(
+                     SilentTimes *
+                     State.Placer.expectedService(Wanted.Place.Kind, false)));
+  const attempt_id Attempt = ++State.NextId;
+  State.Quarantine.started(Attempt, Wanted.Fingerprint, Target);
+  ++Outcome.Sends;
+  Outcome.Target = State.Targets[Target.Index].Name;
+  const endpoint_address Address = State.Targets[Target.Index].Address;
+  const steady_time Sent = State.Clock.now();
+  call_result Result =
+      co_await callTarget(State.Dialect, Socket, *Connection, Call);
+  const steady_time Now = State.Clock.now();
+  if (Result.ConnectionReusable)
+    State.Pool.putBack(Address, std::move(Connection));
+  else
+    State.Pool.drop(Address, std::move(Connection),
+                    Result.End == call_end::Silent);
+  if (Result.End == call_end::Answered)
+    State.Quarantine.succeeded(Attempt, Now);
+  else if (Result.End == call_end::Broken)
+    State.Broken.push_back({Attempt, Now});
+  else
+    State.Quarantine.ended(Attempt);
+  co_return take(Wanted, Target, std::move(Result), Now - Sent, Outcome);
+}
+
+asio::awaitable<void> gate_session::runAttempts(gate_request &Wanted,
+                                                request_outcome &Outcome) {
+  for (bool Again = true; Again;) {
+    const steady_time Asked = State.Clock.now();
+    const auto Target = co_await State.place(Wanted.Place);
+    Outcome.Waited += duration_cast<microseconds>(State.Clock.now() - Asked);
+    if (failed(Target)) {
+      if (!Outcome.MayHaveRun)
+        Outcome.Error = errorOf(Target);
+      co_return;
+    }
+    if (hasClosed(Socket)) {
+      State.finished({valueOf(Target), 0, 0, target_result::Abandoned, {}, {}});
+      Outcome.Error = {error_kind::CallerGone, "closed while it waited", {}};
+      co_return;
+    }
+    Outcome.Answer.reset();
+    Again = co_await attempt(Wanted, valueOf(Target), Outcome);
+  }
+}
+
+asio::awaitable<request_outcome> gate_session::steer(gate_request &Wanted) {
+  request_outcome Outcome;
+  const steady_time Now = State.Clock.now();
+  const placement_decision Decision =
+      State.Quarantine.place(Wanted.Fingerprint, Now);
+  if (Decision.Placement == placement::Quarantined) {
+    Outcome.Error = {error_kind::Quarantined,
+                     "targets died while this request ran",
+                     Decision.RetryAfter};
+    co_return Outcome;
+  }
+  if (Wanted.Workspace != nullptr && Wanted.Workspace->Rate > 0) {
+    const status Passed = co_await State.Tokens.pass(Wanted.Workspace->Name,
+                                                     Wanted.Place.Deadline);
+    if (failed(Passed)) {
+      Outcome.Error = errorOf(Passed);
+      co_return Outcome;
+    }
+  }
+  State.countRequest(Wanted.Service);
+  co_await runAttempts(Wanted, Outcome);
+  co_return Outcome;
+}
+
+void gate_session::logEnd(const gate_request &Wanted,
+                          const request_outcome &Outcome) {
+  const steady_time Now = State.Clock.now();
+  const auto Took = duration_cast<microseconds>(Now - ArrivedAt);
+  const std::string Workspace =
+      Wanted.Workspace == nullptr ? std::string() : Wanted.Workspace->Name;
+  const auto ProofAge =
+      duration_cast<milliseconds>(State.Clock.boot() - State.ProvedAt);
+  logEvent(log_level::Info, "request",
+           {{"request_id", Wanted.Id},
+            {"route", Wanted.Route->Name},
+            {"workspace", Workspace},
+            {"service", Wanted.Service},
+            {"config", Wanted.Routes->table().Version},
+            {"config_age_ms", ProofAge.count()},
+            {"target", Outcome.Target},
+            {"sends", Outcome.Sends},
+            {"unreachable", Outcome.Unreachable},
+            {"wait_us", Outcome.Waited.count()},
+            {"outcome", Outcome.Answer ? std::string_view("answered")
+                                       : answerOf(Outcome.Error.Kind).Name},
+            {"status", Outcome.Answer ? Outcome.Answer->result_int() : 0U},
+            {"detail", Outcome.Answer ? std::string() : Outcome.Error.Detail},
+            {"us", Took.count()}});
+  request_end End;
+  if (!Outcome.Answer)
+    End.Error = Outcome.Error.Kind;
+  End.Status = Outcome.Answer ? Outcome.Answer->result_int() : 0;
+  End.Latency = Took;
+  End.WithinRate =
+      !Outcome.Answer && Outcome.Error.Kind != error_kind::RateLimited;
+  State.Metrics.count(State.Metrics.meterOf(Workspace, Wanted.Service,
+                                            Wanted.Route->LatencyTarget),
+                      End);
+}
+
+asio::awaitable<bool> gate_session::serve() {
+  const live_count Mark(State.InFlight);
+  result<gate_request> Admitted = State.admit(Request, ArrivedAt);
+  if (failed(Admitted)) {
+    const std::string Id(State.Dialect.read(Request.base()).Id);
+    const error &Error = errorOf(Admitted);
+    logEvent(log_level::Info, "request",
+             {{"request_id", Id},
+              {"outcome", answerOf(Error.Kind).Name},
+              {"detail", Error.Detail},
+              {"config",
+               State.Routes == nullptr ? 0U : State.Routes->table().Version}});
+    co_return co_await refuse(Error, Id);
+  }
+  gate_request &Wanted = valueOf(Admitted);
+  const std::size_t Held = Request.body().size();
+  if (State.HeldBytes + Held > State.Settings.MaxHeldBytes)
+    co_return co_await refuse(
+        {error_kind::QueueFull, "too many bodies are held", {}}, Wanted.Id);
+  State.HeldBytes += Held;
+  request_outcome Outcome = co_await steer(Wanted);
+  State.HeldBytes -= Held;
+  logEnd(Wanted, Outcome);
+  if (Outcome.Error.Kind == error_kind::CallerGone && !Outcome.Answer)
+    co_return false;
+  if (!Outcome.Answer)
+    co_return co_await refuse(Outcome.Error, Wanted.Id);
+  const bool HeadOnly = Request.method() == http::verb::head;
+  State.Dialect.pass(Outcome.Answer->base());
+  if (!HeadOnly)
+    Outcome.Answer->prepare_payload();
+  co_return co_await answer(std::move(*Outcome.Answer));
+}
+
+asio::awaitable<void> gate_session::run() {
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  while (co_await readRequest())
+    if (!co_await serve())
+      break;
+  Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+}
+
+} // namespace
+
+asio::awaitable<void> serveCaller(tcp::socket Socket, gate::state &State) {
+  const live_count Mark(State.Connections);
+  gate_session Session(std::move(Socket), State);
+  co_await Session.run();
+}
+
+} // namespace magnoliaspread
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -32,7 +32,7 @@
 }
 
 upstream_pool::peer_pool &upstream_pool::poolOf(const endpoint_address &Peer) {
-  return Pools[keyFor(Peer)];
+  return Pools.try_emplace(keyFor(Peer), Silence).first->second;
 }
 
 upstream_ptr upstream_pool::takeIdle(const endpoint_address &Peer,
--- a/packages/traffic/src/pool_p.h
+++ b/packages/traffic/src/pool_p.h
@@ -30,8 +30,9 @@
 
 class upstream_pool {
 public:
-  upstream_pool(asio::io_context &Context, const clock &Clock)
-      : Context(Context), Clock(Clock) {}
+  upstream_pool(asio::io_context &Context, const clock &Clock,
+                const silence_settings &Silence = {})
+      : Context(Context), Clock(Clock), Silence(Silence) {}
 
   /// An idle connection that may carry the next request, or null. A request
   /// that may not be repeated gets only one that has just proved itself.
@@ -56,7 +57,9 @@
 
 private:
   struct peer_pool {
-    connection_table Table{silence_settings{}};
+    explicit peer_pool(const silence_settings &Silence) : Table(Silence) {}
+
+    connection_table Table;
     std::map<connection_id, upstream_ptr> Idle;
 
     void close(connection_id Id);
@@ -66,6 +69,7 @@
 
   asio::io_context &Context;
   const clock &Clock;
+  silence_settings Silence;
   std::map<std::string, peer_pool> Pools;
   connection_id LastId = 0;
 };
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -3,6 +3,7 @@
 #include "answer_p.h"
 #include "heads_p.h"
 #include "relay_p.h"
+#include "timers_p.h"
 
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/lookup.h>
@@ -26,20 +27,6 @@
 constexpr milliseconds ReusedAnswerTimeout{2000};
 /// Longest body of an answer that is kept for repeats.
 constexpr std::size_t MaxKeptAnswerBytes = 4096;
-constexpr milliseconds LingerTime{1000};
-constexpr std::size_t MaxLingerBytes = 1u << 20;
-
-/// Adds one to a count for as long as it lives.
-class live_count {
-public:
-  explicit live_count(std::size_t &Count) : Count(Count) { ++Count; }
-  ~live_count() { --Count; }
-  live_count(const live_count &) = delete;
-  live_count &operator=(const live_count &) = delete;
-
-private:
-  std::size_t &Count;
-};
 
 class session {
 public:
@@ -75,7 +62,6 @@
   asio::awaitable<bool> refuse(const error &Error, std::string_view Id);
   asio::awaitable<bool> send(text_response Response);
   bool keepsOpen() const;
-  asio::awaitable<void> linger();
   bool mayRetry(const admitted_request &Request, const caller_side &Caller,
                 const relay_outcome &Outcome, unsigned Attempts);
   retry_budget &budgetOf(const admitted_request &Request);
@@ -95,21 +81,6 @@
   steady_time ArrivedAt;
 };
 
-/// Stops a connection's reads when its head does not come in time.
-class read_timer {
-public:
-  read_timer(tcp::socket &Socket, milliseconds Limit)
-      : Timer(Socket.get_executor(), Limit) {
-    Timer.async_wait([&Socket](error_code Stopped) {
-      if (!Stopped)
-        Socket.cancel(Stopped);
-    });
-  }
-
-private:
-  asio::steady_timer Timer;
-};
-
 asio::awaitable<bool> session::readHead() {
   Parser.emplace();
   Parser->header_limit(
@@ -141,7 +112,7 @@
                     Failure.message(),
                     {}};
   co_await send(errorResponse(Error, {}, false));
-  co_await linger();
+  co_await linger(Socket);
 }
 
 asio::awaitable<bool> session::send(text_response Response) {
@@ -150,22 +121,6 @@
   co_return Keep && !Failure;
 }
 
-/// Takes in what the caller still sends, so that the answer is not lost to a
-/// reset of the connection.
-asio::awaitable<void> session::linger() {
-  error_code Ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-  read_timer Timer(Socket, LingerTime);
-  std::vector<char> Sink(16384);
-  for (std::size_t Taken = 0; Taken < MaxLingerBytes;) {
-    auto [Failure, Count] =
-        co_await Socket.async_read_some(asio::buffer(Sink), Awaited);
-    if (Failure)
-      co_return;
-    Taken += Count;
-  }
-}
-
 /// Whether the connection can take another request after this one. A leaving
 /// instance closes each when it has answered.
 bool session::keepsOpen() const {
@@ -176,7 +131,7 @@
   const bool Keep = keepsOpen();
   const bool Sent = co_await send(errorResponse(Error, Id, Keep));
   if (!Keep)
-    co_await linger();
+    co_await linger(Socket);
   co_return Sent;
 }
 
@@ -404,7 +359,7 @@
     co_return std::nullopt;
   }
   if (!Keep)
-    co_await linger();
+    co_await linger(Socket);
   co_return std::nullopt;
 }
 
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -72,7 +72,7 @@
   }
   adoptTargets();
   adoptPeers();
-  Tokens.publish(*View);
+  Tokens.publish(View->TokenWaits);
 }
 
 namespace {
--- /dev/null
+++ b/packages/traffic/src/target_call.cpp
@@ -0,0 +1,155 @@
+#include "target_call_p.h"
+
+#include "watchdog_p.h"
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::uint32_t MaxAnswerHeaderBytes = 65536;
+constexpr std::uint64_t MaxAnswerBytes = 32u << 20;
+/// Answers to other requests that are skipped before the connection is given
+/// up: a target may repeat an answer, and rarely more than once.
+constexpr int MaxStrayAnswers = 3;
+/// How long a target that answers before it has read the request may take.
+constexpr milliseconds LastWordTimeout{1000};
+
+using answer_parser = http::response_parser<http::string_body>;
+
+class exchange {
+public:
+  exchange(const gate_dialect &Dialect, tcp::socket &Caller, upstream &Up,
+           const target_call &Call)
+      : Dialect(Dialect), Up(Up), Call(Call), Dog(Caller, Up.Socket) {}
+
+  asio::awaitable<call_result> run();
+
+private:
+  asio::awaitable<bool> send();
+  asio::awaitable<bool> readAnswer();
+  asio::awaitable<bool> readPart(answer_parser &Parser, bool HeadOnly);
+  void explain(const error_code &Failure);
+  void judge(answer_parser &Parser);
+
+  const gate_dialect &Dialect;
+  upstream &Up;
+  const target_call &Call;
+  watchdog Dog;
+  bool Sent = false;
+  call_result Result;
+};
+
+void exchange::explain(const error_code &Failure) {
+  Result.Detail = Failure.message();
+  if (Dog.callerGone())
+    Result.End = call_end::CallerGone;
+  else if (!Dog.expired())
+    Result.End = call_end::Broken;
+  else if (steady_clock::now() >= Call.Deadline)
+    Result.End = call_end::DeadlinePassed;
+  else
+    Result.End = call_end::Silent;
+}
+
+asio::awaitable<bool> exchange::send() {
+  Dog.expireAt(Call.Deadline);
+  const bool HasBody = !Call.Request->body().empty();
+  if (HasBody)
+    Dog.watchAnswer();
+  auto [Failure, Count] =
+      co_await http::async_write(Up.Socket, *Call.Request, Awaited);
+  if (HasBody)
+    Dog.stopWatchingAnswer();
+  Sent = !Failure;
+  if (!Failure || Dog.answerBegan())
+    co_return true;
+  explain(Failure);
+  co_return false;
+}
+
+asio::awaitable<bool> exchange::readPart(answer_parser &Parser, bool HeadOnly) {
+  error_code Failure;
+  if (HeadOnly)
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read_header(Up.Socket, Up.Buffer, Parser, Awaited);
+  else
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read(Up.Socket, Up.Buffer, Parser, Awaited);
+  if (Failure)
+    explain(Failure);
+  co_return !Failure;
+}
+
+void exchange::judge(answer_parser &Parser) {
+  Result.End = Result.Head.Misdirected ? call_end::Misdirected
+               : Result.Head.NotRun    ? call_end::NotRun
+                                       : call_end::Answered;
+  const bool Success = http::to_status_class(Parser.get().result()) ==
+                       http::status_class::successful;
+  if (Result.End == call_end::Answered && Success && !Result.Head.Signed) {
+    Result.End = call_end::Broken;
+    Result.Detail = "a success that no target vouches for";
+  }
+  Result.ConnectionReusable =
+      Sent && !Parser.get().need_eof() && Parser.get().keep_alive() &&
+      Up.Buffer.size() == 0 && Result.End != call_end::Broken &&
+      Result.End != call_end::Misdirected;
+  Result.Answer = Parser.release();
+}
+
+asio::awaitable<bool> exchange::readAnswer() {
+  steady_time HeadBy = Call.Deadline;
+  if (Call.HeadTimeout > milliseconds(0))
+    HeadBy = std::min(HeadBy, steady_clock::now() + Call.HeadTimeout);
+  if (!Sent)
+    HeadBy = std::min(HeadBy, steady_clock::now() + LastWordTimeout);
+  for (int Strays = 0; Strays <= MaxStrayAnswers;) {
+    answer_parser Parser;
+    Parser.header_limit(MaxAnswerHeaderBytes);
+    Parser.body_limit(MaxAnswerBytes);
+    if (Call.Request->method() == http::verb::head)
+      Parser.skip(true);
+    Dog.expireAt(HeadBy);
+    if (!co_await readPart(Parser, true))
+      co_return false;
+    Dog.expireAt(Call.Deadline);
+    if (http::to_status_class(Parser.get().result()) ==
+        http::status_class::informational)
+      continue;
+    Result.Head = Dialect.judge(Parser.get(), Call.Id);
+    if (!co_await readPart(Parser, false))
+      co_return false;
+    if (!Result.Head.OtherRequest) {
+      judge(Parser);
+      co_return true;
+    }
+    ++Strays;
+  }
+  Result.Detail = "answers to other requests only";
+  co_return false;
+}
+
+asio::awaitable<call_result> exchange::run() {
+  if (Call.EndsWithCaller)
+    Dog.watchCaller();
+  bool Going = co_await send();
+  if (Going)
+    Going = co_await readAnswer();
+  co_return std::move(Result);
+}
+
+} // namespace
+
+asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
+                                        tcp::socket &Caller, upstream &Up,
+                                        target_call Call) {
+  exchange Exchange(Dialect, Caller, Up, Call);
+  co_return co_await Exchange.run();
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/target_call_p.h
@@ -0,0 +1,58 @@
+/// One request on one connection to a target, with the whole answer.
+#ifndef MAGNOLIASPREAD_TARGET_CALL_P_H
+#define MAGNOLIASPREAD_TARGET_CALL_P_H
+
+#include "net_p.h"
+#include "pool_p.h"
+
+#include <magnoliaspread/gate_dialect.h>
+
+#include <chrono>
+#include <string>
+
+namespace magnoliaspread {
+
+using whole_request = http::request<http::string_body>;
+using whole_answer = http::response<http::string_body>;
+
+struct target_call {
+  const whole_request *Request = nullptr;
+  std::string_view Id;
+  steady_time Deadline;
+  /// Longest wait for the head of the answer; zero waits until the deadline.
+  std::chrono::milliseconds HeadTimeout{0};
+  /// Ends when the caller closes its connection.
+  bool EndsWithCaller = false;
+};
+
+enum class call_end : std::uint8_t {
+  /// The target gave its whole answer.
+  Answered,
+  /// The target said that it did not run the request.
+  NotRun,
+  Misdirected,
+  /// Broke off, or what came is no answer to the request.
+  Broken,
+  /// No answer in HeadTimeout.
+  Silent,
+  DeadlinePassed,
+  CallerGone,
+};
+
+struct call_result {
+  call_end End = call_end::Broken;
+  whole_answer Answer;
+  answer_head Head;
+  /// For people: what broke.
+  std::string Detail;
+  bool ConnectionReusable = false;
+};
+
+/// Sends the request and reads the answer. \p Caller is watched only.
+asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
+                                        tcp::socket &Caller, upstream &Up,
+                                        target_call Call);
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/src/tokens.cpp
+++ b/packages/traffic/src/tokens.cpp
@@ -62,10 +62,10 @@
   Line.Waiters.pop_front();
 }
 
-void token_gate::publish(const traffic_view &View) {
+void token_gate::publish(const std::vector<token_wait> &Waits) {
   for (auto &[Name, Line] : Lines)
     Line.ExpectedWait = milliseconds(0);
-  for (const token_wait &Row : View.TokenWaits)
+  for (const token_wait &Row : Waits)
     lineOf(Row.Workspace).ExpectedWait = Row.Wait;
 }
 
--- a/packages/traffic/src/tokens_p.h
+++ b/packages/traffic/src/tokens_p.h
@@ -31,7 +31,7 @@
   asio::awaitable<status> pass(std::string Workspace, steady_time Deadline);
 
   /// Takes the waits that the token bank expects into account.
-  void publish(const traffic_view &View);
+  void publish(const std::vector<token_wait> &Waits);
 
   /// Lets waiting requests try again.
   void tick();
