--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -111,6 +111,7 @@
   std::vector<std::string> directory() const;
   admin_answer directoryPage(std::string_view Target) const;
   admin_answer readyPage(std::string_view Target) const;
+  void tellObjects();
   void beginDrain();
   void watchDrain(steady_time Now);
 
@@ -323,6 +324,8 @@
     return Members.receive(From, *Member);
   if (const auto *Limits = std::get_if<quota_message>(&Message))
     return receive(Datagram.Sender, *Limits);
+  if (const auto *News = std::get_if<object_news>(&Message))
+    return Gate.receive(*News);
   if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
     Gate.receive(*Notice);
 }
@@ -411,6 +414,7 @@
   for (const quarantine_notice &Notice : Gate.notices())
     for (const member_row &Row : peers())
       Datagrams.send({Row.Identity.Internal}, Notice);
+  tellObjects();
   if (Now >= NextMeasure)
     measure(Now);
   if (Members.members().superseded())
@@ -424,6 +428,20 @@
   });
 }
 
+/// Objects belong to the callers of one region, so its instances share where
+/// they are warm.
+void gateway::tellObjects() {
+  const std::vector<object_news> News = Gate.takeNews();
+  if (News.empty())
+    return;
+  std::vector<endpoint_address> To;
+  for (const member_row &Row : peers())
+    if (Row.Identity.Region == Settings.Region)
+      To.push_back(Row.Identity.Internal);
+  for (const object_news &Message : News)
+    Datagrams.send(To, Message);
+}
+
 void gateway::beginDrain() {
   if (DrainingSince)
     return;
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -1,10 +1,13 @@
 /// Places requests on targets so that each object stays on few of them.
 ///
-/// A target that has handled an object of late answers several times faster,
-/// so requests follow a weighted rendezvous hash of their object and leave its
-/// first target only when another is expected to answer sooner, its cold start
-/// included. A target is held to its slots; what has to wait waits here, in
-/// order of urgency, and what can't be answered in time is refused at once.
+/// A target that has handled an object of late holds it: it answers several
+/// times faster. Requests go to a holder of their object; an object without
+/// one gets the first target of a weighted rendezvous hash, which every
+/// instance computes alike, and only one request at a time makes a target a
+/// holder. A further holder is made only on a target with slots to spare, as
+/// the work that it takes would otherwise make other objects wait. A target is
+/// held to its slots; what has to wait waits here, in order of urgency, and
+/// what can't be answered in time is refused at once.
 ///
 /// Does no I/O and reads no clock. Not thread-safe.
 #ifndef MAGNOLIASPREAD_PLACER_H
@@ -13,6 +16,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
+#include <magnoliaspread/objectmsg.h>
 
 #include <array>
 #include <bitset>
@@ -20,6 +24,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -35,12 +40,18 @@
 using home_regions = std::bitset<32>;
 
 struct placer_policy {
-  /// Share of an object's choice that a target gets by distance, for requests
-  /// with a small body. Enough to stay near, little enough that a region with
-  /// few targets sends a part of its objects elsewhere.
-  std::array<double, TargetDistances> NearWeights{12, 10, 1};
-  /// The same for large bodies, whose bytes are dear between data centres.
-  std::array<double, TargetDistances> LargeWeights{2000, 40, 1};
+  /// Part of a service's slots that its own region's requests are taken to
+  /// fill when each region sends the same; sets how many objects of a region
+  /// with few targets are kept elsewhere.
+  double RegionFill = 1.4;
+  double LeastLocal = 0.05;
+  double MostLocal = 0.96;
+  /// Weight of the own data centre against others of the region, for small and
+  /// for large bodies, whose bytes are dear between data centres.
+  double NearFactor = 1.3;
+  double LargeNearFactor = 60;
+  /// Weight of the own region against others for large bodies.
+  double LargeRegionFactor = 30;
   /// Bodies from here on count as large, in bytes.
   std::size_t LargeBody = 8192;
   /// Expected round trip by distance.
@@ -50,8 +61,14 @@
   /// Requests sent to a target beyond its slots, so that it doesn't idle
   /// while the next one travels.
   std::uint32_t Ahead = 1;
-  /// Another target has to be this much sooner than an object's first one.
+  /// A target that isn't a holder has to be this much sooner than the best
+  /// holder.
   std::chrono::milliseconds LeaveMargin{60};
+  /// Part of a target's slots that may be busy when it is made a further
+  /// holder.
+  double SparePart = 0.5;
+  /// A target that has not become a holder in this many expected times won't.
+  double WarmingPatience = 2.5;
   /// Part of the latency target that a cold and a warm request are taken to
   /// need until they are measured.
   double ColdGuess = 1.1;
@@ -189,6 +206,11 @@
   /// Requests on a target by the best estimate of this instance.
   double loadOf(target_handle Target, steady_time Now) const;
 
+  /// Takes in what a peer says of its objects.
+  void receive(const object_news &News, steady_time Now);
+  /// What has changed here since the last call, for the peers of the region.
+  std::vector<object_row> takeNews();
+
   /// Expected time that a request of this kind takes on a target.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
@@ -220,9 +242,20 @@
     double Cold = 0;
   };
 
-  struct warm_place {
+  /// A target that handles requests about an object fast, or will.
+  struct holder {
     target_handle Target;
     steady_time Used;
+    /// While the first request about it runs.
+    std::optional<steady_time> WarmingSince;
+  };
+
+  /// Slots of a service, to weigh its targets.
+  struct service_room {
+    double LocalSlots = 0;
+    double RemoteSlots = 0;
+    double DataCentreSlots = 0;
+    std::set<std::uint8_t> Regions;
   };
 
   struct waiting_request {
@@ -233,8 +266,6 @@
   struct candidate {
     target_handle Target;
     double Score = 0;
-    /// Seconds until the answer.
-    double Expected = 0;
   };
 
   struct choice {
@@ -248,22 +279,34 @@
   bool usable(const target_state &Target, const place_request &Request,
               steady_time Now) const;
   bool coldAllowed(const target_state &Target, steady_time Now) const;
+  double weight(const target_state &Target, bool Large) const;
   void listCandidates(const place_request &Request, steady_time Now);
+  double waitSeconds(const target_state &Target, double Service,
+                     steady_time Now) const;
   double expected(const target_state &Target, const place_request &Request,
-                  steady_time Now) const;
+                  double Service, steady_time Now) const;
+  std::optional<choice> bestHolder(const place_request &Request,
+                                   steady_time Now);
+  std::optional<choice> bestOther(const place_request &Request,
+                                  const choice *Holder, steady_time Now);
   bool isWarm(target_handle Target, std::uint64_t Object,
               steady_time Now) const;
+  holder *holderOf(std::uint64_t Object, target_handle Target);
   double serviceSeconds(const place_request &Request, bool Warm) const;
   std::optional<choice> choose(const place_request &Request, steady_time Now);
   placement_verdict decide(const place_request &Request, steady_time Now,
                            target_handle &Waits);
-  void start(target_handle Target, steady_time Now);
+  void start(const place_request &Request, target_handle Target,
+             steady_time Now);
   void noteAnswer(target_state &Target, const target_end &End, steady_time Now);
   void noteFailure(target_state &Target, target_result Result, steady_time Now);
   void noteReport(target_state &Target, const target_report &Report,
                   steady_time Now) const;
   void fadeMarks(target_state &Target, steady_time Now) const;
-  void remember(std::uint64_t Object, target_handle Target, steady_time Now);
+  void remember(std::uint64_t Object, target_handle Target, bool Warm,
+                steady_time Now);
+  void forgetWarming(std::uint64_t Object, target_handle Target);
+  void tell(std::uint64_t Object, target_handle Target, bool Warm);
   error refusal(double Seconds) const;
 
   placer_policy Policy;
@@ -271,7 +314,10 @@
   /// Handles by service.
   std::vector<std::vector<target_handle>> ByService;
   std::unordered_map<std::uint64_t, service_times> Times;
-  std::unordered_map<std::uint64_t, std::vector<warm_place>> Objects;
+  std::vector<service_room> Rooms;
+  std::unordered_map<std::uint64_t, target_handle> ById;
+  std::unordered_map<std::uint64_t, std::vector<holder>> Objects;
+  std::vector<object_row> News;
   std::vector<waiting_request> Waiting;
   std::vector<candidate> Candidates;
   std::size_t InFlight = 0;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace magnoliaspread {
 
@@ -47,6 +48,8 @@
   return (static_cast<double>(Bits >> 11U) + 1) * Scale;
 }
 
+constexpr std::size_t MaxNews = 4096;
+
 bool tried(const place_request &Request, target_handle Target) {
   return std::find(Request.Tried.begin(), Request.Tried.end(), Target) !=
          Request.Tried.end();
@@ -70,6 +73,8 @@
     State.Present = false;
   for (std::vector<target_handle> &Handles : ByService)
     Handles.clear();
+  Rooms.clear();
+  ById.clear();
   for (const placer_target &Row : Rows) {
     if (Row.Handle.Index >= Targets.size())
       Targets.resize(Row.Handle.Index + 1U);
@@ -87,6 +92,16 @@
     State.Info.ColdUntil = ColdUntil;
     State.Present = true;
     ByService[Row.Service.Index].push_back(Row.Handle);
+    ById[Row.Id] = Row.Handle;
+    Rooms.resize(ByService.size());
+    service_room &Room = Rooms[Row.Service.Index];
+    Room.Regions.insert(Row.Region);
+    if (!Row.Open)
+      continue;
+    (Row.Distance == target_distance::Remote ? Room.RemoteSlots
+                                             : Room.LocalSlots) += Row.Slots;
+    if (Row.Distance == target_distance::DataCentre)
+      Room.DataCentreSlots += Row.Slots;
   }
 }
 
@@ -116,15 +131,21 @@
   return coldAllowed(Target, Now) && !tried(Request, Target.Info.Handle);
 }
 
-bool placer::isWarm(target_handle Target, std::uint64_t Object,
-                    steady_time Now) const {
+placer::holder *placer::holderOf(std::uint64_t Object, target_handle Target) {
   const auto Found = Objects.find(Object);
   if (Found == Objects.end())
-    return false;
-  return std::any_of(
-      Found->second.begin(), Found->second.end(), [&](const warm_place &Place) {
-        return Place.Target == Target && Now - Place.Used < Policy.WarmTime;
-      });
+    return nullptr;
+  for (holder &Row : Found->second)
+    if (Row.Target == Target)
+      return &Row;
+  return nullptr;
+}
+
+bool placer::isWarm(target_handle Target, std::uint64_t Object,
+                    steady_time Now) const {
+  const holder *Row = const_cast<placer *>(this)->holderOf(Object, Target);
+  return Row != nullptr && !Row->WarmingSince &&
+         Now - Row->Used < Policy.WarmTime;
 }
 
 double placer::serviceSeconds(const place_request &Request, bool Warm) const {
@@ -146,37 +167,57 @@
       duration<double>(Warm ? Found->second.Warm : Found->second.Cold));
 }
 
-/// Seconds until the answer, when the request is sent or queued now.
-double placer::expected(const target_state &Target,
-                        const place_request &Request, steady_time Now) const {
-  const target_handle Handle = Target.Info.Handle;
-  const double Warm = serviceSeconds(Request, true);
-  const double Service =
-      Request.Object == 0 || isWarm(Handle, Request.Object, Now)
-          ? Warm
-          : serviceSeconds(Request, false);
+/// Seconds that a request would wait for a slot of the target.
+double placer::waitSeconds(const target_state &Target, double Service,
+                           steady_time Now) const {
   const double Slots = std::max(1U, Target.Info.Slots);
-  const double Ahead =
-      loadOf(Handle, Now) + static_cast<double>(Target.Queued) + 1 - Slots;
-  const double Wait = std::max(0.0, Ahead) / Slots * Warm;
-  const double Marks =
-      Target.Marks * fade(Now - Target.MarkedAt, Policy.MarkHalfLife);
-  const double Slow = 1 + (Target.Slowness - 1) *
-                              fade(Now - Target.MarkedAt, Policy.MarkHalfLife);
+  const double Ahead = loadOf(Target.Info.Handle, Now) +
+                       static_cast<double>(Target.Queued) + 1 - Slots;
+  return std::max(0.0, Ahead) / Slots * Service;
+}
+
+/// Seconds until the answer, when the request is sent or queued now and takes
+/// \p Service.
+double placer::expected(const target_state &Target,
+                        const place_request &Request, double Service,
+                        steady_time Now) const {
+  const double Wait = waitSeconds(Target, serviceSeconds(Request, true), Now);
+  const double Fade = fade(Now - Target.MarkedAt, Policy.MarkHalfLife);
+  const double Slow = 1 + (Target.Slowness - 1) * Fade;
   const auto Distance = static_cast<std::size_t>(Target.Info.Distance);
   return seconds(Policy.RoundTrip[Distance]) + (Wait + Service) * Slow +
-         Marks * MarkPenalty * seconds(Request.GoodUntil - Request.Arrived);
+         Target.Marks * Fade * MarkPenalty *
+             seconds(Request.GoodUntil - Request.Arrived);
 }
 
-/// The best targets by weighted rendezvous hash, and those that know the
-/// object already.
+/// Weight of a target in the choice for an object without a holder. Each
+/// region keeps as many of its objects as its own slots bear.
+double placer::weight(const target_state &Target, bool Large) const {
+  const service_room &Room = Rooms[Target.Info.Service.Index];
+  const double Slots = std::max(1U, Target.Info.Slots);
+  if (Target.Info.Distance == target_distance::Remote)
+    return Slots;
+  const double All = Room.LocalSlots + Room.RemoteSlots;
+  const double Regions =
+      static_cast<double>(std::max<std::size_t>(1, Room.Regions.size()));
+  const double Part =
+      std::clamp(Policy.RegionFill * Room.LocalSlots * Regions / All,
+                 Policy.LeastLocal, Policy.MostLocal);
+  double Weight = Part / (1 - Part) * std::max(1.0, Room.RemoteSlots) /
+                  std::max(1.0, Room.LocalSlots) * Slots;
+  if (Large)
+    Weight *= Policy.LargeRegionFactor;
+  if (Target.Info.Distance == target_distance::DataCentre)
+    Weight *= Large ? Policy.LargeNearFactor : Policy.NearFactor;
+  return Weight;
+}
+
+/// The best targets by weighted rendezvous hash.
 void placer::listCandidates(const place_request &Request, steady_time Now) {
   Candidates.clear();
   if (Request.Service.Index >= ByService.size())
     return;
-  const auto &Weights = Request.BodyBytes >= Policy.LargeBody
-                            ? Policy.LargeWeights
-                            : Policy.NearWeights;
+  const bool Large = Request.BodyBytes >= Policy.LargeBody;
   const std::uint64_t Key = Request.Object != 0
                                 ? Request.Object
                                 : rendezvousScore(++Draws, Request.Id);
@@ -187,51 +228,88 @@
     const target_state &State = Targets[Handle.Index];
     if (!usable(State, Request, Now))
       continue;
-    const double Weight =
-        Weights[static_cast<std::size_t>(State.Info.Distance)] *
-        std::max(1U, State.Info.Slots);
-    const double Score =
-        -std::log(unit(rendezvousScore(Key, State.Info.Id))) / Weight;
+    const double Score = -std::log(unit(rendezvousScore(Key, State.Info.Id))) /
+                         weight(State, Large);
     if (Candidates.size() == MaxCandidates && Score >= Candidates.back().Score)
       continue;
     if (Candidates.size() == MaxCandidates)
       Candidates.pop_back();
-    const candidate Row{Handle, Score, 0};
+    const candidate Row{Handle, Score};
     Candidates.insert(
         std::upper_bound(Candidates.begin(), Candidates.end(), Row, Better),
         Row);
   }
-  const auto Known = Objects.find(Request.Object);
-  if (Known == Objects.end())
-    return;
-  for (const warm_place &Place : Known->second) {
-    const target_state *State = find(Place.Target);
-    const bool Listed = std::any_of(
-        Candidates.begin(), Candidates.end(),
-        [&](const candidate &Row) { return Row.Target == Place.Target; });
-    if (!Listed && State != nullptr && State->Info.Service == Request.Service &&
-        usable(*State, Request, Now))
-      Candidates.push_back({Place.Target, 0, 0});
+}
+
+/// The holder that is expected to answer first.
+std::optional<placer::choice> placer::bestHolder(const place_request &Request,
+                                                 steady_time Now) {
+  const auto Found = Objects.find(Request.Object);
+  if (Request.Object == 0 || Found == Objects.end())
+    return std::nullopt;
+  const double Warm = serviceSeconds(Request, true);
+  const double Cold = serviceSeconds(Request, false);
+  std::erase_if(Found->second, [&](const holder &Row) {
+    const double Age = seconds(Now - Row.WarmingSince.value_or(Now));
+    return Now - Row.Used >= Policy.WarmTime ||
+           Age >= Cold * Policy.WarmingPatience;
+  });
+  std::optional<choice> Best;
+  for (const holder &Row : Found->second) {
+    const target_state *State = find(Row.Target);
+    if (State == nullptr || State->Info.Service != Request.Service ||
+        !usable(*State, Request, Now))
+      continue;
+    const double Left =
+        Row.WarmingSince
+            ? std::max(0.0, Cold - seconds(Now - *Row.WarmingSince))
+            : 0;
+    const double Expected = expected(*State, Request, Warm + Left, Now);
+    if (Best && Best->Expected <= Expected)
+      continue;
+    const bool HasRoom = loadOf(Row.Target, Now) <
+                         static_cast<double>(State->Info.Slots + Policy.Ahead);
+    Best = choice{Row.Target, Expected, HasRoom && !Row.WarmingSince};
   }
+  return Best;
 }
 
-std::optional<placer::choice> placer::choose(const place_request &Request,
-                                             steady_time Now) {
+/// The best target that is no holder; beside a holder only one with slots to
+/// spare that is expected to answer well before it.
+std::optional<placer::choice> placer::bestOther(const place_request &Request,
+                                                const choice *Holder,
+                                                steady_time Now) {
   listCandidates(Request, Now);
-  if (Candidates.empty())
-    return std::nullopt;
-  for (candidate &Row : Candidates)
-    Row.Expected = expected(Targets[Row.Target.Index], Request, Now);
-  const candidate *Best = &Candidates.front();
+  const double Service = serviceSeconds(Request, Request.Object == 0);
   const double Margin = seconds(Policy.LeaveMargin);
-  for (const candidate &Row : Candidates)
-    if (Row.Expected + (Best == &Candidates.front() ? Margin : 0) <
-        Best->Expected)
-      Best = &Row;
-  const target_state &State = Targets[Best->Target.Index];
-  const bool HasRoom = loadOf(Best->Target, Now) <
-                       static_cast<double>(State.Info.Slots + Policy.Ahead);
-  return choice{Best->Target, Best->Expected, HasRoom};
+  std::optional<choice> Best;
+  double Bar = Holder == nullptr ? 0 : Holder->Expected - Margin;
+  for (const candidate &Row : Candidates) {
+    const target_state &State = Targets[Row.Target.Index];
+    const double Load = loadOf(Row.Target, Now);
+    const double Slots = State.Info.Slots;
+    if (Holder != nullptr && (holderOf(Request.Object, Row.Target) != nullptr ||
+                              Load + 1 > Slots * Policy.SparePart))
+      continue;
+    const double Expected = expected(State, Request, Service, Now);
+    if ((Holder != nullptr || Best) && Expected >= Bar)
+      continue;
+    Best = choice{Row.Target, Expected, Load < Slots + Policy.Ahead};
+    Bar = Expected - Margin;
+  }
+  return Best;
+}
+
+std::optional<placer::choice> placer::choose(const place_request &Request,
+                                             steady_time Now) {
+  const std::optional<choice> Holder = bestHolder(Request, Now);
+  if (!Holder)
+    return bestOther(Request, nullptr, Now);
+  const double Good = seconds(Request.GoodUntil - Now);
+  if (Holder->Expected <= Good)
+    return Holder;
+  const std::optional<choice> Other = bestOther(Request, &*Holder, Now);
+  return Other ? Other : Holder;
 }
 
 error placer::refusal(double Seconds) const {
@@ -247,7 +325,7 @@
   if (!Choice || Choice->Expected > Left * DeadlinePart)
     return refusal(Choice ? Choice->Expected : seconds(MostRetryAfter) / 3);
   if (Choice->HasRoom) {
-    start(Choice->Target, Now);
+    start(Request, Choice->Target, Now);
     return place_send{Choice->Target};
   }
   const double Whole = seconds(Request.Deadline - Request.Arrived);
@@ -257,10 +335,13 @@
   return place_wait{};
 }
 
-void placer::start(target_handle Target, steady_time Now) {
+void placer::start(const place_request &Request, target_handle Target,
+                   steady_time Now) {
   target_state &State = Targets[Target.Index];
   ++State.InFlight;
   ++InFlight;
+  if (Request.Object != 0 && holderOf(Request.Object, Target) == nullptr)
+    remember(Request.Object, Target, false, Now);
   if (State.Info.ColdUntil <= Now)
     return;
   const double Gained =
@@ -321,17 +402,47 @@
   return true;
 }
 
-void placer::remember(std::uint64_t Object, target_handle Target,
+/// Notes that the target holds the object, or is being made to.
+void placer::remember(std::uint64_t Object, target_handle Target, bool Warm,
                       steady_time Now) {
   if (Object == 0)
     return;
-  if (Objects.size() >= Policy.MaxObjects && !Objects.contains(Object))
-    Objects.erase(Objects.begin());
-  std::vector<warm_place> &Places = Objects[Object];
-  std::erase_if(Places, [&](const warm_place &Place) {
-    return Place.Target == Target || Now - Place.Used >= Policy.WarmTime;
-  });
-  Places.push_back({Target, Now});
+  holder *Known = holderOf(Object, Target);
+  if (Known == nullptr || (Known->WarmingSince && Warm))
+    tell(Object, Target, Warm);
+  if (Known == nullptr) {
+    if (Objects.size() >= Policy.MaxObjects && !Objects.contains(Object))
+      Objects.erase(Objects.begin());
+    Objects[Object].push_back({Target, Now, std::nullopt});
+    Known = &Objects[Object].back();
+    if (!Warm)
+      Known->WarmingSince = Now;
+  }
+  Known->Used = Now;
+  if (Warm)
+    Known->WarmingSince.reset();
+}
+
+void placer::tell(std::uint64_t Object, target_handle Target, bool Warm) {
+  if (News.size() < MaxNews)
+    News.push_back({Object, Targets[Target.Index].Info.Id, Warm});
+}
+
+std::vector<object_row> placer::takeNews() { return std::exchange(News, {}); }
+
+void placer::receive(const object_news &Message, steady_time Now) {
+  for (const object_row &Row : Message.Rows) {
+    const auto Target = ById.find(Row.Target);
+    if (Target == ById.end() || Row.Object == 0)
+      continue;
+    holder *Known = holderOf(Row.Object, Target->second);
+    if (Known != nullptr && !Row.Warm)
+      continue;
+    // The other peers have heard it too.
+    const std::size_t Told = News.size();
+    remember(Row.Object, Target->second, Row.Warm, Now);
+    News.resize(Told);
+  }
 }
 
 void placer::fadeMarks(target_state &Target, steady_time Now) const {
@@ -360,14 +471,14 @@
   if (!Warm && Known.Warm > 0 && Known.Cold > 0)
     Warm = Took < (Known.Warm + Known.Cold) / 2;
   double &Mean = Warm ? Known.Warm : Known.Cold;
-  if (Mean > 0) {
+  const bool Waited = End.Report && End.Report->Waiting > 0;
+  if (Mean > 0 && !Waited) {
     const double Ratio = std::clamp(Took / Mean, LeastSlowness, MostSlowness);
     Target.Slowness += (Ratio - Target.Slowness) * SampleWeight;
   }
-  const bool Waited = End.Report && End.Report->Waiting > 0;
   if (!Waited && Target.Info.ColdUntil <= Now)
     Mean = Mean > 0 ? Mean + (Took - Mean) * SampleWeight : Took;
-  remember(End.Object, Target.Info.Handle, Now);
+  remember(End.Object, Target.Info.Handle, true, Now);
 }
 
 void placer::noteFailure(target_state &Target, target_result Result,
@@ -397,6 +508,15 @@
   Target.ReportedAt = Now;
 }
 
+/// The request that was to make the target a holder has failed.
+void placer::forgetWarming(std::uint64_t Object, target_handle Target) {
+  const auto Found = Objects.find(Object);
+  if (Found != Objects.end())
+    std::erase_if(Found->second, [&](const holder &Row) {
+      return Row.Target == Target && Row.WarmingSince;
+    });
+}
+
 void placer::finished(const target_end &End, steady_time Now) {
   target_state *State = find(End.Target);
   if (State == nullptr)
@@ -407,6 +527,8 @@
   }
   if (End.Report)
     noteReport(*State, *End.Report, Now);
+  if (End.Result != target_result::Answered)
+    forgetWarming(End.Object, End.Target);
   switch (End.Result) {
   case target_result::Answered:
     return noteAnswer(*State, End, Now);
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -84,6 +84,11 @@
   /// Notices for every peer, at most once a second.
   std::vector<quarantine_notice> notices();
 
+  /// Takes in where objects are warm by a peer of the region.
+  void receive(const object_news &News);
+  /// The same from here, for the peers of the region.
+  std::vector<object_news> takeNews();
+
   gate_counts counts() const;
 
   /// Shared with the connections; private to the package.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -364,6 +364,20 @@
   return State->Quarantine.notices(NoticesAtOnce, Now);
 }
 
+void gate::receive(const object_news &News) {
+  State->Placer.receive(News, State->Clock.now());
+}
+
+std::vector<object_news> gate::takeNews() {
+  std::vector<object_news> Messages;
+  for (const object_row &Row : State->Placer.takeNews()) {
+    if (Messages.empty() || Messages.back().Rows.size() >= MaxObjectRows)
+      Messages.emplace_back();
+    Messages.back().Rows.push_back(Row);
+  }
+  return Messages;
+}
+
 gate_counts gate::counts() const {
   return {State->InFlight, State->Placer.waiting(), State->Connections};
 }
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -22,8 +22,8 @@
 constexpr std::uint32_t MaxUnreachable = 3;
 /// A repeatable request that has no answer after this many of its expected
 /// times is sent to another target.
-constexpr int SilentTimes = 4;
-constexpr milliseconds LeastSilence{500};
+constexpr int SilentTimes = 3;
+constexpr milliseconds LeastSilence{900};
 /// A further attempt needs at least this much time.
 constexpr milliseconds LeastAttempt{50};
 
@@ -44,6 +44,8 @@
   bool MayHaveRun = false;
   std::uint32_t Sends = 0;
   std::uint32_t Unreachable = 0;
+  /// The allowance for another send has been taken already.
+  bool RetryTaken = false;
   std::string Target;
   microseconds Waited{0};
 };
@@ -281,7 +283,7 @@
   if (Verdict == target_result::Answered ||
       Result.End == call_end::CallerGone ||
       Result.End == call_end::DeadlinePassed ||
-      !mayRetry(Wanted, Outcome, NotRun))
+      (!Outcome.RetryTaken && !mayRetry(Wanted, Outcome, NotRun)))
     return false;
   Wanted.Place.Tried.push_back(Target);
   return true;
@@ -307,6 +309,11 @@
                  duration_cast<milliseconds>(
                      SilentTimes *
                      State.Placer.expectedService(Wanted.Place.Kind, false)));
+  bool Left = false;
+  Call.MayLeave = [&] {
+    Left = mayRetry(Wanted, Outcome, false);
+    return Left;
+  };
   const attempt_id Attempt = ++State.NextId;
   State.Quarantine.started(Attempt, Wanted.Fingerprint, Target);
   ++Outcome.Sends;
@@ -327,6 +334,7 @@
     State.Broken.push_back({Attempt, Now});
   else
     State.Quarantine.ended(Attempt);
+  Outcome.RetryTaken = Left && Result.End == call_end::Silent;
   co_return take(Wanted, Target, std::move(Result), Now - Sent, Outcome);
 }
 
@@ -388,6 +396,7 @@
             {"route", Wanted.Route->Name},
             {"workspace", Workspace},
             {"service", Wanted.Service},
+            {"object", State.Dialect.read(Request.base()).Object},
             {"config", Wanted.Routes->table().Version},
             {"config_age_ms", ProofAge.count()},
             {"target", Outcome.Target},
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -33,6 +33,7 @@
   asio::awaitable<bool> send();
   asio::awaitable<bool> readAnswer();
   asio::awaitable<bool> readPart(answer_parser &Parser, bool HeadOnly);
+  bool staysOn();
   void explain(const error_code &Failure);
   void judge(answer_parser &Parser);
 
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -8,6 +8,7 @@
 #include <magnoliaspread/gate_dialect.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace magnoliaspread {
@@ -19,8 +20,11 @@
   const whole_request *Request = nullptr;
   std::string_view Id;
   steady_time Deadline;
-  /// Longest wait for the head of the answer; zero waits until the deadline.
+  /// Wait for the head of the answer after which MayLeave is asked; zero waits
+  /// until the deadline.
   std::chrono::milliseconds HeadTimeout{0};
+  /// Whether a target that stays silent may be left for another one.
+  std::function<bool()> MayLeave;
   /// Ends when the caller closes its connection.
   bool EndsWithCaller = false;
 };
--- a/packages/traffic/src/watchdog.cpp
+++ b/packages/traffic/src/watchdog.cpp
@@ -40,6 +40,12 @@
     wait(Shared);
 }
 
+void watchdog::restart(steady_time Time) {
+  Shared->Expired = false;
+  Shared->Waiting = false;
+  expireAt(Time);
+}
+
 void watchdog::wait(const std::shared_ptr<state> &Shared) {
   Shared->Waiting = true;
   Shared->Timer.expires_at(Shared->Time);
--- a/packages/traffic/src/watchdog_p.h
+++ b/packages/traffic/src/watchdog_p.h
@@ -22,6 +22,9 @@
   /// Moves the time; cheap when it moves to later.
   void expireAt(steady_time Time);
 
+  /// Starts anew after it has expired.
+  void restart(steady_time Time);
+
   /// Fires callerGone() when the caller closes its connection.
   void watchCaller();
 
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3368,6 +3368,474 @@
 }
 
 
+ObjectRow::~ObjectRow() noexcept {
+}
+
+
+void ObjectRow::__set_object(const int64_t val) {
+  this->object = val;
+}
+
+void ObjectRow::__set_target(const int64_t val) {
+  this->target = val;
+}
+
+void ObjectRow::__set_warm(const bool val) {
+  this->warm = val;
+}
+std::ostream& operator<<(std::ostream& out, const ObjectRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ObjectRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->object);
+          this->__isset.object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->warm);
+          this->__isset.warm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ObjectRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ObjectRow");
+
+  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->object);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("warm", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->warm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ObjectRow &a, ObjectRow &b) {
+  using ::std::swap;
+  swap(a.object, b.object);
+  swap(a.target, b.target);
+  swap(a.warm, b.warm);
+  swap(a.__isset, b.__isset);
+}
+
+ObjectRow::ObjectRow(const ObjectRow& other92) noexcept {
+  object = other92.object;
+  target = other92.target;
+  warm = other92.warm;
+  __isset = other92.__isset;
+}
+ObjectRow& ObjectRow::operator=(const ObjectRow& other93) noexcept {
+  object = other93.object;
+  target = other93.target;
+  warm = other93.warm;
+  __isset = other93.__isset;
+  return *this;
+}
+void ObjectRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ObjectRow(";
+  out << "object=" << to_string(object);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "warm=" << to_string(warm);
+  out << ")";
+}
+
+
+ObjectNews::~ObjectNews() noexcept {
+}
+
+
+void ObjectNews::__set_rows(const std::vector<ObjectRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const ObjectNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ObjectNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->rows.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->rows[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ObjectNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ObjectNews");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<ObjectRow> ::const_iterator _iter99;
+    for (_iter99 = this->rows.begin(); _iter99 != this->rows.end(); ++_iter99)
+    {
+      xfer += (*_iter99).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ObjectNews &a, ObjectNews &b) {
+  using ::std::swap;
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+ObjectNews::ObjectNews(const ObjectNews& other100) {
+  rows = other100.rows;
+  __isset = other100.__isset;
+}
+ObjectNews& ObjectNews::operator=(const ObjectNews& other101) {
+  rows = other101.rows;
+  __isset = other101.__isset;
+  return *this;
+}
+void ObjectNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ObjectNews(";
+  out << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
+ProofAsk::~ProofAsk() noexcept {
+}
+
+
+void ProofAsk::__set_askedAtNs(const int64_t val) {
+  this->askedAtNs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProofAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProofAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAtNs);
+          this->__isset.askedAtNs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProofAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProofAsk");
+
+  xfer += oprot->writeFieldBegin("askedAtNs", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->askedAtNs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProofAsk &a, ProofAsk &b) {
+  using ::std::swap;
+  swap(a.askedAtNs, b.askedAtNs);
+  swap(a.__isset, b.__isset);
+}
+
+ProofAsk::ProofAsk(const ProofAsk& other102) noexcept {
+  askedAtNs = other102.askedAtNs;
+  __isset = other102.__isset;
+}
+ProofAsk& ProofAsk::operator=(const ProofAsk& other103) noexcept {
+  askedAtNs = other103.askedAtNs;
+  __isset = other103.__isset;
+  return *this;
+}
+void ProofAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProofAsk(";
+  out << "askedAtNs=" << to_string(askedAtNs);
+  out << ")";
+}
+
+
+ProofReply::~ProofReply() noexcept {
+}
+
+
+void ProofReply::__set_askedAtNs(const int64_t val) {
+  this->askedAtNs = val;
+}
+
+void ProofReply::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ProofReply::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProofReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProofReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->askedAtNs);
+          this->__isset.askedAtNs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProofReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProofReply");
+
+  xfer += oprot->writeFieldBegin("askedAtNs", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->askedAtNs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProofReply &a, ProofReply &b) {
+  using ::std::swap;
+  swap(a.askedAtNs, b.askedAtNs);
+  swap(a.version, b.version);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+ProofReply::ProofReply(const ProofReply& other104) noexcept {
+  askedAtNs = other104.askedAtNs;
+  version = other104.version;
+  ageMs = other104.ageMs;
+  __isset = other104.__isset;
+}
+ProofReply& ProofReply::operator=(const ProofReply& other105) noexcept {
+  askedAtNs = other105.askedAtNs;
+  version = other105.version;
+  ageMs = other105.ageMs;
+  __isset = other105.__isset;
+  return *this;
+}
+void ProofReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProofReply(";
+  out << "askedAtNs=" << to_string(askedAtNs);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -3426,6 +3894,21 @@
   this->creditGrant = val;
 __isset.creditGrant = true;
 }
+
+void Datagram::__set_objectNews(const ObjectNews& val) {
+  this->objectNews = val;
+__isset.objectNews = true;
+}
+
+void Datagram::__set_proofAsk(const ProofAsk& val) {
+  this->proofAsk = val;
+__isset.proofAsk = true;
+}
+
+void Datagram::__set_proofReply(const ProofReply& val) {
+  this->proofReply = val;
+__isset.proofReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -3542,6 +4025,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->objectNews.read(iprot);
+          this->__isset.objectNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proofAsk.read(iprot);
+          this->__isset.proofAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proofReply.read(iprot);
+          this->__isset.proofReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3614,6 +4121,21 @@
     xfer += this->creditGrant.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.objectNews) {
+    xfer += oprot->writeFieldBegin("objectNews", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->objectNews.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.proofAsk) {
+    xfer += oprot->writeFieldBegin("proofAsk", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->proofAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.proofReply) {
+    xfer += oprot->writeFieldBegin("proofReply", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->proofReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3632,36 +4154,45 @@
   swap(a.quarantine, b.quarantine);
   swap(a.creditAsk, b.creditAsk);
   swap(a.creditGrant, b.creditGrant);
+  swap(a.objectNews, b.objectNews);
+  swap(a.proofAsk, b.proofAsk);
+  swap(a.proofReply, b.proofReply);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other92) {
-  heartbeat = other92.heartbeat;
-  summary = other92.summary;
-  rows = other92.rows;
-  rowsRequest = other92.rowsRequest;
-  tokenAsk = other92.tokenAsk;
-  tokenGrant = other92.tokenGrant;
-  promiseRequest = other92.promiseRequest;
-  promiseReply = other92.promiseReply;
-  quarantine = other92.quarantine;
-  creditAsk = other92.creditAsk;
-  creditGrant = other92.creditGrant;
-  __isset = other92.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other93) {
-  heartbeat = other93.heartbeat;
-  summary = other93.summary;
-  rows = other93.rows;
-  rowsRequest = other93.rowsRequest;
-  tokenAsk = other93.tokenAsk;
-  tokenGrant = other93.tokenGrant;
-  promiseRequest = other93.promiseRequest;
-  promiseReply = other93.promiseReply;
-  quarantine = other93.quarantine;
-  creditAsk = other93.creditAsk;
-  creditGrant = other93.creditGrant;
-  __isset = other93.__isset;
+Datagram::Datagram(const Datagram& other106) {
+  heartbeat = other106.heartbeat;
+  summary = other106.summary;
+  rows = other106.rows;
+  rowsRequest = other106.rowsRequest;
+  tokenAsk = other106.tokenAsk;
+  tokenGrant = other106.tokenGrant;
+  promiseRequest = other106.promiseRequest;
+  promiseReply = other106.promiseReply;
+  quarantine = other106.quarantine;
+  creditAsk = other106.creditAsk;
+  creditGrant = other106.creditGrant;
+  objectNews = other106.objectNews;
+  proofAsk = other106.proofAsk;
+  proofReply = other106.proofReply;
+  __isset = other106.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other107) {
+  heartbeat = other107.heartbeat;
+  summary = other107.summary;
+  rows = other107.rows;
+  rowsRequest = other107.rowsRequest;
+  tokenAsk = other107.tokenAsk;
+  tokenGrant = other107.tokenGrant;
+  promiseRequest = other107.promiseRequest;
+  promiseReply = other107.promiseReply;
+  quarantine = other107.quarantine;
+  creditAsk = other107.creditAsk;
+  creditGrant = other107.creditGrant;
+  objectNews = other107.objectNews;
+  proofAsk = other107.proofAsk;
+  proofReply = other107.proofReply;
+  __isset = other107.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3678,6 +4209,9 @@
   out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
   out << ", " << "creditAsk="; (__isset.creditAsk ? (out << to_string(creditAsk)) : (out << "<null>"));
   out << ", " << "creditGrant="; (__isset.creditGrant ? (out << to_string(creditGrant)) : (out << "<null>"));
+  out << ", " << "objectNews="; (__isset.objectNews ? (out << to_string(objectNews)) : (out << "<null>"));
+  out << ", " << "proofAsk="; (__isset.proofAsk ? (out << to_string(proofAsk)) : (out << "<null>"));
+  out << ", " << "proofReply="; (__isset.proofReply ? (out << to_string(proofReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -65,6 +65,14 @@
 
 class CreditGrant;
 
+class ObjectRow;
+
+class ObjectNews;
+
+class ProofAsk;
+
+class ProofReply;
+
 class Datagram;
 
 typedef struct _Address__isset {
@@ -1408,8 +1416,207 @@
 
 std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
 
+typedef struct _ObjectRow__isset {
+  _ObjectRow__isset() : object(false), target(false), warm(false) {}
+  bool object :1;
+  bool target :1;
+  bool warm :1;
+} _ObjectRow__isset;
+
+class ObjectRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  ObjectRow(const ObjectRow&) noexcept;
+  ObjectRow& operator=(const ObjectRow&) noexcept;
+  ObjectRow() noexcept
+            : object(0),
+              target(0),
+              warm(0) {
+  }
+
+  virtual ~ObjectRow() noexcept;
+  int64_t object;
+  int64_t target;
+  bool warm;
+
+  _ObjectRow__isset __isset;
+
+  void __set_object(const int64_t val);
+
+  void __set_target(const int64_t val);
+
+  void __set_warm(const bool val);
+
+  bool operator == (const ObjectRow & rhs) const
+  {
+    if (!(object == rhs.object))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(warm == rhs.warm))
+      return false;
+    return true;
+  }
+  bool operator != (const ObjectRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ObjectRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ObjectRow &a, ObjectRow &b);
+
+std::ostream& operator<<(std::ostream& out, const ObjectRow& obj);
+
+typedef struct _ObjectNews__isset {
+  _ObjectNews__isset() : rows(false) {}
+  bool rows :1;
+} _ObjectNews__isset;
+
+class ObjectNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ObjectNews(const ObjectNews&);
+  ObjectNews& operator=(const ObjectNews&);
+  ObjectNews() noexcept {
+  }
+
+  virtual ~ObjectNews() noexcept;
+  std::vector<ObjectRow>  rows;
+
+  _ObjectNews__isset __isset;
+
+  void __set_rows(const std::vector<ObjectRow> & val);
+
+  bool operator == (const ObjectNews & rhs) const
+  {
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const ObjectNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ObjectNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ObjectNews &a, ObjectNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ObjectNews& obj);
+
+typedef struct _ProofAsk__isset {
+  _ProofAsk__isset() : askedAtNs(false) {}
+  bool askedAtNs :1;
+} _ProofAsk__isset;
+
+class ProofAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProofAsk(const ProofAsk&) noexcept;
+  ProofAsk& operator=(const ProofAsk&) noexcept;
+  ProofAsk() noexcept
+           : askedAtNs(0) {
+  }
+
+  virtual ~ProofAsk() noexcept;
+  int64_t askedAtNs;
+
+  _ProofAsk__isset __isset;
+
+  void __set_askedAtNs(const int64_t val);
+
+  bool operator == (const ProofAsk & rhs) const
+  {
+    if (!(askedAtNs == rhs.askedAtNs))
+      return false;
+    return true;
+  }
+  bool operator != (const ProofAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProofAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProofAsk &a, ProofAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const ProofAsk& obj);
+
+typedef struct _ProofReply__isset {
+  _ProofReply__isset() : askedAtNs(false), version(false), ageMs(false) {}
+  bool askedAtNs :1;
+  bool version :1;
+  bool ageMs :1;
+} _ProofReply__isset;
+
+class ProofReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProofReply(const ProofReply&) noexcept;
+  ProofReply& operator=(const ProofReply&) noexcept;
+  ProofReply() noexcept
+             : askedAtNs(0),
+               version(0),
+               ageMs(0) {
+  }
+
+  virtual ~ProofReply() noexcept;
+  int64_t askedAtNs;
+  int64_t version;
+  int64_t ageMs;
+
+  _ProofReply__isset __isset;
+
+  void __set_askedAtNs(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_ageMs(const int64_t val);
+
+  bool operator == (const ProofReply & rhs) const
+  {
+    if (!(askedAtNs == rhs.askedAtNs))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ProofReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProofReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProofReply &a, ProofReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ProofReply& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false), objectNews(false), proofAsk(false), proofReply(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -1421,6 +1628,9 @@
   bool quarantine :1;
   bool creditAsk :1;
   bool creditGrant :1;
+  bool objectNews :1;
+  bool proofAsk :1;
+  bool proofReply :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -1443,6 +1653,9 @@
   QuarantineNotice quarantine;
   CreditAsk creditAsk;
   CreditGrant creditGrant;
+  ObjectNews objectNews;
+  ProofAsk proofAsk;
+  ProofReply proofReply;
 
   _Datagram__isset __isset;
 
@@ -1468,6 +1681,12 @@
 
   void __set_creditGrant(const CreditGrant& val);
 
+  void __set_objectNews(const ObjectNews& val);
+
+  void __set_proofAsk(const ProofAsk& val);
+
+  void __set_proofReply(const ProofReply& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1514,6 +1733,18 @@
       return false;
     else if (__isset.creditGrant && !(creditGrant == rhs.creditGrant))
       return false;
+    if (__isset.objectNews != rhs.__isset.objectNews)
+      return false;
+    else if (__isset.objectNews && !(objectNews == rhs.objectNews))
+      return false;
+    if (__isset.proofAsk != rhs.__isset.proofAsk)
+      return false;
+    else if (__isset.proofAsk && !(proofAsk == rhs.proofAsk))
+      return false;
+    if (__isset.proofReply != rhs.__isset.proofReply)
+      return false;
+    else if (__isset.proofReply && !(proofReply == rhs.proofReply))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -150,6 +150,28 @@
   5: i32 lifetimeMs
 }
 
+/// A target that handles, or has handled, requests about an object.
+struct ObjectRow {
+  1: i64 object
+  2: i64 target
+  3: bool warm
+}
+
+struct ObjectNews {
+  1: list<ObjectRow> rows
+}
+
+/// Asks how current the receiver's configuration is.
+struct ProofAsk {
+  1: i64 askedAtNs
+}
+
+struct ProofReply {
+  1: i64 askedAtNs
+  2: i64 version
+  3: i64 ageMs
+}
+
 /// Exactly one field is set; it is the kind of the datagram.
 struct Datagram {
   1: optional Heartbeat heartbeat
@@ -163,4 +185,7 @@
   9: optional QuarantineNotice quarantine
   10: optional CreditAsk creditAsk
   11: optional CreditGrant creditGrant
+  12: optional ObjectNews objectNews
+  13: optional ProofAsk proofAsk
+  14: optional ProofReply proofReply
 }
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -9,6 +9,8 @@
 #include <magnoliaspread/creditmsg.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
+#include <magnoliaspread/objectmsg.h>
+#include <magnoliaspread/proofmsg.h>
 #include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
@@ -36,8 +38,9 @@
 using quota_message =
     std::variant<token_ask, token_grant, promise_request, promise_reply>;
 
-using control_message = std::variant<member_message, quota_message,
-                                     quarantine_notice, credit_message>;
+using control_message =
+    std::variant<member_message, quota_message, quarantine_notice,
+                 credit_message, object_news, proof_ask, proof_reply>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -59,6 +59,12 @@
     writeQuota(*Quota, Body);
   else if (const auto *Credit = std::get_if<credit_message>(&Message))
     writeCredit(*Credit, Body);
+  else if (const auto *News = std::get_if<object_news>(&Message))
+    writeNews(*News, Body);
+  else if (const auto *Ask = std::get_if<proof_ask>(&Message))
+    writeProof(*Ask, Body);
+  else if (const auto *Reply = std::get_if<proof_reply>(&Message))
+    writeProof(*Reply, Body);
   else
     writeQuarantine(std::get<quarantine_notice>(Message), Body);
 }
@@ -86,6 +92,12 @@
     return credit_message(readCreditAsk(Body.creditAsk));
   if (Body.__isset.creditGrant)
     return credit_message(readCreditGrant(Body.creditGrant));
+  if (Body.__isset.objectNews)
+    return readNews(Body.objectNews);
+  if (Body.__isset.proofAsk)
+    return readProofAsk(Body.proofAsk);
+  if (Body.__isset.proofReply)
+    return readProofReply(Body.proofReply);
   throw malformed_message("unknown kind");
 }
 
