--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -192,6 +192,10 @@
   /// Sends, queues or refuses. Errors, not run: NoCapacity, QueueFull.
   placement_verdict place(const place_request &Request, steady_time Now);
 
+  /// Sends if a target has room now; never queues.
+  std::optional<target_handle> placeNow(const place_request &Request,
+                                        steady_time Now);
+
   /// Requests whose wait has ended, most urgent first.
   std::vector<place_grant> poll(steady_time Now);
 
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -362,6 +362,14 @@
   return Verdict;
 }
 
+std::optional<target_handle> placer::placeNow(const place_request &Request,
+                                              steady_time Now) {
+  target_handle Ignored;
+  const placement_verdict Verdict = decide(Request, Now, Ignored);
+  const auto *Send = std::get_if<place_send>(&Verdict);
+  return Send == nullptr ? std::nullopt : std::optional(Send->Target);
+}
+
 std::vector<place_grant> placer::poll(steady_time Now) {
   std::vector<place_grant> Grants;
   if (Waiting.empty())
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -44,8 +44,8 @@
   bool MayHaveRun = false;
   std::uint32_t Sends = 0;
   std::uint32_t Unreachable = 0;
-  /// The allowance for another send has been taken already.
-  bool RetryTaken = false;
+  /// Has been given the request's next attempt already.
+  std::optional<target_handle> Next;
   std::string Target;
   microseconds Waited{0};
 };
@@ -76,6 +76,9 @@
                            target_handle Target) const;
   bool take(gate_request &Request, target_handle Target, call_result Result,
             std::chrono::nanoseconds Took, request_outcome &Outcome);
+  std::optional<target_handle> leaveSilent(const gate_request &Request,
+                                           target_handle Silent,
+                                           const request_outcome &Outcome);
   bool mayRetry(const gate_request &Request, const request_outcome &Outcome,
                 bool NotRun);
   asio::awaitable<bool> answer(whole_answer Answer);
@@ -215,6 +218,21 @@
   co_return nullptr;
 }
 
+/// Another target that takes the request at once, in place of one that stays
+/// silent. Without one the silent target is waited for.
+std::optional<target_handle>
+gate_session::leaveSilent(const gate_request &Wanted, target_handle Silent,
+                          const request_outcome &Outcome) {
+  place_request Again = Wanted.Place;
+  Again.Tried.push_back(Silent);
+  const std::optional<target_handle> Next =
+      State.Placer.placeNow(Again, State.Clock.now());
+  if (!Next || mayRetry(Wanted, Outcome, false))
+    return Next;
+  State.finished({*Next, 0, 0, target_result::Abandoned, {}, {}});
+  return std::nullopt;
+}
+
 bool gate_session::mayRetry(const gate_request &Wanted,
                             const request_outcome &Outcome, bool NotRun) {
   if (!NotRun && !Wanted.Route->Repeatable)
@@ -283,7 +301,7 @@
   if (Verdict == target_result::Answered ||
       Result.End == call_end::CallerGone ||
       Result.End == call_end::DeadlinePassed ||
-      (!Outcome.RetryTaken && !mayRetry(Wanted, Outcome, NotRun)))
+      (!Outcome.Next && !mayRetry(Wanted, Outcome, NotRun)))
     return false;
   Wanted.Place.Tried.push_back(Target);
   return true;
@@ -309,10 +327,9 @@
                  duration_cast<milliseconds>(
                      SilentTimes *
                      State.Placer.expectedService(Wanted.Place.Kind, false)));
-  bool Left = false;
   Call.MayLeave = [&] {
-    Left = mayRetry(Wanted, Outcome, false);
-    return Left;
+    Outcome.Next = leaveSilent(Wanted, Target, Outcome);
+    return Outcome.Next.has_value();
   };
   const attempt_id Attempt = ++State.NextId;
   State.Quarantine.started(Attempt, Wanted.Fingerprint, Target);
@@ -334,7 +351,6 @@
     State.Broken.push_back({Attempt, Now});
   else
     State.Quarantine.ended(Attempt);
-  Outcome.RetryTaken = Left && Result.End == call_end::Silent;
   co_return take(Wanted, Target, std::move(Result), Now - Sent, Outcome);
 }
 
@@ -342,7 +358,10 @@
                                                 request_outcome &Outcome) {
   for (bool Again = true; Again;) {
     const steady_time Asked = State.Clock.now();
-    const auto Target = co_await State.place(Wanted.Place);
+    result<target_handle> Target = Outcome.Next.value_or(target_handle());
+    if (!Outcome.Next)
+      Target = co_await State.place(Wanted.Place);
+    Outcome.Next.reset();
     Outcome.Waited += duration_cast<microseconds>(State.Clock.now() - Asked);
     if (failed(Target)) {
       if (!Outcome.MayHaveRun)
