--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -212,7 +212,8 @@
   if (!failed(Fresh))
     co_return std::move(valueOf(Fresh));
   ++Outcome.Unreachable;
-  Outcome.Error = errorOf(Fresh);
+  if (!Outcome.MayHaveRun)
+    Outcome.Error = errorOf(Fresh);
   State.finished({Target, 0, 0, target_result::Unreachable, {}, {}});
   State.Quarantine.targetDied(Target, State.Clock.now());
   co_return nullptr;
@@ -426,6 +427,9 @@
                                        : answerOf(Outcome.Error.Kind).Name},
             {"status", Outcome.Answer ? Outcome.Answer->result_int() : 0U},
             {"detail", Outcome.Answer ? std::string() : Outcome.Error.Detail},
+            {"allowed_ms", duration_cast<milliseconds>(Wanted.Place.Deadline -
+                                                       ArrivedAt)
+                               .count()},
             {"us", Took.count()}});
   request_end End;
   if (!Outcome.Answer)
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -32,7 +32,9 @@
 private:
   asio::awaitable<bool> send();
   asio::awaitable<bool> readAnswer();
-  asio::awaitable<bool> readPart(answer_parser &Parser, bool HeadOnly);
+  asio::awaitable<error_code> readHead(answer_parser &Parser);
+  asio::awaitable<error_code> readRest(answer_parser &Parser);
+  asio::awaitable<bool> awaitHead(answer_parser &Parser);
   bool staysOn();
   void explain(const error_code &Failure);
   void judge(answer_parser &Parser);
@@ -73,17 +75,42 @@
   co_return false;
 }
 
-asio::awaitable<bool> exchange::readPart(answer_parser &Parser, bool HeadOnly) {
-  error_code Failure;
-  if (HeadOnly)
-    std::tie(Failure, std::ignore) =
-        co_await http::async_read_header(Up.Socket, Up.Buffer, Parser, Awaited);
-  else
-    std::tie(Failure, std::ignore) =
-        co_await http::async_read(Up.Socket, Up.Buffer, Parser, Awaited);
-  if (Failure)
-    explain(Failure);
-  co_return !Failure;
+asio::awaitable<error_code> exchange::readHead(answer_parser &Parser) {
+  auto [Failure, Count] =
+      co_await http::async_read_header(Up.Socket, Up.Buffer, Parser, Awaited);
+  co_return Failure;
+}
+
+asio::awaitable<error_code> exchange::readRest(answer_parser &Parser) {
+  auto [Failure, Count] =
+      co_await http::async_read(Up.Socket, Up.Buffer, Parser, Awaited);
+  co_return Failure;
+}
+
+/// Reads the head, and goes on when a silent target is not left.
+asio::awaitable<bool> exchange::awaitHead(answer_parser &Parser) {
+  for (;;) {
+    const error_code Failure = co_await readHead(Parser);
+    if (!Failure)
+      co_return true;
+    const bool Again = staysOn();
+    if (!Again) {
+      explain(Failure);
+      co_return false;
+    }
+  }
+}
+
+/// Whether to go on waiting for a silent target.
+bool exchange::staysOn() {
+  if (Dog.callerGone() || !Dog.expired() || !Sent ||
+      steady_clock::now() >= Call.Deadline ||
+      (Call.MayLeave && Call.MayLeave()))
+    return false;
+  Dog.restart(Call.Deadline);
+  if (Call.EndsWithCaller)
+    Dog.watchCaller();
+  return true;
 }
 
 void exchange::judge(answer_parser &Parser) {
@@ -116,15 +143,19 @@
     if (Call.Request->method() == http::verb::head)
       Parser.skip(true);
     Dog.expireAt(HeadBy);
-    if (!co_await readPart(Parser, true))
+    const bool HeadCame = co_await awaitHead(Parser);
+    if (!HeadCame)
       co_return false;
     Dog.expireAt(Call.Deadline);
     if (http::to_status_class(Parser.get().result()) ==
         http::status_class::informational)
       continue;
     Result.Head = Dialect.judge(Parser.get(), Call.Id);
-    if (!co_await readPart(Parser, false))
+    const error_code Failure = co_await readRest(Parser);
+    if (Failure) {
+      explain(Failure);
       co_return false;
+    }
     if (!Result.Head.OtherRequest) {
       judge(Parser);
       co_return true;
