--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -39,7 +39,7 @@
         co_await http::async_read(Stream, Buffer, Request, Awaited);
     if (ReadFailure)
       co_return;
-    admin_answer Answer = Make(Request.target());
+    admin_answer Answer = Make(Request);
     http::response<http::string_body> Response(
         http::int_to_status(Answer.Status), 11);
     Response.set(http::field::content_type, Answer.ContentType);
@@ -56,8 +56,8 @@
 } // namespace
 
 admin_port::admin_port(asio::io_context &Context, std::vector<admin_page> Pages)
-    : admin_port(Context, [Pages = std::move(Pages)](std::string_view Target) {
-        return answerFrom(Pages, Target);
+    : admin_port(Context, [Pages = std::move(Pages)](const request &Request) {
+        return answerFrom(Pages, Request.target());
       }) {}
 
 admin_port::admin_port(asio::io_context &Context, page_handler Handler)
--- a/packages/daemon/src/admin_p.h
+++ b/packages/daemon/src/admin_p.h
@@ -8,6 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <string>
 #include <vector>
@@ -27,8 +29,8 @@
 
 class admin_port {
 public:
-  /// Answers a target, which is a path and a query.
-  using page_handler = std::function<admin_answer(std::string_view Target)>;
+  using request = boost::beast::http::request<boost::beast::http::string_body>;
+  using page_handler = std::function<admin_answer(const request &Request)>;
 
   admin_port(boost::asio::io_context &Context, std::vector<admin_page> Pages);
   admin_port(boost::asio::io_context &Context, page_handler Handler);
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -5,16 +5,20 @@
 #include "follower_p.h"
 #include "identity_p.h"
 #include "membersys_p.h"
+#include "peerfetch_p.h"
 
+#include <magnoliaspread/currency.h>
 #include <magnoliaspread/gate.h>
 #include <magnoliaspread/http_store.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
 #include <magnoliaspread/quota.h>
+#include <magnoliaspread/traffic.h>
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <random>
 #include <set>
 
 namespace magnoliaspread {
@@ -40,6 +44,8 @@
 constexpr milliseconds AcceptGrace{700};
 /// Between the close of the public port and the end, at least.
 constexpr milliseconds CloseGrace{300};
+/// Peers asked for their proof at a time.
+constexpr std::size_t ProofPeers = 3;
 /// Left of the platform's grace when requests in flight are given up.
 constexpr milliseconds GraceMargin{400};
 /// Instances that may send to a cold target, so that together they keep to
@@ -87,7 +93,8 @@
 class gateway {
 public:
   gateway(const instance_settings &Settings, const fleet_platform &Platform,
-          const clock &Clock, const fleet_key &Key, settings_reader Reload);
+          const clock &Clock, fleet_secret Secret, const fleet_key &Key,
+          settings_reader Reload);
 
   status run();
 
@@ -103,6 +110,7 @@
   std::size_t fleetSize() const;
   void receive(const endpoint_address &From, const received_datagram &Datagram);
   void receive(std::uint64_t Sender, const quota_message &Message);
+  void takeProof(std::uint64_t Sender, const proof_reply &Reply);
   void sendTo(const std::optional<member_row> &Row,
               const control_message &Message);
   std::vector<member_row> peers() const;
@@ -111,6 +119,9 @@
   std::vector<std::string> directory() const;
   admin_answer directoryPage(std::string_view Target) const;
   admin_answer readyPage(std::string_view Target) const;
+  admin_answer routesPage(const admin_port::request &Request) const;
+  void askPeers();
+  void fetchRoutes(const member_row &Peer);
   void tellObjects();
   void beginDrain();
   void watchDrain(steady_time Now);
@@ -118,6 +129,7 @@
   const instance_settings &Settings;
   const fleet_platform &Platform;
   const clock &Clock;
+  fleet_secret Secret;
   settings_reader Reload;
   gate_settings GateSettings;
   member_identity Identity;
@@ -134,11 +146,17 @@
   admin_port Admin;
   admin_port Directory;
   admin_port Ready;
+  /// Serves the configuration to peers.
+  admin_port Internal;
   asio::steady_timer Timer;
   asio::signal_set Signals;
   std::vector<std::string> DataCentres;
   route_index_ptr InForce;
-  boot_time ProvedAt;
+  /// The object that InForce was read from.
+  routes_object Source;
+  config_currency Currency{currency_settings{}};
+  bool Fetching = false;
+  std::mt19937_64 Random{randomNumber()};
   std::uint64_t TargetsSeen = 0;
   steady_time StartedAt;
   steady_time NextPeers;
@@ -156,9 +174,11 @@
 
 gateway::gateway(const instance_settings &Settings,
                  const fleet_platform &Platform, const clock &Clock,
-                 const fleet_key &Key, settings_reader Reload)
+                 fleet_secret FleetSecret, const fleet_key &Key,
+                 settings_reader Reload)
     : Settings(Settings), Platform(Platform), Clock(Clock),
-      Reload(std::move(Reload)), GateSettings(gateSettings(Settings)),
+      Secret(std::move(FleetSecret)), Reload(std::move(Reload)),
+      GateSettings(gateSettings(Settings)),
       Identity(identityOf(Settings, Clock)),
       Store(Context, storeSettings(Settings, Platform), Clock, randomNumber()),
       Datagrams(Context, Key, Identity.Incarnation,
@@ -179,11 +199,18 @@
                          return admin_answer{200, "text/plain; version=0.0.4",
                                              Metrics.exposition()};
                        }}}),
-      Directory(
-          Context,
-          [this](std::string_view Target) { return directoryPage(Target); }),
+      Directory(Context,
+                [this](const admin_port::request &Request) {
+                  return directoryPage(Request.target());
+                }),
       Ready(Context,
-            [this](std::string_view Target) { return readyPage(Target); }),
+            [this](const admin_port::request &Request) {
+              return readyPage(Request.target());
+            }),
+      Internal(Context,
+               [this](const admin_port::request &Request) {
+                 return routesPage(Request);
+               }),
       Timer(Context), Signals(Context, SIGTERM, SIGINT, SIGHUP),
       StartedAt(Clock.now()) {
   for (const auto &[DataCentre, Region] : Settings.Gateway->Regions)
@@ -199,12 +226,13 @@
              {{"revision", Object.Version}, {"detail", errorOf(Read).Detail}});
     return;
   }
-  ProvedAt = std::max(ProvedAt, AsOf);
-  Gate.setProved(AsOf);
   const std::uint64_t Version = valueOf(Read).Version;
+  Currency.proved(Version, AsOf);
+  Gate.setProved(Currency.provedAt());
   if (InForce != nullptr && Version <= InForce->table().Version)
     return;
   InForce = std::make_shared<route_index>(std::move(valueOf(Read)));
+  Source = Object;
   Gate.setRoutes(InForce);
   std::vector<limit_row> Limits;
   for (const routed_workspace &Row : InForce->table().Workspaces)
@@ -220,6 +248,47 @@
             {"keys", InForce->table().Keys.size()}});
 }
 
+/// Asks a few peers for their proof while the platform gives none.
+void gateway::askPeers() {
+  const std::optional<proof_ask> Ask = Currency.ask(Clock.boot());
+  if (!Ask)
+    return;
+  std::vector<member_row> Peers = peers();
+  std::shuffle(Peers.begin(), Peers.end(), Random);
+  Peers.resize(std::min(Peers.size(), ProofPeers));
+  for (const member_row &Row : Peers)
+    Datagrams.send({Row.Identity.Internal}, *Ask);
+}
+
+void gateway::fetchRoutes(const member_row &Peer) {
+  if (Fetching)
+    return;
+  Fetching = true;
+  fetchFromPeer(
+      Context, Clock, Secret, Peer.Identity.Internal,
+      [this, From = Peer.Identity.Name](const result<std::string> &Fetched) {
+        Fetching = false;
+        logEvent(log_level::Info, "routes_fetched",
+                 {{"peer", From},
+                  {"detail", failed(Fetched) ? errorOf(Fetched).Detail
+                                             : std::string("ok")}});
+        // The next question proves how current they are.
+        if (!failed(Fetched))
+          takeRoutes({NoObject, valueOf(Fetched)}, boot_time());
+      });
+}
+
+admin_answer gateway::routesPage(const admin_port::request &Request) const {
+  if (Request.target() != ConfigPath)
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const status Verified = verifyFetch(Request.base(), Secret, Clock.wall());
+  if (failed(Verified))
+    return {403, "application/json", "{\"error\":\"peer_rejected\"}"};
+  if (InForce == nullptr)
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  return {200, "application/json", Source.Json};
+}
+
 /// What this instance may send to the target while it is cold. A few
 /// instances of the target's region share its rate; the others send nothing.
 double gateway::coldRate(const target_record &Record) const {
@@ -326,10 +395,22 @@
     return receive(Datagram.Sender, *Limits);
   if (const auto *News = std::get_if<object_news>(&Message))
     return Gate.receive(*News);
+  if (const auto *Ask = std::get_if<proof_ask>(&Message))
+    return sendTo(Members.members().findIncarnation(Datagram.Sender),
+                  Currency.answer(*Ask, Clock.boot()));
+  if (const auto *Reply = std::get_if<proof_reply>(&Message))
+    return takeProof(Datagram.Sender, *Reply);
   if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
     Gate.receive(*Notice);
 }
 
+void gateway::takeProof(std::uint64_t Sender, const proof_reply &Reply) {
+  const auto Row = Members.members().findIncarnation(Sender);
+  if (Currency.take(Reply) && Row)
+    fetchRoutes(*Row);
+  Gate.setProved(Currency.provedAt());
+}
+
 void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
   const auto Row = Members.members().findIncarnation(Sender);
   if (const auto *Ask = std::get_if<token_ask>(&Message))
@@ -340,8 +421,9 @@
 }
 
 bool gateway::serving() const {
-  const bool Proved = GateSettings.KeyProof == milliseconds(0) ||
-                      Clock.boot() - ProvedAt < GateSettings.KeyProof;
+  const bool Proved =
+      GateSettings.KeyProof == milliseconds(0) ||
+      Clock.boot() - Currency.provedAt() < GateSettings.KeyProof;
   return InForce != nullptr && Registry.revision() > 0 && Proved;
 }
 
@@ -397,7 +479,8 @@
   Gauges.QueueLength = Counts.Waiting;
   Gauges.Connections = Counts.Connections;
   Gauges.ConfigVersion = InForce == nullptr ? 0 : InForce->table().Version;
-  Gauges.ConfigStaleness = duration_cast<milliseconds>(Clock.boot() - ProvedAt);
+  Gauges.ConfigStaleness =
+      duration_cast<milliseconds>(Clock.boot() - Currency.provedAt());
   Gauges.PlatformReachable = Store.reachable();
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
@@ -408,6 +491,7 @@
   const steady_time Now = Clock.now();
   Members.tick();
   Follower.tick();
+  askPeers();
   publishTargets(Now);
   runQuota(Now);
   Gate.tick();
@@ -421,6 +505,7 @@
     beginDrain();
   if (DrainingSince)
     watchDrain(Now);
+  flushLog();
   Timer.expires_after(Settings.ControlTick);
   Timer.async_wait([this](boost::system::error_code Stopped) {
     if (!Stopped)
@@ -474,6 +559,8 @@
 status gateway::open() {
   if (status Opened = Datagrams.open(Settings.Internal); failed(Opened))
     return Opened;
+  if (status Opened = Internal.open(Settings.Internal); failed(Opened))
+    return Opened;
   if (status Opened = Admin.open(Settings.Admin); failed(Opened))
     return Opened;
   if (status Opened = Directory.open(Settings.Gateway->Directory);
@@ -517,6 +604,7 @@
             {"public", textOf(Settings.Public)}});
   tick();
   Context.run();
+  flushLog();
   return {};
 }
 
@@ -529,10 +617,14 @@
     return error{error_kind::BadSettings,
                  "field gateway is missing, allowed: an object",
                  {}};
+  result<fleet_secret> Secret = parseFleetSecret(Settings.FleetSecret);
+  if (failed(Secret))
+    return errorOf(Secret);
   const result<fleet_key> Key = parseFleetKey(Settings.FleetSecret);
   if (failed(Key))
     return errorOf(Key);
-  gateway Gateway(Settings, Platform, Clock, valueOf(Key), Reload);
+  gateway Gateway(Settings, Platform, Clock, std::move(valueOf(Secret)),
+                  valueOf(Key), Reload);
   return Gateway.run();
 }
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -40,8 +40,11 @@
     return reportError(magnoliaspread::errorOf(Settings));
   if (CheckOnly)
     return ExitOk;
-  magnoliaspread::initLog(Argv[0]);
   const magnoliaspread::system_clock Clock;
+  if (magnoliaspread::valueOf(Settings).Gateway)
+    magnoliaspread::initOutputLog(Argv[0], Clock);
+  else
+    magnoliaspread::initLog(Argv[0]);
   const magnoliaspread::instance_settings &Instance =
       magnoliaspread::valueOf(Settings);
   const auto Reload = [&] {
--- a/packages/daemon/src/peerfetch.cpp
+++ b/packages/daemon/src/peerfetch.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 
 namespace magnoliaspread {
 
@@ -22,21 +23,29 @@
 
 namespace {
 
+constexpr const char *SentField = "X-Fleet-Sent-Ms";
+constexpr const char *SignatureField = "X-Fleet-Signature";
 constexpr auto Awaited = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t MaxTableBytes = 4u << 20;
 
-http::request<http::empty_body> fetchRequest(const clock &Clock,
-                                             const fleet_secret &Secret) {
+/// What is signed of a fetch.
+forwarded_head fetchHead(milliseconds SentAt) {
   forwarded_head Head;
   Head.Method = "GET";
   Head.Target = ConfigPath;
-  Head.SentAtMs =
-      duration_cast<milliseconds>(Clock.wall().time_since_epoch()).count();
+  Head.SentAtMs = SentAt.count();
+  return Head;
+}
+
+http::request<http::empty_body> fetchRequest(const clock &Clock,
+                                             const fleet_secret &Secret) {
+  const forwarded_head Head =
+      fetchHead(duration_cast<milliseconds>(Clock.wall().time_since_epoch()));
   http::request<http::empty_body> Request(http::verb::get, ConfigPath, 11);
   Request.set(http::field::host, "peer");
   Request.set("X-Deadline-Ms", "0");
-  Request.set("X-Fleet-Sent-Ms", std::to_string(Head.SentAtMs));
-  Request.set("X-Fleet-Signature", signForwarded(Secret, Head));
+  Request.set(SentField, std::to_string(Head.SentAtMs));
+  Request.set(SignatureField, signForwarded(Secret, Head));
   Request.keep_alive(false);
   return Request;
 }
@@ -76,6 +85,15 @@
 
 } // namespace
 
+status verifyFetch(const http::request_header<> &Head,
+                   const fleet_secret &Secret, wall_time Now) {
+  const std::string_view Text = Head[SentField];
+  std::int64_t SentAt = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), SentAt);
+  return verifyForwarded(Secret, fetchHead(milliseconds(SentAt)),
+                         Head[SignatureField], Now);
+}
+
 void fetchFromPeer(asio::io_context &Context, const clock &Clock,
                    const fleet_secret &Secret, const endpoint_address &Peer,
                    std::function<void(result<std::string>)> Done) {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -151,7 +151,38 @@
   co_return std::get<error>(Verdict);
 }
 
+namespace {
+
+std::string_view nameOf(target_result Result) {
+  switch (Result) {
+  case target_result::Answered:
+    return "answered";
+  case target_result::Shed:
+    return "shed";
+  case target_result::Misdirected:
+    return "misdirected";
+  case target_result::Unreachable:
+    return "unreachable";
+  case target_result::Failed:
+    return "failed";
+  case target_result::TimedOut:
+    return "silent";
+  case target_result::Abandoned:
+    return "abandoned";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 void gate::state::finished(const target_end &End) {
+  if (End.Result != target_result::Answered &&
+      End.Result != target_result::Abandoned)
+    logEvent(log_level::Info, "target_failed",
+             {{"target", Targets[End.Target.Index].Name},
+              {"result", nameOf(End.Result)},
+              {"load", Placer.loadOf(End.Target, Clock.now())},
+              {"reported_waiting", End.Report ? End.Report->Waiting : 0U}});
   Placer.finished(End, Clock.now());
   if (Placer.waiting() > 0)
     wakePlaced();
@@ -203,6 +234,13 @@
   return Route.HomeRegions.empty() ? Other : Homes & Other;
 }
 
+void gate::state::targetDied(target_handle Target) {
+  for (const request_fingerprint Print :
+       Quarantine.targetDied(Target, Clock.now()))
+    logEvent(log_level::Warning, "request_quarantined",
+             {{"fingerprint", Print}, {"target", Targets[Target.Index].Name}});
+}
+
 bool gate::state::keysProved() const {
   return Settings.KeyProof == milliseconds(0) ||
          Clock.boot() - ProvedAt < Settings.KeyProof;
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -55,6 +55,8 @@
   asio::awaitable<result<target_handle>> place(const place_request &Request);
   void wakePlaced();
   void finished(const target_end &End);
+  /// No connection to a target: it may have died of what it ran.
+  void targetDied(target_handle Target);
   bool takeRetry(const std::string &Service);
   void countRequest(const std::string &Service);
   std::string pickService(const route_row &Route);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -215,7 +215,7 @@
   if (!Outcome.MayHaveRun)
     Outcome.Error = errorOf(Fresh);
   State.finished({Target, 0, 0, target_result::Unreachable, {}, {}});
-  State.Quarantine.targetDied(Target, State.Clock.now());
+  State.targetDied(Target);
   co_return nullptr;
 }
 
@@ -411,26 +411,26 @@
       Wanted.Workspace == nullptr ? std::string() : Wanted.Workspace->Name;
   const auto ProofAge =
       duration_cast<milliseconds>(State.Clock.boot() - State.ProvedAt);
-  logEvent(log_level::Info, "request",
-           {{"request_id", Wanted.Id},
-            {"route", Wanted.Route->Name},
-            {"workspace", Workspace},
-            {"service", Wanted.Service},
-            {"object", State.Dialect.read(Request.base()).Object},
-            {"config", Wanted.Routes->table().Version},
-            {"config_age_ms", ProofAge.count()},
-            {"target", Outcome.Target},
-            {"sends", Outcome.Sends},
-            {"unreachable", Outcome.Unreachable},
-            {"wait_us", Outcome.Waited.count()},
-            {"outcome", Outcome.Answer ? std::string_view("answered")
-                                       : answerOf(Outcome.Error.Kind).Name},
-            {"status", Outcome.Answer ? Outcome.Answer->result_int() : 0U},
-            {"detail", Outcome.Answer ? std::string() : Outcome.Error.Detail},
-            {"allowed_ms", duration_cast<milliseconds>(Wanted.Place.Deadline -
-                                                       ArrivedAt)
-                               .count()},
-            {"us", Took.count()}});
+  logEvent(
+      log_level::Info, "request",
+      {{"request_id", Wanted.Id},
+       {"route", Wanted.Route->Name},
+       {"workspace", Workspace},
+       {"service", Wanted.Service},
+       {"object", State.Dialect.read(Request.base()).Object},
+       {"config", Wanted.Routes->table().Version},
+       {"config_age_ms", ProofAge.count()},
+       {"target", Outcome.Target},
+       {"sends", Outcome.Sends},
+       {"unreachable", Outcome.Unreachable},
+       {"wait_us", Outcome.Waited.count()},
+       {"outcome", Outcome.Answer ? std::string_view("answered")
+                                  : answerOf(Outcome.Error.Kind).Name},
+       {"status", Outcome.Answer ? Outcome.Answer->result_int() : 0U},
+       {"detail", Outcome.Answer ? std::string() : Outcome.Error.Detail},
+       {"allowed_ms",
+        duration_cast<milliseconds>(Wanted.Place.Deadline - ArrivedAt).count()},
+       {"us", Took.count()}});
   request_end End;
   if (!Outcome.Answer)
     End.Error = Outcome.Error.Kind;
