--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -108,6 +108,7 @@
 
 void initOutputLog(const char *Program, const clock &Clock) {
   google::InitGoogleLogging(Program);
+  google::InstallFailureSignalHandler();
   Output = std::make_unique<output_sink>(Clock);
 }
 
--- /dev/null
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -0,0 +1,110 @@
+/// How current an instance's knowledge of the platform is, and how instances
+/// share it so that few of them have to read.
+///
+/// In each region the live instance that comes first by the hash of its name
+/// reads the platform; the others ask it, and read for themselves when they
+/// learn nothing in time. Nobody is elected: whoever is cut off from the
+/// reader, or asks one that is cut off from the platform, finds its knowledge
+/// too old and reads. A reply proves what was current at a time of the asker's
+/// own clock, however long it was on its way. Pure: time is passed in.
+#ifndef MAGNOLIASPREAD_PLATFORMVIEW_H
+#define MAGNOLIASPREAD_PLATFORMVIEW_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/viewmsg.h>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+struct view_settings {
+  /// Pause between two questions to the region's reader. With the reader's own
+  /// pause this stays under half of the time in which a drain has to be known
+  /// (RULES, DRAIN: 2.5 s).
+  std::chrono::milliseconds AskPeriod{500};
+  /// Targets known only as of longer ago are read.
+  std::chrono::milliseconds TargetsLimit{1600};
+  /// The configuration is read when its proof is older. A few reads fit into
+  /// the time for which keys are served without proof (RULES, CONFIG: 5 s).
+  std::chrono::milliseconds RoutesLimit{2600};
+  /// Any peer is asked for a proof when it is older than this.
+  std::chrono::milliseconds AnyPeerAfter{3000};
+};
+
+/// Whom to ask.
+enum class view_source : std::uint8_t { None, Reader, AnyPeer };
+
+class platform_view {
+public:
+  platform_view(const view_settings &Settings, std::string Instance)
+      : Settings(Settings), Instance(std::move(Instance)) {}
+
+  /// Live instances of the region, this one left out.
+  void setMates(const std::vector<std::string> &Names);
+
+  /// Reads the platform for the region.
+  bool isReader() const { return Reader.empty(); }
+  const std::string &reader() const { return Reader; }
+
+  /// \p Version is in force, and was the newest at \p AsOf.
+  void routesProved(std::uint64_t Version, boot_time AsOf);
+  /// The targets are known as of \p Revision, which was current at \p AsOf.
+  void targetsRead(std::uint64_t Revision, boot_time AsOf);
+  /// A change that led to \p Revision, for peers that ask later.
+  void targetChanged(std::uint64_t Revision, target_change Change);
+  /// Changes up to \p Revision aren't known one by one.
+  void forgetChanges(std::uint64_t Revision);
+  void setEvacuated(std::set<std::string> DataCentres);
+
+  bool targetsDue(boot_time Now) const;
+  bool routesDue(boot_time Now) const;
+  view_source askDue(boot_time Now);
+
+  view_ask ask(boot_time Now) const { return {Now, Revision}; }
+  view_reply answer(const view_ask &Ask, boot_time Now) const;
+
+  struct taken {
+    /// The peer has a newer configuration, which has to be fetched from it.
+    bool FetchRoutes = false;
+    /// The peer knows more of the targets than it could send.
+    bool ReadTargets = false;
+    /// To be applied to the registry.
+    std::vector<target_change> Changes;
+    /// Set when the reply is as new as what is known here.
+    std::optional<std::set<std::string>> Evacuated;
+  };
+  taken take(const view_reply &Reply);
+
+  std::uint64_t version() const { return Version; }
+  boot_time routesProvedAt() const { return RoutesAsOf; }
+  std::uint64_t revision() const { return Revision; }
+
+private:
+  struct logged_change {
+    std::uint64_t Revision = 0;
+    target_change Change;
+  };
+
+  view_settings Settings;
+  std::string Instance;
+  std::string Reader;
+  std::uint64_t Version = 0;
+  boot_time RoutesAsOf;
+  std::uint64_t Revision = 0;
+  boot_time TargetsAsOf;
+  std::deque<logged_change> Log;
+  /// Every change after this revision is in Log.
+  std::uint64_t LogSince = 0;
+  std::set<std::string> Evacuated;
+  boot_time NextAsk;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/coordination/include/magnoliaspread/purse.h
+++ b/packages/coordination/include/magnoliaspread/purse.h
@@ -5,6 +5,7 @@
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/quotamsg.h>
+#include <magnoliaspread/tokensource.h>
 
 #include <cstdint>
 #include <mutex>
@@ -32,17 +33,11 @@
   milli_tokens Waiting = 0;
 };
 
-class purse {
+class purse final : public token_source {
 public:
-  /// First attempt to spend \p Tokens of \p Limit, all or none. Counts as
-  /// demand.
-  bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now);
-
-  /// Another attempt of a caller that waits; not counted as demand again.
-  bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now);
-
-  /// Adds to what waiting callers need, or with a negative number takes away.
-  void addWaiting(limit_id Limit, milli_tokens Tokens);
+  bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
+  bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
+  void addWaiting(limit_id Limit, milli_tokens Tokens) override;
 
   /// Keeps the traffic threads out while the token bank moves tokens, so that
   /// none is refused between collect() and offer().
--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -7,7 +7,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/namemap.h>
-#include <magnoliaspread/settings.h>
+#include <magnoliaspread/targetrecord.h>
 
 #include <chrono>
 #include <cstdint>
@@ -18,25 +18,6 @@
 
 namespace magnoliaspread {
 
-/// What a target says of itself.
-struct target_record {
-  std::string Name;
-  endpoint_address Address;
-  std::string Service;
-  std::string DataCentre;
-  std::uint32_t Slots = 1;
-  /// Finishes what it has and takes no new work.
-  bool Draining = false;
-  /// How long it stayed cold when it said so.
-  std::chrono::milliseconds ColdLeft{0};
-  /// Rises with each report of one start.
-  std::uint64_t Sequence = 0;
-  /// Tells apart two starts under one name; rises.
-  std::int64_t StartedAtMs = 0;
-
-  bool operator==(const target_record &) const = default;
-};
-
 struct registry_settings {
   /// Entries that lapsed while the platform was away are back this soon after
   /// its return: two seconds (LETTER) and the time of one poll.
--- /dev/null
+++ b/packages/coordination/include/magnoliaspread/targetrecord.h
@@ -0,0 +1,33 @@
+/// What a target says of itself in the platform.
+#ifndef MAGNOLIASPREAD_TARGETRECORD_H
+#define MAGNOLIASPREAD_TARGETRECORD_H
+
+#include <magnoliaspread/settings.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace magnoliaspread {
+
+struct target_record {
+  std::string Name;
+  endpoint_address Address;
+  std::string Service;
+  std::string DataCentre;
+  std::uint32_t Slots = 1;
+  /// Finishes what it has and takes no new work.
+  bool Draining = false;
+  /// How long it stayed cold when it said so.
+  std::chrono::milliseconds ColdLeft{0};
+  /// Rises with each report of one start.
+  std::uint64_t Sequence = 0;
+  /// Tells apart two starts under one name; rises.
+  std::int64_t StartedAtMs = 0;
+
+  bool operator==(const target_record &) const = default;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -0,0 +1,57 @@
+/// Messages by which one instance takes over what another has read from the
+/// platform, and how current it is.
+#ifndef MAGNOLIASPREAD_VIEWMSG_H
+#define MAGNOLIASPREAD_VIEWMSG_H
+
+#include <magnoliaspread/clock.h>
+#include <magnoliaspread/targetrecord.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace magnoliaspread {
+
+/// Rows of one reply; fits a datagram.
+inline constexpr std::size_t MaxViewRows = 5;
+
+struct view_ask {
+  /// The asker's own time, which the reply repeats.
+  boot_time AskedAt;
+  /// The asker knows the targets as of this revision.
+  std::uint64_t Revision = 0;
+
+  bool operator==(const view_ask &) const = default;
+};
+
+struct target_change {
+  target_record Record;
+  bool Removed = false;
+
+  bool operator==(const target_change &) const = default;
+};
+
+struct view_reply {
+  boot_time AskedAt;
+  /// Of the configuration that the sender has in force; 0 is none.
+  std::uint64_t Version = 0;
+  /// How long ago, when the reply was sent, Version was the newest. The reply
+  /// was sent after AskedAt, so Version was the newest at AskedAt - Age.
+  std::chrono::milliseconds Age{0};
+  /// The same for the targets and the evacuated data centres at Revision.
+  std::uint64_t Revision = 0;
+  std::chrono::milliseconds TargetsAge{0};
+  /// What has changed since the revision in the question, unless Partial.
+  std::vector<target_change> Changes;
+  /// The changes are too many, or too old to be known here.
+  bool Partial = false;
+  std::vector<std::string> Evacuated;
+
+  bool operator==(const view_reply &) const = default;
+};
+
+} // namespace magnoliaspread
+
+#endif
--- /dev/null
+++ b/packages/coordination/src/platformview.cpp
@@ -0,0 +1,129 @@
+#include <magnoliaspread/platformview.h>
+
+#include <magnoliaspread/hash.h>
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t MaxLoggedChanges = 512;
+
+/// Rounded up, so that knowledge isn't taken for newer than it is.
+milliseconds ageOf(boot_time AsOf, boot_time Now) {
+  return duration_cast<milliseconds>(Now - AsOf) + milliseconds(1);
+}
+
+} // namespace
+
+void platform_view::setMates(const std::vector<std::string> &Names) {
+  Reader.clear();
+  std::uint64_t Least = stableId(Instance);
+  for (const std::string &Name : Names) {
+    if (stableId(Name) >= Least)
+      continue;
+    Least = stableId(Name);
+    Reader = Name;
+  }
+}
+
+void platform_view::routesProved(std::uint64_t Newest, boot_time AsOf) {
+  if (Newest < Version)
+    return;
+  Version = Newest;
+  RoutesAsOf = std::max(RoutesAsOf, AsOf);
+}
+
+void platform_view::targetsRead(std::uint64_t Newest, boot_time AsOf) {
+  if (Newest < Revision)
+    return;
+  Revision = Newest;
+  TargetsAsOf = std::max(TargetsAsOf, AsOf);
+}
+
+void platform_view::targetChanged(std::uint64_t At, target_change Change) {
+  Log.push_back({At, std::move(Change)});
+  while (Log.size() > MaxLoggedChanges) {
+    LogSince = std::max(LogSince, Log.front().Revision);
+    Log.pop_front();
+  }
+}
+
+void platform_view::forgetChanges(std::uint64_t At) {
+  LogSince = std::max(LogSince, At);
+  Log.clear();
+}
+
+void platform_view::setEvacuated(std::set<std::string> DataCentres) {
+  Evacuated = std::move(DataCentres);
+}
+
+bool platform_view::targetsDue(boot_time Now) const {
+  return Now - TargetsAsOf >= Settings.TargetsLimit;
+}
+
+bool platform_view::routesDue(boot_time Now) const {
+  return Now - RoutesAsOf >= Settings.RoutesLimit;
+}
+
+view_source platform_view::askDue(boot_time Now) {
+  if (Now < NextAsk)
+    return view_source::None;
+  if (Now - RoutesAsOf >= Settings.AnyPeerAfter) {
+    NextAsk = Now + Settings.AskPeriod;
+    return view_source::AnyPeer;
+  }
+  if (isReader())
+    return view_source::None;
+  NextAsk = Now + Settings.AskPeriod;
+  return view_source::Reader;
+}
+
+view_reply platform_view::answer(const view_ask &Ask, boot_time Now) const {
+  view_reply Reply;
+  Reply.AskedAt = Ask.AskedAt;
+  Reply.Version = Version;
+  Reply.Age = ageOf(RoutesAsOf, Now);
+  Reply.Revision = Revision;
+  Reply.TargetsAge = ageOf(TargetsAsOf, Now);
+  Reply.Evacuated.assign(Evacuated.begin(), Evacuated.end());
+  Reply.Partial = Ask.Revision < LogSince;
+  for (const logged_change &Row : Log) {
+    if (Row.Revision <= Ask.Revision || Reply.Partial)
+      continue;
+    Reply.Partial = Reply.Changes.size() >= MaxViewRows;
+    Reply.Changes.push_back(Row.Change);
+  }
+  if (Reply.Partial)
+    Reply.Changes.clear();
+  return Reply;
+}
+
+platform_view::taken platform_view::take(const view_reply &Reply) {
+  taken Taken;
+  Taken.FetchRoutes = Reply.Version > Version;
+  if (Reply.Version != 0 && Reply.Version == Version)
+    RoutesAsOf = std::max(RoutesAsOf, Reply.AskedAt - Reply.Age);
+  const boot_time AsOf = Reply.AskedAt - Reply.TargetsAge;
+  // Targets that were never read here can't be completed by changes.
+  if (Revision == 0 || Reply.Revision < Revision || AsOf < TargetsAsOf)
+    return Taken;
+  Taken.ReadTargets = Reply.Partial;
+  if (Reply.Partial)
+    return Taken;
+  if (Reply.Revision > Revision) {
+    Taken.Changes = Reply.Changes;
+    for (const target_change &Change : Reply.Changes)
+      targetChanged(Reply.Revision, Change);
+  }
+  targetsRead(Reply.Revision, AsOf);
+  Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
+  Taken.Evacuated = Evacuated;
+  return Taken;
+}
+
+} // namespace magnoliaspread
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -12,7 +12,7 @@
 
 /// A drain or an evacuation has to be known in 2.5 s (RULES, DRAIN), so a poll
 /// may be late once.
-constexpr milliseconds PollPeriod{900};
+constexpr milliseconds PollPeriod{700};
 /// The whole list repairs what changes have left out.
 constexpr milliseconds ListPeriod{8000};
 /// Less than half of the time for which keys are served without proof
@@ -24,12 +24,15 @@
 
 } // namespace
 
-platform_follower::platform_follower(
-    object_store &Store, const fleet_platform &Platform, const clock &Clock,
-    target_registry &Registry, std::uint64_t Seed, routes_handler OnRoutes)
+platform_follower::platform_follower(object_store &Store,
+                                     const fleet_platform &Platform,
+                                     const clock &Clock,
+                                     target_registry &Registry,
+                                     platform_view &View, std::uint64_t Seed,
+                                     routes_handler OnRoutes)
     : Store(Store), Platform(Platform), Clock(Clock), Registry(Registry),
-      OnRoutes(std::move(OnRoutes)), Random(Seed), NextPoll(Clock.now()),
-      NextList(Clock.now()), NextRoutes(Clock.now()),
+      View(View), OnRoutes(std::move(OnRoutes)), Random(Seed),
+      NextPoll(Clock.now()), NextList(Clock.now()), NextRoutes(Clock.now()),
       NextEvacuations(Clock.now()) {}
 
 /// Spreads the instances' reads over time.
@@ -47,16 +50,47 @@
 void platform_follower::tick() {
   const steady_time Now = Clock.now();
   Registry.tick(Now);
-  if (!PollingTargets && Now >= NextPoll)
+  const bool Reads = View.isReader() || !complete();
+  if (!PollingTargets && Now >= NextPoll &&
+      (Reads || View.targetsDue(Clock.boot())))
     pollTargets();
-  if (!ReadingRoutes && (Now >= NextRoutes || RoutesAt < Newest))
+  if (!ReadingRoutes && Now >= NextRoutes &&
+      (Reads || View.routesDue(Clock.boot())))
     readRoutes();
-  if (!ReadingEvacuations && (Now >= NextEvacuations || EvacuationsAt < Newest))
+  if (!ReadingEvacuations && Now >= NextEvacuations && Reads)
     readEvacuations();
 }
 
+/// Something has changed: the other objects are read at once.
 void platform_follower::noteRevision(object_version Revision) {
   Newest = std::max(Newest, Revision);
+  if (RoutesAt < Newest)
+    NextRoutes = Clock.now();
+  if (EvacuationsAt < Newest)
+    NextEvacuations = Clock.now();
+}
+
+void platform_follower::take(const platform_view::taken &Taken) {
+  const steady_time Now = Clock.now();
+  if (TargetsAt == NoObject)
+    return;
+  if (Taken.ReadTargets)
+    NextPoll = std::min(NextPoll, Now);
+  for (const target_change &Change : Taken.Changes)
+    if (Change.Removed)
+      Registry.remove(Change.Record.Name, Now);
+    else
+      Registry.put(Change.Record, Now);
+  if (!Taken.Evacuated)
+    return;
+  Registry.platformAnswered(Now);
+  Registry.setEvacuated(*Taken.Evacuated, Now);
+  TargetsAt = View.revision();
+  HaveEvacuations = true;
+  // The peer has seen them; a read here would tell nothing new.
+  Newest = std::max(Newest, TargetsAt);
+  RoutesAt = EvacuationsAt = Newest;
+  NextPoll = Now + jittered(PollPeriod);
 }
 
 /// Logs the loss and the return of the platform, once each.
@@ -83,46 +117,63 @@
     pollChanges();
 }
 
-void platform_follower::putTarget(const stored_object &Object) {
+void platform_follower::putTarget(const stored_object &Object,
+                                  object_version Revision) {
   const std::string Name = Object.Name.substr(Platform.targetsPrefix().size());
   const result<target_record> Read = Platform.readTarget(Name, Object.Value);
-  if (!failed(Read))
+  if (!failed(Read)) {
+    View.targetChanged(Revision, {valueOf(Read), false});
     return Registry.put(valueOf(Read), Clock.now());
+  }
   logEvent(log_level::Warning, "target_unreadable",
            {{"target", Name}, {"detail", errorOf(Read).Detail}});
+  removeTarget(Name, Revision);
+}
+
+void platform_follower::removeTarget(const std::string &Name,
+                                     object_version Revision) {
+  target_change Change;
+  Change.Record.Name = Name;
+  Change.Removed = true;
+  View.targetChanged(Revision, std::move(Change));
   Registry.remove(Name, Clock.now());
 }
 
 void platform_follower::listTargets() {
-  Store.list(
-      {Platform.targetsPrefix()}, [this](const result<object_list> &List) {
-        PollingTargets = false;
-        noteEnd("targets", failed(List) ? &errorOf(List) : nullptr);
-        if (failed(List)) {
-          NextPoll = Clock.now() + jittered(RetryPause);
-          return;
-        }
-        std::vector<target_record> Records;
-        for (const stored_object &Object : valueOf(List).Objects) {
-          const std::string Name =
-              Object.Name.substr(Platform.targetsPrefix().size());
-          result<target_record> Read = Platform.readTarget(Name, Object.Value);
-          if (!failed(Read))
-            Records.push_back(std::move(valueOf(Read)));
-          else if (TargetsAt == NoObject)
-            logEvent(log_level::Warning, "target_unreadable",
-                     {{"target", Name}, {"detail", errorOf(Read).Detail}});
-        }
-        Registry.replaceAll(Records, Clock.now());
-        TargetsAt = valueOf(List).Revision;
-        noteRevision(TargetsAt);
-        NextList = Clock.now() + jittered(ListPeriod);
-      });
+  const boot_time AsOf = Clock.boot();
+  Store.list({Platform.targetsPrefix()}, [this, AsOf](
+                                             const result<object_list> &List) {
+    PollingTargets = false;
+    noteEnd("targets", failed(List) ? &errorOf(List) : nullptr);
+    if (failed(List)) {
+      NextPoll = Clock.now() + jittered(RetryPause);
+      return;
+    }
+    std::vector<target_record> Records;
+    for (const stored_object &Object : valueOf(List).Objects) {
+      const std::string Name =
+          Object.Name.substr(Platform.targetsPrefix().size());
+      result<target_record> Read = Platform.readTarget(Name, Object.Value);
+      if (!failed(Read))
+        Records.push_back(std::move(valueOf(Read)));
+      else if (TargetsAt == NoObject)
+        logEvent(log_level::Warning, "target_unreadable",
+                 {{"target", Name}, {"detail", errorOf(Read).Detail}});
+    }
+    Registry.replaceAll(Records, Clock.now());
+    TargetsAt = valueOf(List).Revision;
+    if (TargetsAt > View.revision())
+      View.forgetChanges(TargetsAt);
+    View.targetsRead(TargetsAt, AsOf);
+    noteRevision(TargetsAt);
+    NextList = Clock.now() + jittered(ListPeriod);
+  });
 }
 
 void platform_follower::pollChanges() {
+  const boot_time AsOf = Clock.boot();
   Store.changes({Platform.targetsPrefix(), TargetsAt, milliseconds(0)},
-                [this](const result<changes_answer> &Answer) {
+                [this, AsOf](const result<changes_answer> &Answer) {
                   PollingTargets = false;
                   noteEnd("changes",
                           failed(Answer) ? &errorOf(Answer) : nullptr);
@@ -130,11 +181,12 @@
                     NextPoll = Clock.now() + jittered(RetryPause);
                     return;
                   }
-                  takeChanges(valueOf(Answer));
+                  takeChanges(valueOf(Answer), AsOf);
                 });
 }
 
-void platform_follower::takeChanges(const changes_answer &Answer) {
+void platform_follower::takeChanges(const changes_answer &Answer,
+                                    boot_time AsOf) {
   if (Answer.HistoryGone) {
     logEvent(log_level::Info, "history_gone", {{"since", TargetsAt}});
     TargetsAt = NoObject;
@@ -142,14 +194,14 @@
     return;
   }
   for (const object_change &Change : Answer.Changes) {
-    if (!Change.Removed) {
-      putTarget(Change.Object);
-      continue;
-    }
-    Registry.remove(Change.Object.Name.substr(Platform.targetsPrefix().size()),
-                    Clock.now());
+    if (Change.Removed)
+      removeTarget(Change.Object.Name.substr(Platform.targetsPrefix().size()),
+                   Answer.Revision);
+    else
+      putTarget(Change.Object, Answer.Revision);
   }
   TargetsAt = std::max(TargetsAt, Answer.Revision);
+  View.targetsRead(TargetsAt, AsOf);
   noteRevision(Answer.Revision);
 }
 
@@ -195,6 +247,7 @@
                      Object.Name.substr(Platform.evacuationsPrefix().size()));
                HaveEvacuations = true;
                EvacuationsAt = std::max(Seen, valueOf(List).Revision);
+               View.setEvacuated(Names);
                Registry.setEvacuated(std::move(Names), Clock.now());
              });
 }
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -7,6 +7,7 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/fleet_platform.h>
 #include <magnoliaspread/platform.h>
+#include <magnoliaspread/platformview.h>
 #include <magnoliaspread/registry.h>
 
 #include <functional>
@@ -28,7 +29,8 @@
 
   platform_follower(object_store &Store, const fleet_platform &Platform,
                     const clock &Clock, target_registry &Registry,
-                    std::uint64_t Seed, routes_handler OnRoutes);
+                    platform_view &View, std::uint64_t Seed,
+                    routes_handler OnRoutes);
 
   /// Starts the reads that are due.
   void tick();
@@ -36,6 +38,9 @@
   /// Reads everything at the next tick.
   void refresh();
 
+  /// Takes over what a peer has read.
+  void take(const platform_view::taken &Taken);
+
   /// All three have been read at least once.
   bool complete() const {
     return HaveRoutes && TargetsAt != NoObject && HaveEvacuations;
@@ -45,18 +50,20 @@
   void pollTargets();
   void listTargets();
   void pollChanges();
-  void takeChanges(const changes_answer &Answer);
+  void takeChanges(const changes_answer &Answer, boot_time AsOf);
   void readRoutes();
   void readEvacuations();
   void noteRevision(object_version Revision);
   void noteEnd(std::string_view What, const error *Failure);
-  void putTarget(const stored_object &Object);
+  void putTarget(const stored_object &Object, object_version Revision);
+  void removeTarget(const std::string &Name, object_version Revision);
   std::chrono::milliseconds jittered(std::chrono::milliseconds Period);
 
   object_store &Store;
   const fleet_platform &Platform;
   const clock &Clock;
   target_registry &Registry;
+  platform_view &View;
   routes_handler OnRoutes;
   std::mt19937_64 Random;
   /// Targets are known as of this revision; NoObject before the first list.
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -7,12 +7,11 @@
 #include "membersys_p.h"
 #include "peerfetch_p.h"
 
-#include <magnoliaspread/currency.h>
 #include <magnoliaspread/gate.h>
 #include <magnoliaspread/http_store.h>
+#include <magnoliaspread/limiter.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
-#include <magnoliaspread/quota.h>
 #include <magnoliaspread/traffic.h>
 
 #include <algorithm>
@@ -53,10 +52,8 @@
 constexpr std::size_t ColdOwners = 3;
 /// Part of a cold target's rate that is used.
 constexpr double ColdPart = 0.9;
-/// A minted share holds this long without a tick.
-constexpr milliseconds ShareFence{30000};
-/// Parts per million.
-constexpr double Million = 1e6;
+/// An instance that can't read who has registered goes by who is alive.
+constexpr milliseconds RegistrationWait{3000};
 /// Part of the fleet's retry allowance that is used, for requests that are
 /// counted in another window.
 constexpr double RetryPart = 0.7;
@@ -106,14 +103,14 @@
   void takeRoutes(const routes_object &Object, boot_time AsOf);
   void publishTargets(steady_time Now);
   double coldRate(const target_record &Record) const;
-  void runQuota(steady_time Now);
-  std::size_t fleetSize() const;
+  void updatePeers(steady_time Now);
+  void runLimits(steady_time Now);
+  std::vector<limiter_instance> limiterInstances(steady_time Now) const;
   void receive(const endpoint_address &From, const received_datagram &Datagram);
   void receive(std::uint64_t Sender, const quota_message &Message);
-  void takeProof(std::uint64_t Sender, const proof_reply &Reply);
+  void takeView(std::uint64_t Sender, const view_reply &Reply);
   void sendTo(const std::optional<member_row> &Row,
               const control_message &Message);
-  std::vector<member_row> peers() const;
   void measure(steady_time Now);
   bool serving() const;
   std::vector<std::string> directory() const;
@@ -135,12 +132,12 @@
   member_identity Identity;
   asio::io_context Context{1};
   http_store Store;
-  purse Tokens;
+  fleet_limiter Limiter;
   instance_metrics Metrics;
   datagram_port Datagrams;
   member_system Members;
-  quota_bank Bank;
   target_registry Registry;
+  platform_view View;
   platform_follower Follower;
   gate Gate;
   admin_port Admin;
@@ -154,14 +151,16 @@
   route_index_ptr InForce;
   /// The object that InForce was read from.
   routes_object Source;
-  config_currency Currency{currency_settings{}};
   bool Fetching = false;
   std::mt19937_64 Random{randomNumber()};
   std::uint64_t TargetsSeen = 0;
   steady_time StartedAt;
   steady_time NextPeers;
   steady_time NextMeasure;
-  std::uint32_t ShareUsed = 0;
+  /// Live instances of all data centres, without this one.
+  std::vector<member_row> Peers;
+  std::size_t PeersSeen = 0;
+  std::size_t Regions = 1;
   std::optional<steady_time> DrainingSince;
   std::optional<steady_time> ClosedAt;
 };
@@ -172,6 +171,15 @@
   return Registry;
 }
 
+limiter_settings limiterSettings(const instance_settings &Settings,
+                                 const member_identity &Identity) {
+  limiter_settings Limiter;
+  Limiter.Instance = Settings.Name;
+  Limiter.Region = Settings.Region;
+  Limiter.Incarnation = Identity.Incarnation;
+  return Limiter;
+}
+
 gateway::gateway(const instance_settings &Settings,
                  const fleet_platform &Platform, const clock &Clock,
                  fleet_secret FleetSecret, const fleet_key &Key,
@@ -186,13 +194,14 @@
                        const received_datagram &Row) { receive(From, Row); }),
       Members(Context, Store, Datagrams, Clock, Settings, Identity,
               randomNumber(), [](std::uint64_t) {}),
-      Bank({Identity.Incarnation, randomNumber()}, Tokens, Clock.now()),
+      Limiter(limiterSettings(Settings, Identity), Clock.now()),
       Registry(registrySettings(*Settings.Gateway)),
-      Follower(Store, Platform, Clock, Registry, randomNumber(),
+      View(view_settings{}, Settings.Name),
+      Follower(Store, Platform, Clock, Registry, View, randomNumber(),
                [this](const routes_object &Object, boot_time AsOf) {
                  takeRoutes(Object, AsOf);
                }),
-      Gate(Context, GateSettings, Clock, Platform.dialect(), Tokens, Metrics,
+      Gate(Context, GateSettings, Clock, Platform.dialect(), Limiter, Metrics,
            randomNumber()),
       Admin(Context, {{"/metrics",
                        [this] {
@@ -213,8 +222,15 @@
                }),
       Timer(Context), Signals(Context, SIGTERM, SIGINT, SIGHUP),
       StartedAt(Clock.now()) {
-  for (const auto &[DataCentre, Region] : Settings.Gateway->Regions)
+  std::set<std::string> Names;
+  for (const auto &[DataCentre, Region] : Settings.Gateway->Regions) {
     DataCentres.push_back(DataCentre);
+    Names.insert(Region);
+  }
+  Regions = Names.size();
+  Gate.onTokenShortage([this] {
+    asio::post(Context, [this] { runLimits(this->Clock.now()); });
+  });
   Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
 }
 
@@ -227,8 +243,8 @@
     return;
   }
   const std::uint64_t Version = valueOf(Read).Version;
-  Currency.proved(Version, AsOf);
-  Gate.setProved(Currency.provedAt());
+  View.routesProved(Version, AsOf);
+  Gate.setProved(View.routesProvedAt());
   if (InForce != nullptr && Version <= InForce->table().Version)
     return;
   InForce = std::make_shared<route_index>(std::move(valueOf(Read)));
@@ -238,7 +254,7 @@
   for (const routed_workspace &Row : InForce->table().Workspaces)
     if (Row.Rate > 0)
       Limits.push_back({workspaceLimit(Row.Name), Row.Rate, Row.Burst});
-  Bank.setLimits(Version, Limits, Clock.now());
+  Limiter.setLimits(Limits, Clock.now());
   Members.members().setConfig(Clock.now(), {Version, 0});
   TargetsSeen = 0;
   logEvent(log_level::Info, "routes_in_force",
@@ -248,16 +264,19 @@
             {"keys", InForce->table().Keys.size()}});
 }
 
-/// Asks a few peers for their proof while the platform gives none.
+/// Asks the region's reader, or a few peers while nothing else gives proof.
 void gateway::askPeers() {
-  const std::optional<proof_ask> Ask = Currency.ask(Clock.boot());
-  if (!Ask)
+  const view_source Source = View.askDue(Clock.boot());
+  if (Source == view_source::None)
     return;
-  std::vector<member_row> Peers = peers();
-  std::shuffle(Peers.begin(), Peers.end(), Random);
-  Peers.resize(std::min(Peers.size(), ProofPeers));
-  for (const member_row &Row : Peers)
-    Datagrams.send({Row.Identity.Internal}, *Ask);
+  const view_ask Ask = View.ask(Clock.boot());
+  if (Source == view_source::Reader)
+    return sendTo(Members.members().find(View.reader()), Ask);
+  std::vector<member_row> Some = Peers;
+  std::shuffle(Some.begin(), Some.end(), Random);
+  Some.resize(std::min(Some.size(), ProofPeers));
+  for (const member_row &Row : Some)
+    Datagrams.send({Row.Identity.Internal}, Ask);
 }
 
 void gateway::fetchRoutes(const member_row &Peer) {
@@ -302,7 +321,7 @@
   const std::uint64_t Own = rendezvousScore(Target, stableId(Settings.Name));
   std::size_t Better = 0;
   std::size_t Instances = 1;
-  for (const member_row &Row : peers()) {
+  for (const member_row &Row : Peers) {
     if (Row.Identity.Region != Settings.Region)
       continue;
     ++Instances;
@@ -330,50 +349,61 @@
       {{"targets", Targets.size()}, {"open", Open}, {"change", TargetsSeen}});
 }
 
-std::vector<member_row> gateway::peers() const {
-  std::vector<member_row> Peers;
+/// All instances that may own a limit: those that have registered, or while
+/// that isn't known those that are alive.
+std::vector<limiter_instance> gateway::limiterInstances(steady_time Now) const {
+  std::vector<limiter_instance> Instances{{Settings.Name, Settings.Region}};
+  if (const auto &Registered = Members.registered()) {
+    for (const registered_instance &Row : *Registered)
+      if (const auto Region = Settings.Gateway->Regions.find(Row.DataCentre);
+          Region != Settings.Gateway->Regions.end())
+        Instances.push_back({Row.Name, Region->second});
+    return Instances;
+  }
+  if (Now - StartedAt < RegistrationWait)
+    return {};
+  for (const member_row &Row : Peers)
+    Instances.push_back({Row.Identity.Name, Row.Identity.Region});
+  return Instances;
+}
+
+/// Takes over who is alive, and what follows from it.
+void gateway::updatePeers(steady_time Now) {
+  NextPeers = Now + PeersPeriod;
+  Peers.clear();
   for (const std::string &DataCentre : DataCentres)
     for (const member_row &Row :
-         Members.members().lookupInstances(Clock.now(), DataCentre))
+         Members.members().lookupInstances(Now, DataCentre))
       if (Row.Identity.Name != Settings.Name)
         Peers.push_back(Row);
-  return Peers;
-}
-
-/// Instances that may mint a share of the limits: all that are registered, and
-/// all that are known.
-std::size_t gateway::fleetSize() const {
-  return std::max(Members.registered().value_or(0), peers().size()) + 1;
-}
-
-void gateway::runQuota(steady_time Now) {
-  if (Now >= NextPeers) {
-    NextPeers = Now + PeersPeriod;
-    std::vector<quota_peer> Peers;
-    for (const member_row &Row : peers())
-      Peers.push_back(
-          {Row.Identity.Name, Row.Identity.Region == Settings.Region});
-    Bank.setPeers(Peers);
-    // A share only shrinks while the fleet is being learned.
-    if (Members.registered() || !Peers.empty()) {
-      const auto Share = static_cast<std::uint32_t>(
-          Million / static_cast<double>(fleetSize()));
-      ShareUsed = Share;
-    }
+  std::set<std::string> Names;
+  for (const member_row &Row : Peers)
+    Names.insert(Row.Identity.Name);
+  if (Names.size() != PeersSeen) {
+    PeersSeen = Names.size();
+    logEvent(log_level::Info, "peers_changed", {{"alive", PeersSeen}});
+    const auto &Registered = Members.registered();
+    if (Registered && Registered->size() < PeersSeen)
+      Members.listSoon();
   }
-  std::vector<minted_share> Shares;
-  if (ShareUsed > 0)
-    Shares.push_back({0, ShareUsed, StartedAt, Now + ShareFence});
-  Bank.setShares(Shares, Now);
-  for (const outgoing_ask &Row : Bank.tick(Now))
+  std::vector<std::string> Mates;
+  for (const member_row &Row : Peers)
+    if (Row.Identity.Region == Settings.Region)
+      Mates.push_back(Row.Identity.Name);
+  View.setMates(Mates);
+  Limiter.setReachable(std::move(Names));
+  Limiter.setInstances(limiterInstances(Now), Regions, Now);
+}
+
+void gateway::runLimits(steady_time Now) {
+  for (const outgoing_ask &Row : Limiter.tick(Now))
     sendTo(Members.members().find(Row.To), Row.Ask);
   std::vector<token_wait> Waits;
   if (InForce != nullptr)
     for (const routed_workspace &Row : InForce->table().Workspaces) {
-      const milliseconds Wait =
-          Row.Rate > 0
-              ? Bank.retryAfter(workspaceLimit(Row.Name), MilliPerToken, Now)
-              : milliseconds(0);
+      if (Row.Rate <= 0)
+        continue;
+      const milliseconds Wait = Limiter.waitFor(workspaceLimit(Row.Name), Now);
       if (Wait > milliseconds(0))
         Waits.push_back({Row.Name, Wait});
     }
@@ -395,35 +425,38 @@
     return receive(Datagram.Sender, *Limits);
   if (const auto *News = std::get_if<object_news>(&Message))
     return Gate.receive(*News);
-  if (const auto *Ask = std::get_if<proof_ask>(&Message))
+  if (const auto *Ask = std::get_if<view_ask>(&Message))
     return sendTo(Members.members().findIncarnation(Datagram.Sender),
-                  Currency.answer(*Ask, Clock.boot()));
-  if (const auto *Reply = std::get_if<proof_reply>(&Message))
-    return takeProof(Datagram.Sender, *Reply);
+                  View.answer(*Ask, Clock.boot()));
+  if (const auto *Reply = std::get_if<view_reply>(&Message))
+    return takeView(Datagram.Sender, *Reply);
   if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
     Gate.receive(*Notice);
 }
 
-void gateway::takeProof(std::uint64_t Sender, const proof_reply &Reply) {
+void gateway::takeView(std::uint64_t Sender, const view_reply &Reply) {
+  const platform_view::taken Taken = View.take(Reply);
+  Follower.take(Taken);
+  Gate.setProved(View.routesProvedAt());
   const auto Row = Members.members().findIncarnation(Sender);
-  if (Currency.take(Reply) && Row)
+  if (Taken.FetchRoutes && Row)
     fetchRoutes(*Row);
-  Gate.setProved(Currency.provedAt());
 }
 
 void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
   const auto Row = Members.members().findIncarnation(Sender);
   if (const auto *Ask = std::get_if<token_ask>(&Message))
-    if (const auto Grant = Bank.answer(*Ask, Clock.now()))
-      return sendTo(Row, *Grant);
-  if (const auto *Grant = std::get_if<token_grant>(&Message); Grant && Row)
-    Bank.accept(Row->Identity.Name, *Grant, Clock.now());
+    return sendTo(Row, Limiter.answer(*Ask, Clock.now()));
+  if (const auto *Grant = std::get_if<token_grant>(&Message)) {
+    Limiter.accept(*Grant, Clock.now());
+    Gate.tokensCame();
+  }
 }
 
 bool gateway::serving() const {
   const bool Proved =
       GateSettings.KeyProof == milliseconds(0) ||
-      Clock.boot() - Currency.provedAt() < GateSettings.KeyProof;
+      Clock.boot() - View.routesProvedAt() < GateSettings.KeyProof;
   return InForce != nullptr && Registry.revision() > 0 && Proved;
 }
 
@@ -435,7 +468,7 @@
   if (Own)
     Found.push_back(textOf(Settings.Public));
   int Nearest = Own ? 0 : 3;
-  for (const member_row &Row : peers()) {
+  for (const member_row &Row : Peers) {
     if (!Row.Report.PlatformReachable && Own)
       continue;
     int Distance = 2;
@@ -480,7 +513,7 @@
   Gauges.Connections = Counts.Connections;
   Gauges.ConfigVersion = InForce == nullptr ? 0 : InForce->table().Version;
   Gauges.ConfigStaleness =
-      duration_cast<milliseconds>(Clock.boot() - Currency.provedAt());
+      duration_cast<milliseconds>(Clock.boot() - View.routesProvedAt());
   Gauges.PlatformReachable = Store.reachable();
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
@@ -490,13 +523,15 @@
 void gateway::tick() {
   const steady_time Now = Clock.now();
   Members.tick();
+  if (Now >= NextPeers)
+    updatePeers(Now);
   Follower.tick();
   askPeers();
   publishTargets(Now);
-  runQuota(Now);
+  runLimits(Now);
   Gate.tick();
   for (const quarantine_notice &Notice : Gate.notices())
-    for (const member_row &Row : peers())
+    for (const member_row &Row : Peers)
       Datagrams.send({Row.Identity.Internal}, Notice);
   tellObjects();
   if (Now >= NextMeasure)
@@ -520,7 +555,7 @@
   if (News.empty())
     return;
   std::vector<endpoint_address> To;
-  for (const member_row &Row : peers())
+  for (const member_row &Row : Peers)
     if (Row.Identity.Region == Settings.Region)
       To.push_back(Row.Identity.Internal);
   for (const object_news &Message : News)
--- a/packages/daemon/src/membersys.cpp
+++ b/packages/daemon/src/membersys.cpp
@@ -141,10 +141,16 @@
     if (failed(Answer))
       return;
     Listed.clear();
+    Registrations.emplace();
     for (const stored_object &Object : valueOf(Answer).Objects)
-      if (Object.Name != instanceObjectName(Settings.Name))
+      if (Object.Name != instanceObjectName(Settings.Name)) {
+        const std::size_t Before = Listed.size();
         addSeed(Object.Value, Listed);
-    Registrations = Listed.size();
+        if (Listed.size() > Before)
+          Registrations->push_back(
+              {Object.Name.substr(instanceObjectName({}).size()),
+               Listed.back().DataCentre});
+      }
     seed();
   });
 }
--- a/packages/daemon/src/membersys_p.h
+++ b/packages/daemon/src/membersys_p.h
@@ -10,6 +10,7 @@
 #include <magnoliaspread/platform.h>
 #include <magnoliaspread/settings.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <optional>
@@ -18,6 +19,12 @@
 
 namespace magnoliaspread {
 
+/// An instance by the platform's list.
+struct registered_instance {
+  std::string Name;
+  std::string DataCentre;
+};
+
 class member_system {
 public:
   /// Runs when a process is proven dead, with its incarnation.
@@ -40,9 +47,14 @@
   void addSeedHosts(const std::vector<std::string> &Hosts,
                     const std::vector<std::string> &DataCentres);
 
-  /// Instances that have registered in the platform, without this one; empty
-  /// before the first list.
-  std::optional<std::size_t> registered() const { return Registrations; }
+  /// Names and data centres of the instances that have registered in the
+  /// platform, without this one; empty before the first list.
+  const std::optional<std::vector<registered_instance>> &registered() const {
+    return Registrations;
+  }
+
+  /// Lists the instances again soon.
+  void listSoon() { NextList = std::min(NextList, Clock.now()); }
 
   membership &members() { return Members; }
   const membership &members() const { return Members; }
@@ -64,7 +76,7 @@
   death_handler Died;
   std::vector<seed_address> Listed;
   std::vector<seed_address> Hosts;
-  std::optional<std::size_t> Registrations;
+  std::optional<std::vector<registered_instance>> Registrations;
   std::set<std::uint64_t> Probing;
   steady_time NextList;
   steady_time NextRegister;
--- a/packages/steering/include/magnoliaspread/ownership.h
+++ b/packages/steering/include/magnoliaspread/ownership.h
@@ -3,19 +3,14 @@
 #ifndef MAGNOLIASPREAD_OWNERSHIP_H
 #define MAGNOLIASPREAD_OWNERSHIP_H
 
+#include <magnoliaspread/hash.h>
+
 #include <cstddef>
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 namespace magnoliaspread {
 
-/// Hash of a name that is the same in every process.
-std::uint64_t stableId(std::string_view Name);
-
-/// Rendezvous score of a pair of ids.
-std::uint64_t rendezvousScore(std::uint64_t First, std::uint64_t Second);
-
 /// One target as every mate sees it; ids come from stableId().
 struct ownership_target {
   std::uint64_t Id = 0;
--- a/packages/steering/src/ownership.cpp
+++ b/packages/steering/src/ownership.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <xxhash.h>
 
 namespace magnoliaspread {
 
@@ -57,17 +56,6 @@
 
 } // namespace
 
-std::uint64_t stableId(std::string_view Name) {
-  return XXH64(Name.data(), Name.size(), 0);
-}
-
-std::uint64_t rendezvousScore(std::uint64_t First, std::uint64_t Second) {
-  std::uint64_t Mix = First ^ (Second * 0x9E3779B97F4A7C15ULL);
-  Mix = (Mix ^ (Mix >> 30)) * 0xBF58476D1CE4E5B9ULL;
-  Mix = (Mix ^ (Mix >> 27)) * 0x94D049BB133111EBULL;
-  return Mix ^ (Mix >> 31);
-}
-
 std::vector<std::size_t> ownership(const std::vector<ownership_target> &Targets,
                                    const std::vector<std::uint64_t> &Mates) {
   std::vector<std::size_t> Owners(Targets.size(), NoOwner);
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -8,10 +8,10 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
-#include <magnoliaspread/purse.h>
 #include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/routes.h>
+#include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
 
 #include <boost/asio/io_context.hpp>
@@ -56,7 +56,7 @@
 public:
   /// All references outlive the gate.
   gate(boost::asio::io_context &Context, const gate_settings &Settings,
-       const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
+       const clock &Clock, const gate_dialect &Dialect, token_source &Tokens,
        instance_metrics &Metrics, std::uint64_t Seed);
   ~gate();
   gate(const gate &) = delete;
@@ -70,6 +70,10 @@
   void setProved(boot_time At);
   void setTargets(const std::vector<gate_target> &Targets);
   void setTokenWaits(const std::vector<token_wait> &Waits);
+  /// Called when a request begins to wait for a token.
+  void onTokenShortage(std::function<void()> Handler);
+  /// Tokens have come: lets requests that wait for them try again.
+  void tokensCame();
   /// Connections are closed after each answer from now on.
   void setLeaving();
 
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -74,7 +74,8 @@
 
 gate::state::state(asio::io_context &Context, const gate_settings &Settings,
                    const clock &Clock, const gate_dialect &Dialect,
-                   purse &Tokens, instance_metrics &Metrics, std::uint64_t Seed)
+                   token_source &Tokens, instance_metrics &Metrics,
+                   std::uint64_t Seed)
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Pool(Context, Clock, silence()), Quarantine(quarantineSettings()),
@@ -111,11 +112,13 @@
 /// Looks again at requests that wait: other instances' load on a target fades
 /// without a message.
 asio::awaitable<void> gate::state::pollWaiting() {
+  Polling = true;
   while (!Waiters.empty()) {
     PollTimer.expires_after(PollPeriod);
     co_await PollTimer.async_wait(Awaited);
     wakePlaced();
   }
+  Polling = false;
 }
 
 void gate::state::wakePlaced() {
@@ -135,7 +138,7 @@
     place_waiter Waiter(Context);
     Waiter.Signal.expires_at(Request.Deadline);
     Waiters.emplace(Request.Id, &Waiter);
-    if (Waiters.size() == 1)
+    if (!Polling)
       asio::co_spawn(Context, pollWaiting(), asio::detached);
     co_await Waiter.Signal.async_wait(Awaited);
     Waiters.erase(Request.Id);
@@ -303,8 +306,8 @@
 }
 
 gate::gate(asio::io_context &Context, const gate_settings &Settings,
-           const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
-           instance_metrics &Metrics, std::uint64_t Seed)
+           const clock &Clock, const gate_dialect &Dialect,
+           token_source &Tokens, instance_metrics &Metrics, std::uint64_t Seed)
     : State(std::make_unique<state>(Context, Settings, Clock, Dialect, Tokens,
                                     Metrics, Seed)) {}
 
@@ -371,6 +374,12 @@
   State->Tokens.publish(Waits);
 }
 
+void gate::onTokenShortage(std::function<void()> Handler) {
+  State->Tokens.OnShortage = std::move(Handler);
+}
+
+void gate::tokensCame() { State->Tokens.tick(); }
+
 void gate::setLeaving() { State->Leaving = true; }
 
 void gate::tick() {
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -42,7 +42,7 @@
 
 struct gate::state {
   state(asio::io_context &Context, const gate_settings &Settings,
-        const clock &Clock, const gate_dialect &Dialect, purse &Tokens,
+        const clock &Clock, const gate_dialect &Dialect, token_source &Tokens,
         instance_metrics &Metrics, std::uint64_t Seed);
 
   asio::awaitable<void> acceptAll();
@@ -108,6 +108,7 @@
   steady_time NextNotices;
   tcp::acceptor Acceptor;
   asio::steady_timer PollTimer;
+  bool Polling = false;
 };
 
 /// Serves one caller's connection, request after request.
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -1,5 +1,7 @@
 #include "pool_p.h"
 
+#include "timers_p.h"
+
 #include <boost/asio/ip/address.hpp>
 
 namespace magnoliaspread {
@@ -62,15 +64,12 @@
   if (Failure)
     co_return error{error_kind::TargetUnreachable, Failure.message(), {}};
   tcp::socket Socket(Context);
-  asio::steady_timer Timer(Context);
-  Timer.expires_at(std::min(Deadline, Clock.now() + ConnectTimeout));
-  Timer.async_wait([&Socket](error_code Stopped) {
-    if (!Stopped)
-      Socket.close(Stopped);
-  });
-  std::tie(Failure) =
-      co_await Socket.async_connect(tcp::endpoint(Address, Peer.Port), Awaited);
-  Timer.cancel();
+  {
+    const read_timer Timer(Socket,
+                           std::min(Deadline, Clock.now() + ConnectTimeout));
+    std::tie(Failure) = co_await Socket.async_connect(
+        tcp::endpoint(Address, Peer.Port), Awaited);
+  }
   if (!Failure)
     Socket.set_option(tcp::no_delay(true), Failure);
   if (Failure)
--- a/packages/traffic/src/timers_p.h
+++ b/packages/traffic/src/timers_p.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 
 namespace magnoliaspread {
 
@@ -13,15 +14,24 @@
 class read_timer {
 public:
   read_timer(tcp::socket &Socket, std::chrono::milliseconds Limit)
-      : Timer(Socket.get_executor(), Limit) {
-    Timer.async_wait([&Socket](error_code Stopped) {
-      if (!Stopped)
+      : read_timer(Socket, std::chrono::steady_clock::now() + Limit) {}
+
+  read_timer(tcp::socket &Socket, std::chrono::steady_clock::time_point End)
+      : Timer(Socket.get_executor(), End), Alive(std::make_shared<bool>(true)) {
+    // A timer that has just expired can't be cancelled any more: its handler
+    // may run after the scope has ended.
+    Timer.async_wait([&Socket, Alive = Alive](error_code Stopped) {
+      if (!Stopped && *Alive)
         Socket.cancel(Stopped);
     });
   }
+  ~read_timer() { *Alive = false; }
+  read_timer(const read_timer &) = delete;
+  read_timer &operator=(const read_timer &) = delete;
 
 private:
   asio::steady_timer Timer;
+  std::shared_ptr<bool> Alive;
 };
 
 /// Adds one to a count for as long as it lives.
--- a/packages/traffic/src/tokens.cpp
+++ b/packages/traffic/src/tokens.cpp
@@ -31,7 +31,7 @@
                                          steady_time Deadline) {
   const steady_time Now = Clock.now();
   line &Line = lineOf(Workspace);
-  if (Purse.spend(Line.Limit, MilliPerToken, Now)) {
+  if (Source.spend(Line.Limit, MilliPerToken, Now)) {
     if (Line.Waiters.empty())
       co_return status{};
     passFirst(Line);
@@ -48,10 +48,12 @@
 asio::awaitable<bool> token_gate::wait(line &Line, steady_time End) {
   auto Waiter = std::make_shared<waiter>(Context);
   Line.Waiters.push_back(Waiter);
-  Purse.addWaiting(Line.Limit, MilliPerToken);
+  Source.addWaiting(Line.Limit, MilliPerToken);
+  if (OnShortage)
+    OnShortage();
   Waiter->Signal.expires_at(End);
   co_await Waiter->Signal.async_wait(Awaited);
-  Purse.addWaiting(Line.Limit, -MilliPerToken);
+  Source.addWaiting(Line.Limit, -MilliPerToken);
   std::erase(Line.Waiters, Waiter);
   co_return Waiter->Passed;
 }
@@ -72,7 +74,8 @@
 void token_gate::tick() {
   const steady_time Now = Clock.now();
   for (auto &[Name, Line] : Lines)
-    while (!Line.Waiters.empty() && Purse.retry(Line.Limit, MilliPerToken, Now))
+    while (!Line.Waiters.empty() &&
+           Source.retry(Line.Limit, MilliPerToken, Now))
       passFirst(Line);
 }
 
--- a/packages/traffic/src/tokens_p.h
+++ b/packages/traffic/src/tokens_p.h
@@ -8,11 +8,12 @@
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
-#include <magnoliaspread/purse.h>
+#include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -23,8 +24,9 @@
 
 class token_gate {
 public:
-  token_gate(asio::io_context &Context, const clock &Clock, purse &Purse)
-      : Context(Context), Clock(Clock), Purse(Purse) {}
+  token_gate(asio::io_context &Context, const clock &Clock,
+             token_source &Source)
+      : Context(Context), Clock(Clock), Source(Source) {}
 
   /// Takes one token. RateLimited, not run, with a time to come back: at once
   /// when none can be expected in time, otherwise after the wait.
@@ -33,6 +35,9 @@
   /// Takes the waits that the token bank expects into account.
   void publish(const std::vector<token_wait> &Waits);
 
+  /// Called when a request begins to wait.
+  std::function<void()> OnShortage;
+
   /// Lets waiting requests try again.
   void tick();
 
@@ -56,7 +61,7 @@
 
   asio::io_context &Context;
   const clock &Clock;
-  purse &Purse;
+  token_source &Source;
   name_map<line> Lines;
 };
 
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3612,21 +3612,25 @@
 }
 
 
-ProofAsk::~ProofAsk() noexcept {
+ViewAsk::~ViewAsk() noexcept {
 }
 
 
-void ProofAsk::__set_askedAtNs(const int64_t val) {
+void ViewAsk::__set_askedAtNs(const int64_t val) {
   this->askedAtNs = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProofAsk& obj)
+
+void ViewAsk::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const ViewAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProofAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ViewAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3655,6 +3659,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3667,66 +3679,386 @@
   return xfer;
 }
 
-uint32_t ProofAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ViewAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProofAsk");
+  xfer += oprot->writeStructBegin("ViewAsk");
 
   xfer += oprot->writeFieldBegin("askedAtNs", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->askedAtNs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ProofAsk &a, ProofAsk &b) {
+void swap(ViewAsk &a, ViewAsk &b) {
   using ::std::swap;
   swap(a.askedAtNs, b.askedAtNs);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
-ProofAsk::ProofAsk(const ProofAsk& other102) noexcept {
+ViewAsk::ViewAsk(const ViewAsk& other102) noexcept {
   askedAtNs = other102.askedAtNs;
+  revision = other102.revision;
   __isset = other102.__isset;
 }
-ProofAsk& ProofAsk::operator=(const ProofAsk& other103) noexcept {
+ViewAsk& ViewAsk::operator=(const ViewAsk& other103) noexcept {
   askedAtNs = other103.askedAtNs;
+  revision = other103.revision;
   __isset = other103.__isset;
   return *this;
 }
-void ProofAsk::printTo(std::ostream& out) const {
+void ViewAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProofAsk(";
+  out << "ViewAsk(";
   out << "askedAtNs=" << to_string(askedAtNs);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+TargetChange::~TargetChange() noexcept {
+}
+
+
+void TargetChange::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void TargetChange::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void TargetChange::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void TargetChange::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void TargetChange::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void TargetChange::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void TargetChange::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void TargetChange::__set_coldLeftMs(const int32_t val) {
+  this->coldLeftMs = val;
+}
+
+void TargetChange::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void TargetChange::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void TargetChange::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldLeftMs);
+          this->__isset.coldLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          this->__isset.startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetChange");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->coldLeftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetChange &a, TargetChange &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.serviceName, b.serviceName);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.coldLeftMs, b.coldLeftMs);
+  swap(a.sequence, b.sequence);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+TargetChange::TargetChange(const TargetChange& other104) {
+  name = other104.name;
+  address = other104.address;
+  port = other104.port;
+  serviceName = other104.serviceName;
+  dataCentre = other104.dataCentre;
+  slots = other104.slots;
+  draining = other104.draining;
+  coldLeftMs = other104.coldLeftMs;
+  sequence = other104.sequence;
+  startedAtMs = other104.startedAtMs;
+  removed = other104.removed;
+  __isset = other104.__isset;
+}
+TargetChange& TargetChange::operator=(const TargetChange& other105) {
+  name = other105.name;
+  address = other105.address;
+  port = other105.port;
+  serviceName = other105.serviceName;
+  dataCentre = other105.dataCentre;
+  slots = other105.slots;
+  draining = other105.draining;
+  coldLeftMs = other105.coldLeftMs;
+  sequence = other105.sequence;
+  startedAtMs = other105.startedAtMs;
+  removed = other105.removed;
+  __isset = other105.__isset;
+  return *this;
+}
+void TargetChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetChange(";
+  out << "name=" << to_string(name);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ", " << "removed=" << to_string(removed);
   out << ")";
 }
 
 
-ProofReply::~ProofReply() noexcept {
+ViewReply::~ViewReply() noexcept {
 }
 
 
-void ProofReply::__set_askedAtNs(const int64_t val) {
+void ViewReply::__set_askedAtNs(const int64_t val) {
   this->askedAtNs = val;
 }
 
-void ProofReply::__set_version(const int64_t val) {
+void ViewReply::__set_version(const int64_t val) {
   this->version = val;
 }
 
-void ProofReply::__set_ageMs(const int64_t val) {
+void ViewReply::__set_ageMs(const int64_t val) {
   this->ageMs = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProofReply& obj)
+
+void ViewReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ViewReply::__set_targetsAgeMs(const int64_t val) {
+  this->targetsAgeMs = val;
+}
+
+void ViewReply::__set_changes(const std::vector<TargetChange> & val) {
+  this->changes = val;
+}
+
+void ViewReply::__set_partial(const bool val) {
+  this->partial = val;
+}
+
+void ViewReply::__set_evacuated(const std::vector<std::string> & val) {
+  this->evacuated = val;
+}
+std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProofReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ViewReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3771,6 +4103,70 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsAgeMs);
+          this->__isset.targetsAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->changes.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += this->changes[_i110].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->partial);
+          this->__isset.partial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuated.clear();
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->evacuated.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
+            {
+              xfer += iprot->readString(this->evacuated[_i115]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3783,10 +4179,10 @@
   return xfer;
 }
 
-uint32_t ProofReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ViewReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProofReply");
+  xfer += oprot->writeStructBegin("ViewReply");
 
   xfer += oprot->writeFieldBegin("askedAtNs", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->askedAtNs);
@@ -3800,38 +4196,94 @@
   xfer += oprot->writeI64(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetsAgeMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->targetsAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<TargetChange> ::const_iterator _iter116;
+    for (_iter116 = this->changes.begin(); _iter116 != this->changes.end(); ++_iter116)
+    {
+      xfer += (*_iter116).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("partial", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->partial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
+    std::vector<std::string> ::const_iterator _iter117;
+    for (_iter117 = this->evacuated.begin(); _iter117 != this->evacuated.end(); ++_iter117)
+    {
+      xfer += oprot->writeString((*_iter117));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ProofReply &a, ProofReply &b) {
+void swap(ViewReply &a, ViewReply &b) {
   using ::std::swap;
   swap(a.askedAtNs, b.askedAtNs);
   swap(a.version, b.version);
   swap(a.ageMs, b.ageMs);
+  swap(a.revision, b.revision);
+  swap(a.targetsAgeMs, b.targetsAgeMs);
+  swap(a.changes, b.changes);
+  swap(a.partial, b.partial);
+  swap(a.evacuated, b.evacuated);
   swap(a.__isset, b.__isset);
 }
 
-ProofReply::ProofReply(const ProofReply& other104) noexcept {
-  askedAtNs = other104.askedAtNs;
-  version = other104.version;
-  ageMs = other104.ageMs;
-  __isset = other104.__isset;
-}
-ProofReply& ProofReply::operator=(const ProofReply& other105) noexcept {
-  askedAtNs = other105.askedAtNs;
-  version = other105.version;
-  ageMs = other105.ageMs;
-  __isset = other105.__isset;
+ViewReply::ViewReply(const ViewReply& other118) {
+  askedAtNs = other118.askedAtNs;
+  version = other118.version;
+  ageMs = other118.ageMs;
+  revision = other118.revision;
+  targetsAgeMs = other118.targetsAgeMs;
+  changes = other118.changes;
+  partial = other118.partial;
+  evacuated = other118.evacuated;
+  __isset = other118.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other119) {
+  askedAtNs = other119.askedAtNs;
+  version = other119.version;
+  ageMs = other119.ageMs;
+  revision = other119.revision;
+  targetsAgeMs = other119.targetsAgeMs;
+  changes = other119.changes;
+  partial = other119.partial;
+  evacuated = other119.evacuated;
+  __isset = other119.__isset;
   return *this;
 }
-void ProofReply::printTo(std::ostream& out) const {
+void ViewReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProofReply(";
+  out << "ViewReply(";
   out << "askedAtNs=" << to_string(askedAtNs);
   out << ", " << "version=" << to_string(version);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "targetsAgeMs=" << to_string(targetsAgeMs);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "partial=" << to_string(partial);
+  out << ", " << "evacuated=" << to_string(evacuated);
   out << ")";
 }
 
@@ -3900,14 +4352,14 @@
 __isset.objectNews = true;
 }
 
-void Datagram::__set_proofAsk(const ProofAsk& val) {
-  this->proofAsk = val;
-__isset.proofAsk = true;
+void Datagram::__set_viewAsk(const ViewAsk& val) {
+  this->viewAsk = val;
+__isset.viewAsk = true;
 }
 
-void Datagram::__set_proofReply(const ProofReply& val) {
-  this->proofReply = val;
-__isset.proofReply = true;
+void Datagram::__set_viewReply(const ViewReply& val) {
+  this->viewReply = val;
+__isset.viewReply = true;
 }
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
@@ -4035,16 +4487,16 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->proofAsk.read(iprot);
-          this->__isset.proofAsk = true;
+          xfer += this->viewAsk.read(iprot);
+          this->__isset.viewAsk = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->proofReply.read(iprot);
-          this->__isset.proofReply = true;
+          xfer += this->viewReply.read(iprot);
+          this->__isset.viewReply = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4126,14 +4578,14 @@
     xfer += this->objectNews.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.proofAsk) {
-    xfer += oprot->writeFieldBegin("proofAsk", ::apache::thrift::protocol::T_STRUCT, 13);
-    xfer += this->proofAsk.write(oprot);
+  if (this->__isset.viewAsk) {
+    xfer += oprot->writeFieldBegin("viewAsk", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->viewAsk.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.proofReply) {
-    xfer += oprot->writeFieldBegin("proofReply", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->proofReply.write(oprot);
+  if (this->__isset.viewReply) {
+    xfer += oprot->writeFieldBegin("viewReply", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->viewReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -4155,44 +4607,44 @@
   swap(a.creditAsk, b.creditAsk);
   swap(a.creditGrant, b.creditGrant);
   swap(a.objectNews, b.objectNews);
-  swap(a.proofAsk, b.proofAsk);
-  swap(a.proofReply, b.proofReply);
+  swap(a.viewAsk, b.viewAsk);
+  swap(a.viewReply, b.viewReply);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other106) {
-  heartbeat = other106.heartbeat;
-  summary = other106.summary;
-  rows = other106.rows;
-  rowsRequest = other106.rowsRequest;
-  tokenAsk = other106.tokenAsk;
-  tokenGrant = other106.tokenGrant;
-  promiseRequest = other106.promiseRequest;
-  promiseReply = other106.promiseReply;
-  quarantine = other106.quarantine;
-  creditAsk = other106.creditAsk;
-  creditGrant = other106.creditGrant;
-  objectNews = other106.objectNews;
-  proofAsk = other106.proofAsk;
-  proofReply = other106.proofReply;
-  __isset = other106.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other107) {
-  heartbeat = other107.heartbeat;
-  summary = other107.summary;
-  rows = other107.rows;
-  rowsRequest = other107.rowsRequest;
-  tokenAsk = other107.tokenAsk;
-  tokenGrant = other107.tokenGrant;
-  promiseRequest = other107.promiseRequest;
-  promiseReply = other107.promiseReply;
-  quarantine = other107.quarantine;
-  creditAsk = other107.creditAsk;
-  creditGrant = other107.creditGrant;
-  objectNews = other107.objectNews;
-  proofAsk = other107.proofAsk;
-  proofReply = other107.proofReply;
-  __isset = other107.__isset;
+Datagram::Datagram(const Datagram& other120) {
+  heartbeat = other120.heartbeat;
+  summary = other120.summary;
+  rows = other120.rows;
+  rowsRequest = other120.rowsRequest;
+  tokenAsk = other120.tokenAsk;
+  tokenGrant = other120.tokenGrant;
+  promiseRequest = other120.promiseRequest;
+  promiseReply = other120.promiseReply;
+  quarantine = other120.quarantine;
+  creditAsk = other120.creditAsk;
+  creditGrant = other120.creditGrant;
+  objectNews = other120.objectNews;
+  viewAsk = other120.viewAsk;
+  viewReply = other120.viewReply;
+  __isset = other120.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other121) {
+  heartbeat = other121.heartbeat;
+  summary = other121.summary;
+  rows = other121.rows;
+  rowsRequest = other121.rowsRequest;
+  tokenAsk = other121.tokenAsk;
+  tokenGrant = other121.tokenGrant;
+  promiseRequest = other121.promiseRequest;
+  promiseReply = other121.promiseReply;
+  quarantine = other121.quarantine;
+  creditAsk = other121.creditAsk;
+  creditGrant = other121.creditGrant;
+  objectNews = other121.objectNews;
+  viewAsk = other121.viewAsk;
+  viewReply = other121.viewReply;
+  __isset = other121.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -4210,8 +4662,8 @@
   out << ", " << "creditAsk="; (__isset.creditAsk ? (out << to_string(creditAsk)) : (out << "<null>"));
   out << ", " << "creditGrant="; (__isset.creditGrant ? (out << to_string(creditGrant)) : (out << "<null>"));
   out << ", " << "objectNews="; (__isset.objectNews ? (out << to_string(objectNews)) : (out << "<null>"));
-  out << ", " << "proofAsk="; (__isset.proofAsk ? (out << to_string(proofAsk)) : (out << "<null>"));
-  out << ", " << "proofReply="; (__isset.proofReply ? (out << to_string(proofReply)) : (out << "<null>"));
+  out << ", " << "viewAsk="; (__isset.viewAsk ? (out << to_string(viewAsk)) : (out << "<null>"));
+  out << ", " << "viewReply="; (__isset.viewReply ? (out << to_string(viewReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -69,9 +69,11 @@
 
 class ObjectNews;
 
-class ProofAsk;
+class ViewAsk;
 
-class ProofReply;
+class TargetChange;
+
+class ViewReply;
 
 class Datagram;
 
@@ -1515,38 +1517,158 @@
 
 std::ostream& operator<<(std::ostream& out, const ObjectNews& obj);
 
-typedef struct _ProofAsk__isset {
-  _ProofAsk__isset() : askedAtNs(false) {}
+typedef struct _ViewAsk__isset {
+  _ViewAsk__isset() : askedAtNs(false), revision(false) {}
   bool askedAtNs :1;
-} _ProofAsk__isset;
+  bool revision :1;
+} _ViewAsk__isset;
 
-class ProofAsk : public virtual ::apache::thrift::TBase {
+class ViewAsk : public virtual ::apache::thrift::TBase {
  public:
 
-  ProofAsk(const ProofAsk&) noexcept;
-  ProofAsk& operator=(const ProofAsk&) noexcept;
-  ProofAsk() noexcept
-           : askedAtNs(0) {
+  ViewAsk(const ViewAsk&) noexcept;
+  ViewAsk& operator=(const ViewAsk&) noexcept;
+  ViewAsk() noexcept
+          : askedAtNs(0),
+            revision(0) {
   }
 
-  virtual ~ProofAsk() noexcept;
+  virtual ~ViewAsk() noexcept;
   int64_t askedAtNs;
+  int64_t revision;
 
-  _ProofAsk__isset __isset;
+  _ViewAsk__isset __isset;
 
   void __set_askedAtNs(const int64_t val);
 
-  bool operator == (const ProofAsk & rhs) const
+  void __set_revision(const int64_t val);
+
+  bool operator == (const ViewAsk & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
       return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const ViewAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ViewAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ViewAsk &a, ViewAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const ViewAsk& obj);
+
+typedef struct _TargetChange__isset {
+  _TargetChange__isset() : name(false), address(false), port(false), serviceName(false), dataCentre(false), slots(false), draining(false), coldLeftMs(false), sequence(false), startedAtMs(false), removed(false) {}
+  bool name :1;
+  bool address :1;
+  bool port :1;
+  bool serviceName :1;
+  bool dataCentre :1;
+  bool slots :1;
+  bool draining :1;
+  bool coldLeftMs :1;
+  bool sequence :1;
+  bool startedAtMs :1;
+  bool removed :1;
+} _TargetChange__isset;
+
+class TargetChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetChange(const TargetChange&);
+  TargetChange& operator=(const TargetChange&);
+  TargetChange() noexcept
+               : name(),
+                 address(),
+                 port(0),
+                 serviceName(),
+                 dataCentre(),
+                 slots(0),
+                 draining(0),
+                 coldLeftMs(0),
+                 sequence(0),
+                 startedAtMs(0),
+                 removed(0) {
+  }
+
+  virtual ~TargetChange() noexcept;
+  std::string name;
+  std::string address;
+  int32_t port;
+  std::string serviceName;
+  std::string dataCentre;
+  int32_t slots;
+  bool draining;
+  int32_t coldLeftMs;
+  int64_t sequence;
+  int64_t startedAtMs;
+  bool removed;
+
+  _TargetChange__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_coldLeftMs(const int32_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const TargetChange & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(coldLeftMs == rhs.coldLeftMs))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
     return true;
   }
-  bool operator != (const ProofAsk &rhs) const {
+  bool operator != (const TargetChange &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ProofAsk & ) const;
+  bool operator < (const TargetChange & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1554,34 +1676,47 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProofAsk &a, ProofAsk &b);
+void swap(TargetChange &a, TargetChange &b);
 
-std::ostream& operator<<(std::ostream& out, const ProofAsk& obj);
+std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
-typedef struct _ProofReply__isset {
-  _ProofReply__isset() : askedAtNs(false), version(false), ageMs(false) {}
+typedef struct _ViewReply__isset {
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
-} _ProofReply__isset;
-
-class ProofReply : public virtual ::apache::thrift::TBase {
+  bool revision :1;
+  bool targetsAgeMs :1;
+  bool changes :1;
+  bool partial :1;
+  bool evacuated :1;
+} _ViewReply__isset;
+
+class ViewReply : public virtual ::apache::thrift::TBase {
  public:
 
-  ProofReply(const ProofReply&) noexcept;
-  ProofReply& operator=(const ProofReply&) noexcept;
-  ProofReply() noexcept
-             : askedAtNs(0),
-               version(0),
-               ageMs(0) {
+  ViewReply(const ViewReply&);
+  ViewReply& operator=(const ViewReply&);
+  ViewReply() noexcept
+            : askedAtNs(0),
+              version(0),
+              ageMs(0),
+              revision(0),
+              targetsAgeMs(0),
+              partial(0) {
   }
 
-  virtual ~ProofReply() noexcept;
+  virtual ~ViewReply() noexcept;
   int64_t askedAtNs;
   int64_t version;
   int64_t ageMs;
+  int64_t revision;
+  int64_t targetsAgeMs;
+  std::vector<TargetChange>  changes;
+  bool partial;
+  std::vector<std::string>  evacuated;
 
-  _ProofReply__isset __isset;
+  _ViewReply__isset __isset;
 
   void __set_askedAtNs(const int64_t val);
 
@@ -1589,7 +1724,17 @@
 
   void __set_ageMs(const int64_t val);
 
-  bool operator == (const ProofReply & rhs) const
+  void __set_revision(const int64_t val);
+
+  void __set_targetsAgeMs(const int64_t val);
+
+  void __set_changes(const std::vector<TargetChange> & val);
+
+  void __set_partial(const bool val);
+
+  void __set_evacuated(const std::vector<std::string> & val);
+
+  bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
       return false;
@@ -1597,13 +1742,23 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(targetsAgeMs == rhs.targetsAgeMs))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(partial == rhs.partial))
+      return false;
+    if (!(evacuated == rhs.evacuated))
+      return false;
     return true;
   }
-  bool operator != (const ProofReply &rhs) const {
+  bool operator != (const ViewReply &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ProofReply & ) const;
+  bool operator < (const ViewReply & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1611,12 +1766,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProofReply &a, ProofReply &b);
+void swap(ViewReply &a, ViewReply &b);
 
-std::ostream& operator<<(std::ostream& out, const ProofReply& obj);
+std::ostream& operator<<(std::ostream& out, const ViewReply& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false), objectNews(false), proofAsk(false), proofReply(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false), objectNews(false), viewAsk(false), viewReply(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -1629,8 +1784,8 @@
   bool creditAsk :1;
   bool creditGrant :1;
   bool objectNews :1;
-  bool proofAsk :1;
-  bool proofReply :1;
+  bool viewAsk :1;
+  bool viewReply :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -1654,8 +1809,8 @@
   CreditAsk creditAsk;
   CreditGrant creditGrant;
   ObjectNews objectNews;
-  ProofAsk proofAsk;
-  ProofReply proofReply;
+  ViewAsk viewAsk;
+  ViewReply viewReply;
 
   _Datagram__isset __isset;
 
@@ -1683,9 +1838,9 @@
 
   void __set_objectNews(const ObjectNews& val);
 
-  void __set_proofAsk(const ProofAsk& val);
+  void __set_viewAsk(const ViewAsk& val);
 
-  void __set_proofReply(const ProofReply& val);
+  void __set_viewReply(const ViewReply& val);
 
   bool operator == (const Datagram & rhs) const
   {
@@ -1737,13 +1892,13 @@
       return false;
     else if (__isset.objectNews && !(objectNews == rhs.objectNews))
       return false;
-    if (__isset.proofAsk != rhs.__isset.proofAsk)
+    if (__isset.viewAsk != rhs.__isset.viewAsk)
       return false;
-    else if (__isset.proofAsk && !(proofAsk == rhs.proofAsk))
+    else if (__isset.viewAsk && !(viewAsk == rhs.viewAsk))
       return false;
-    if (__isset.proofReply != rhs.__isset.proofReply)
+    if (__isset.viewReply != rhs.__isset.viewReply)
       return false;
-    else if (__isset.proofReply && !(proofReply == rhs.proofReply))
+    else if (__isset.viewReply && !(viewReply == rhs.viewReply))
       return false;
     return true;
   }
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -161,15 +161,35 @@
   1: list<ObjectRow> rows
 }
 
-/// Asks how current the receiver's configuration is.
-struct ProofAsk {
+/// Asks what the receiver has read from the platform, and when.
+struct ViewAsk {
   1: i64 askedAtNs
+  2: i64 revision
 }
 
-struct ProofReply {
+struct TargetChange {
+  1: string name
+  2: string address
+  3: i32 port
+  4: string serviceName
+  5: string dataCentre
+  6: i32 slots
+  7: bool draining
+  8: i32 coldLeftMs
+  9: i64 sequence
+  10: i64 startedAtMs
+  11: bool removed
+}
+
+struct ViewReply {
   1: i64 askedAtNs
   2: i64 version
   3: i64 ageMs
+  4: i64 revision
+  5: i64 targetsAgeMs
+  6: list<TargetChange> changes
+  7: bool partial
+  8: list<string> evacuated
 }
 
 /// Exactly one field is set; it is the kind of the datagram.
@@ -186,6 +206,6 @@
   10: optional CreditAsk creditAsk
   11: optional CreditGrant creditGrant
   12: optional ObjectNews objectNews
-  13: optional ProofAsk proofAsk
-  14: optional ProofReply proofReply
+  13: optional ViewAsk viewAsk
+  14: optional ViewReply viewReply
 }
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -10,11 +10,11 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/objectmsg.h>
-#include <magnoliaspread/proofmsg.h>
 #include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
 #include <magnoliaspread/sharemsg.h>
+#include <magnoliaspread/viewmsg.h>
 
 #include <array>
 #include <cstddef>
@@ -40,7 +40,7 @@
 
 using control_message =
     std::variant<member_message, quota_message, quarantine_notice,
-                 credit_message, object_news, proof_ask, proof_reply>;
+                 credit_message, object_news, view_ask, view_reply>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -27,8 +27,8 @@
 void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
 void writeCredit(const credit_message &Message, idl::Datagram &Body);
 void writeNews(const object_news &News, idl::Datagram &Body);
-void writeProof(const proof_ask &Ask, idl::Datagram &Body);
-void writeProof(const proof_reply &Reply, idl::Datagram &Body);
+void writeView(const view_ask &Ask, idl::Datagram &Body);
+void writeView(const view_reply &Reply, idl::Datagram &Body);
 
 /// Read the field of \p Body that is set.
 heartbeat_message readHeartbeat(const idl::Heartbeat &From,
@@ -45,8 +45,8 @@
 credit_ask_message readCreditAsk(const idl::CreditAsk &From);
 credit_grant_message readCreditGrant(const idl::CreditGrant &From);
 object_news readNews(const idl::ObjectNews &From);
-proof_ask readProofAsk(const idl::ProofAsk &From);
-proof_reply readProofReply(const idl::ProofReply &From);
+view_ask readViewAsk(const idl::ViewAsk &From);
+view_reply readViewReply(const idl::ViewReply &From);
 
 /// Names are checked for their length, numbers for their range.
 std::string readName(const std::string &From);
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -61,10 +61,10 @@
     writeCredit(*Credit, Body);
   else if (const auto *News = std::get_if<object_news>(&Message))
     writeNews(*News, Body);
-  else if (const auto *Ask = std::get_if<proof_ask>(&Message))
-    writeProof(*Ask, Body);
-  else if (const auto *Reply = std::get_if<proof_reply>(&Message))
-    writeProof(*Reply, Body);
+  else if (const auto *Ask = std::get_if<view_ask>(&Message))
+    writeView(*Ask, Body);
+  else if (const auto *Reply = std::get_if<view_reply>(&Message))
+    writeView(*Reply, Body);
   else
     writeQuarantine(std::get<quarantine_notice>(Message), Body);
 }
@@ -94,10 +94,10 @@
     return credit_message(readCreditGrant(Body.creditGrant));
   if (Body.__isset.objectNews)
     return readNews(Body.objectNews);
-  if (Body.__isset.proofAsk)
-    return readProofAsk(Body.proofAsk);
-  if (Body.__isset.proofReply)
-    return readProofReply(Body.proofReply);
+  if (Body.__isset.viewAsk)
+    return readViewAsk(Body.viewAsk);
+  if (Body.__isset.viewReply)
+    return readViewReply(Body.viewReply);
   throw malformed_message("unknown kind");
 }
 
--- a/packages/wire/src/newscodec.cpp
+++ b/packages/wire/src/newscodec.cpp
@@ -17,18 +17,69 @@
   Body.__set_objectNews(To);
 }
 
-void writeProof(const proof_ask &Ask, idl::Datagram &Body) {
-  idl::ProofAsk To;
+namespace {
+
+idl::TargetChange toWire(const target_change &Change) {
+  const target_record &Record = Change.Record;
+  idl::TargetChange To;
+  To.name = Record.Name;
+  To.address = Record.Address.Address;
+  To.port = Record.Address.Port;
+  To.serviceName = Record.Service;
+  To.dataCentre = Record.DataCentre;
+  To.slots = static_cast<std::int32_t>(Record.Slots);
+  To.draining = Record.Draining;
+  To.coldLeftMs = static_cast<std::int32_t>(Record.ColdLeft.count());
+  To.sequence = static_cast<std::int64_t>(Record.Sequence);
+  To.startedAtMs = Record.StartedAtMs;
+  To.removed = Change.Removed;
+  return To;
+}
+
+target_change fromWire(const idl::TargetChange &From) {
+  target_change Change;
+  target_record &Record = Change.Record;
+  Record.Name = readName(From.name);
+  Record.Address = {readName(From.address),
+                    readNumber<std::uint16_t>(From.port)};
+  Record.Service = readName(From.serviceName);
+  Record.DataCentre = readName(From.dataCentre);
+  Record.Slots = readNumber<std::uint32_t>(From.slots);
+  Record.Draining = From.draining;
+  Record.ColdLeft = milliseconds(readNumber<std::uint32_t>(From.coldLeftMs));
+  Record.Sequence = static_cast<std::uint64_t>(From.sequence);
+  Record.StartedAtMs = From.startedAtMs;
+  Change.Removed = From.removed;
+  return Change;
+}
+
+milliseconds readAge(std::int64_t From) {
+  if (From < 0)
+    throw malformed_message("knowledge of the future");
+  return milliseconds(From);
+}
+
+} // namespace
+
+void writeView(const view_ask &Ask, idl::Datagram &Body) {
+  idl::ViewAsk To;
   To.askedAtNs = Ask.AskedAt.time_since_epoch().count();
-  Body.__set_proofAsk(To);
+  To.revision = static_cast<std::int64_t>(Ask.Revision);
+  Body.__set_viewAsk(To);
 }
 
-void writeProof(const proof_reply &Reply, idl::Datagram &Body) {
-  idl::ProofReply To;
+void writeView(const view_reply &Reply, idl::Datagram &Body) {
+  idl::ViewReply To;
   To.askedAtNs = Reply.AskedAt.time_since_epoch().count();
   To.version = static_cast<std::int64_t>(Reply.Version);
   To.ageMs = Reply.Age.count();
-  Body.__set_proofReply(To);
+  To.revision = static_cast<std::int64_t>(Reply.Revision);
+  To.targetsAgeMs = Reply.TargetsAge.count();
+  for (const target_change &Change : Reply.Changes)
+    To.changes.push_back(toWire(Change));
+  To.partial = Reply.Partial;
+  To.evacuated = Reply.Evacuated;
+  Body.__set_viewReply(To);
 }
 
 object_news readNews(const idl::ObjectNews &From) {
@@ -39,15 +90,24 @@
   return News;
 }
 
-proof_ask readProofAsk(const idl::ProofAsk &From) {
-  return {boot_time(nanoseconds(From.askedAtNs))};
+view_ask readViewAsk(const idl::ViewAsk &From) {
+  return {boot_time(nanoseconds(From.askedAtNs)),
+          static_cast<std::uint64_t>(From.revision)};
 }
 
-proof_reply readProofReply(const idl::ProofReply &From) {
-  if (From.ageMs < 0)
-    throw malformed_message("a proof of the future");
-  return {boot_time(nanoseconds(From.askedAtNs)),
-          static_cast<std::uint64_t>(From.version), milliseconds(From.ageMs)};
+view_reply readViewReply(const idl::ViewReply &From) {
+  view_reply Reply;
+  Reply.AskedAt = boot_time(nanoseconds(From.askedAtNs));
+  Reply.Version = static_cast<std::uint64_t>(From.version);
+  Reply.Age = readAge(From.ageMs);
+  Reply.Revision = static_cast<std::uint64_t>(From.revision);
+  Reply.TargetsAge = readAge(From.targetsAgeMs);
+  for (const idl::TargetChange &Change : From.changes)
+    Reply.Changes.push_back(fromWire(Change));
+  Reply.Partial = From.partial;
+  for (const std::string &Name : From.evacuated)
+    Reply.Evacuated.push_back(readName(Name));
+  return Reply;
 }
 
 } // namespace magnoliaspread
