--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -38,6 +38,8 @@
 constexpr milliseconds RevocationMargin{600};
 constexpr milliseconds MeasurePeriod{1000};
 constexpr milliseconds PeersPeriod{250};
+/// About a target's time for one request: later news would tell nothing.
+constexpr milliseconds NewsPeriod{100};
 /// A draining instance takes new connections for this long: callers keep the
 /// directory's answer for its time to live, and a little longer.
 constexpr milliseconds AcceptGrace{700};
@@ -119,7 +121,7 @@
   admin_answer routesPage(const admin_port::request &Request) const;
   void askPeers();
   void fetchRoutes(const member_row &Peer);
-  void tellObjects();
+  void tellObjects(steady_time Now);
   void beginDrain();
   void watchDrain(steady_time Now);
 
@@ -157,6 +159,7 @@
   steady_time StartedAt;
   steady_time NextPeers;
   steady_time NextMeasure;
+  steady_time NextNews;
   /// Live instances of all data centres, without this one.
   std::vector<member_row> Peers;
   std::size_t PeersSeen = 0;
@@ -533,7 +536,7 @@
   for (const quarantine_notice &Notice : Gate.notices())
     for (const member_row &Row : Peers)
       Datagrams.send({Row.Identity.Internal}, Notice);
-  tellObjects();
+  tellObjects(Now);
   if (Now >= NextMeasure)
     measure(Now);
   if (Members.members().superseded())
@@ -550,7 +553,10 @@
 
 /// Objects belong to the callers of one region, so its instances share where
 /// they are warm.
-void gateway::tellObjects() {
+void gateway::tellObjects(steady_time Now) {
+  if (Now < NextNews)
+    return;
+  NextNews = Now + NewsPeriod;
   const std::vector<object_news> News = Gate.takeNews();
   if (News.empty())
     return;
--- a/packages/steering/include/magnoliaspread/objectmsg.h
+++ b/packages/steering/include/magnoliaspread/objectmsg.h
@@ -1,4 +1,5 @@
-/// Message by which instances tell each other where objects are warm.
+/// Message by which instances tell each other where objects are warm, and how
+/// busy targets are.
 #ifndef MAGNOLIASPREAD_OBJECTMSG_H
 #define MAGNOLIASPREAD_OBJECTMSG_H
 
@@ -9,7 +10,7 @@
 namespace magnoliaspread {
 
 /// Rows of one message; fits a datagram.
-inline constexpr std::size_t MaxObjectRows = 32;
+inline constexpr std::size_t MaxObjectRows = 24;
 
 struct object_row {
   /// Hash of route and object.
@@ -22,8 +23,19 @@
   bool operator==(const object_row &) const = default;
 };
 
+/// What a target has reported last.
+struct load_row {
+  /// Id of the target.
+  std::uint64_t Target = 0;
+  /// Requests that it ran or that waited there.
+  std::uint32_t Busy = 0;
+
+  bool operator==(const load_row &) const = default;
+};
+
 struct object_news {
   std::vector<object_row> Rows;
+  std::vector<load_row> Loads;
 
   bool operator==(const object_news &) const = default;
 };
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -67,6 +67,8 @@
   /// Part of a target's slots that may be busy when it is made a further
   /// holder.
   double SparePart = 0.5;
+  /// Reports of at least this part of a target's slots are told to peers.
+  double BusyPart = 0.5;
   /// A target that has not become a holder in this many expected times won't.
   double WarmingPatience = 2.5;
   /// Part of the latency target that a cold and a warm request are taken to
@@ -214,6 +216,8 @@
   void receive(const object_news &News, steady_time Now);
   /// What has changed here since the last call, for the peers of the region.
   std::vector<object_row> takeNews();
+  /// Busy targets by what they have reported since the last call.
+  std::vector<load_row> takeLoads();
 
   /// Expected time that a request of this kind takes on a target.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
@@ -237,6 +241,8 @@
     bool Restarted = false;
     double ColdTokens = 1;
     steady_time ColdRefilledAt;
+    /// Last report that peers haven't been told.
+    std::optional<std::uint32_t> Untold;
     /// Requests that wait here for this target.
     std::uint32_t Queued = 0;
   };
@@ -305,7 +311,7 @@
   void noteAnswer(target_state &Target, const target_end &End, steady_time Now);
   void noteFailure(target_state &Target, target_result Result, steady_time Now);
   void noteReport(target_state &Target, const target_report &Report,
-                  steady_time Now) const;
+                  steady_time Now);
   void fadeMarks(target_state &Target, steady_time Now) const;
   void remember(std::uint64_t Object, target_handle Target, bool Warm,
                 steady_time Now);
@@ -322,6 +328,7 @@
   std::unordered_map<std::uint64_t, target_handle> ById;
   std::unordered_map<std::uint64_t, std::vector<holder>> Objects;
   std::vector<object_row> News;
+  std::vector<target_handle> Untold;
   std::vector<waiting_request> Waiting;
   std::vector<candidate> Candidates;
   std::size_t InFlight = 0;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -438,7 +438,26 @@
 
 std::vector<object_row> placer::takeNews() { return std::exchange(News, {}); }
 
+std::vector<load_row> placer::takeLoads() {
+  std::vector<load_row> Loads;
+  for (const target_handle Handle : std::exchange(Untold, {})) {
+    target_state &State = Targets[Handle.Index];
+    if (const auto Busy = std::exchange(State.Untold, std::nullopt))
+      Loads.push_back({State.Info.Id, *Busy});
+  }
+  return Loads;
+}
+
 void placer::receive(const object_news &Message, steady_time Now) {
+  for (const load_row &Row : Message.Loads) {
+    const auto Target = ById.find(Row.Target);
+    if (Target == ById.end())
+      continue;
+    target_state &State = Targets[Target->second.Index];
+    State.Others =
+        std::max(0.0, static_cast<double>(Row.Busy) - State.InFlight);
+    State.ReportedAt = Now;
+  }
   for (const object_row &Row : Message.Rows) {
     const auto Target = ById.find(Row.Target);
     if (Target == ById.end() || Row.Object == 0)
@@ -510,10 +529,15 @@
 }
 
 void placer::noteReport(target_state &Target, const target_report &Report,
-                        steady_time Now) const {
-  const double Busy = Report.Running + Report.Waiting;
-  Target.Others = std::max(0.0, Busy - Target.InFlight);
+                        steady_time Now) {
+  const std::uint32_t Busy = Report.Running + Report.Waiting;
+  Target.Others = std::max(0.0, static_cast<double>(Busy) - Target.InFlight);
   Target.ReportedAt = Now;
+  if (Busy < Policy.BusyPart * std::max(1U, Target.Info.Slots))
+    return;
+  if (!Target.Untold)
+    Untold.push_back(Target.Info.Handle);
+  Target.Untold = Busy;
 }
 
 /// The request that was to make the target a holder has failed.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -422,6 +422,11 @@
       Messages.emplace_back();
     Messages.back().Rows.push_back(Row);
   }
+  for (const load_row &Row : State->Placer.takeLoads()) {
+    if (Messages.empty() || Messages.back().Loads.size() >= MaxObjectRows)
+      Messages.emplace_back();
+    Messages.back().Loads.push_back(Row);
+  }
   return Messages;
 }
 
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3500,6 +3500,118 @@
 }
 
 
+LoadRow::~LoadRow() noexcept {
+}
+
+
+void LoadRow::__set_target(const int64_t val) {
+  this->target = val;
+}
+
+void LoadRow::__set_busy(const int32_t val) {
+  this->busy = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->busy);
+          this->__isset.busy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadRow");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("busy", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->busy);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadRow &a, LoadRow &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.busy, b.busy);
+  swap(a.__isset, b.__isset);
+}
+
+LoadRow::LoadRow(const LoadRow& other94) noexcept {
+  target = other94.target;
+  busy = other94.busy;
+  __isset = other94.__isset;
+}
+LoadRow& LoadRow::operator=(const LoadRow& other95) noexcept {
+  target = other95.target;
+  busy = other95.busy;
+  __isset = other95.__isset;
+  return *this;
+}
+void LoadRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadRow(";
+  out << "target=" << to_string(target);
+  out << ", " << "busy=" << to_string(busy);
+  out << ")";
+}
+
+
 ObjectNews::~ObjectNews() noexcept {
 }
 
@@ -3507,6 +3619,10 @@
 void ObjectNews::__set_rows(const std::vector<ObjectRow> & val) {
   this->rows = val;
 }
+
+void ObjectNews::__set_loads(const std::vector<LoadRow> & val) {
+  this->loads = val;
+}
 std::ostream& operator<<(std::ostream& out, const ObjectNews& obj)
 {
   obj.printTo(out);
@@ -3539,14 +3655,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->rows.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->rows.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->rows[_i98].read(iprot);
+              xfer += this->rows[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3555,6 +3671,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->loads.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
+            {
+              xfer += this->loads[_i105].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3575,10 +3711,22 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ObjectRow> ::const_iterator _iter99;
-    for (_iter99 = this->rows.begin(); _iter99 != this->rows.end(); ++_iter99)
+    std::vector<ObjectRow> ::const_iterator _iter106;
+    for (_iter106 = this->rows.begin(); _iter106 != this->rows.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<LoadRow> ::const_iterator _iter107;
+    for (_iter107 = this->loads.begin(); _iter107 != this->loads.end(); ++_iter107)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3592,22 +3740,26 @@
 void swap(ObjectNews &a, ObjectNews &b) {
   using ::std::swap;
   swap(a.rows, b.rows);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-ObjectNews::ObjectNews(const ObjectNews& other100) {
-  rows = other100.rows;
-  __isset = other100.__isset;
+ObjectNews::ObjectNews(const ObjectNews& other108) {
+  rows = other108.rows;
+  loads = other108.loads;
+  __isset = other108.__isset;
 }
-ObjectNews& ObjectNews::operator=(const ObjectNews& other101) {
-  rows = other101.rows;
-  __isset = other101.__isset;
+ObjectNews& ObjectNews::operator=(const ObjectNews& other109) {
+  rows = other109.rows;
+  loads = other109.loads;
+  __isset = other109.__isset;
   return *this;
 }
 void ObjectNews::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ObjectNews(";
   out << "rows=" << to_string(rows);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
@@ -3704,15 +3856,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewAsk::ViewAsk(const ViewAsk& other102) noexcept {
-  askedAtNs = other102.askedAtNs;
-  revision = other102.revision;
-  __isset = other102.__isset;
+ViewAsk::ViewAsk(const ViewAsk& other110) noexcept {
+  askedAtNs = other110.askedAtNs;
+  revision = other110.revision;
+  __isset = other110.__isset;
 }
-ViewAsk& ViewAsk::operator=(const ViewAsk& other103) noexcept {
-  askedAtNs = other103.askedAtNs;
-  revision = other103.revision;
-  __isset = other103.__isset;
+ViewAsk& ViewAsk::operator=(const ViewAsk& other111) noexcept {
+  askedAtNs = other111.askedAtNs;
+  revision = other111.revision;
+  __isset = other111.__isset;
   return *this;
 }
 void ViewAsk::printTo(std::ostream& out) const {
@@ -3969,33 +4121,33 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetChange::TargetChange(const TargetChange& other104) {
-  name = other104.name;
-  address = other104.address;
-  port = other104.port;
-  serviceName = other104.serviceName;
-  dataCentre = other104.dataCentre;
-  slots = other104.slots;
-  draining = other104.draining;
-  coldLeftMs = other104.coldLeftMs;
-  sequence = other104.sequence;
-  startedAtMs = other104.startedAtMs;
-  removed = other104.removed;
-  __isset = other104.__isset;
-}
-TargetChange& TargetChange::operator=(const TargetChange& other105) {
-  name = other105.name;
-  address = other105.address;
-  port = other105.port;
-  serviceName = other105.serviceName;
-  dataCentre = other105.dataCentre;
-  slots = other105.slots;
-  draining = other105.draining;
-  coldLeftMs = other105.coldLeftMs;
-  sequence = other105.sequence;
-  startedAtMs = other105.startedAtMs;
-  removed = other105.removed;
-  __isset = other105.__isset;
+TargetChange::TargetChange(const TargetChange& other112) {
+  name = other112.name;
+  address = other112.address;
+  port = other112.port;
+  serviceName = other112.serviceName;
+  dataCentre = other112.dataCentre;
+  slots = other112.slots;
+  draining = other112.draining;
+  coldLeftMs = other112.coldLeftMs;
+  sequence = other112.sequence;
+  startedAtMs = other112.startedAtMs;
+  removed = other112.removed;
+  __isset = other112.__isset;
+}
+TargetChange& TargetChange::operator=(const TargetChange& other113) {
+  name = other113.name;
+  address = other113.address;
+  port = other113.port;
+  serviceName = other113.serviceName;
+  dataCentre = other113.dataCentre;
+  slots = other113.slots;
+  draining = other113.draining;
+  coldLeftMs = other113.coldLeftMs;
+  sequence = other113.sequence;
+  startedAtMs = other113.startedAtMs;
+  removed = other113.removed;
+  __isset = other113.__isset;
   return *this;
 }
 void TargetChange::printTo(std::ostream& out) const {
@@ -4123,14 +4275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->changes.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->changes.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->changes[_i110].read(iprot);
+              xfer += this->changes[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4151,14 +4303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuated.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->evacuated.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->evacuated.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += iprot->readString(this->evacuated[_i115]);
+              xfer += iprot->readString(this->evacuated[_i123]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4207,10 +4359,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<TargetChange> ::const_iterator _iter116;
-    for (_iter116 = this->changes.begin(); _iter116 != this->changes.end(); ++_iter116)
+    std::vector<TargetChange> ::const_iterator _iter124;
+    for (_iter124 = this->changes.begin(); _iter124 != this->changes.end(); ++_iter124)
     {
-      xfer += (*_iter116).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4223,10 +4375,10 @@
   xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
-    std::vector<std::string> ::const_iterator _iter117;
-    for (_iter117 = this->evacuated.begin(); _iter117 != this->evacuated.end(); ++_iter117)
+    std::vector<std::string> ::const_iterator _iter125;
+    for (_iter125 = this->evacuated.begin(); _iter125 != this->evacuated.end(); ++_iter125)
     {
-      xfer += oprot->writeString((*_iter117));
+      xfer += oprot->writeString((*_iter125));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4250,27 +4402,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other118) {
-  askedAtNs = other118.askedAtNs;
-  version = other118.version;
-  ageMs = other118.ageMs;
-  revision = other118.revision;
-  targetsAgeMs = other118.targetsAgeMs;
-  changes = other118.changes;
-  partial = other118.partial;
-  evacuated = other118.evacuated;
-  __isset = other118.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other119) {
-  askedAtNs = other119.askedAtNs;
-  version = other119.version;
-  ageMs = other119.ageMs;
-  revision = other119.revision;
-  targetsAgeMs = other119.targetsAgeMs;
-  changes = other119.changes;
-  partial = other119.partial;
-  evacuated = other119.evacuated;
-  __isset = other119.__isset;
+ViewReply::ViewReply(const ViewReply& other126) {
+  askedAtNs = other126.askedAtNs;
+  version = other126.version;
+  ageMs = other126.ageMs;
+  revision = other126.revision;
+  targetsAgeMs = other126.targetsAgeMs;
+  changes = other126.changes;
+  partial = other126.partial;
+  evacuated = other126.evacuated;
+  __isset = other126.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other127) {
+  askedAtNs = other127.askedAtNs;
+  version = other127.version;
+  ageMs = other127.ageMs;
+  revision = other127.revision;
+  targetsAgeMs = other127.targetsAgeMs;
+  changes = other127.changes;
+  partial = other127.partial;
+  evacuated = other127.evacuated;
+  __isset = other127.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -4612,39 +4764,39 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other120) {
-  heartbeat = other120.heartbeat;
-  summary = other120.summary;
-  rows = other120.rows;
-  rowsRequest = other120.rowsRequest;
-  tokenAsk = other120.tokenAsk;
-  tokenGrant = other120.tokenGrant;
-  promiseRequest = other120.promiseRequest;
-  promiseReply = other120.promiseReply;
-  quarantine = other120.quarantine;
-  creditAsk = other120.creditAsk;
-  creditGrant = other120.creditGrant;
-  objectNews = other120.objectNews;
-  viewAsk = other120.viewAsk;
-  viewReply = other120.viewReply;
-  __isset = other120.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other121) {
-  heartbeat = other121.heartbeat;
-  summary = other121.summary;
-  rows = other121.rows;
-  rowsRequest = other121.rowsRequest;
-  tokenAsk = other121.tokenAsk;
-  tokenGrant = other121.tokenGrant;
-  promiseRequest = other121.promiseRequest;
-  promiseReply = other121.promiseReply;
-  quarantine = other121.quarantine;
-  creditAsk = other121.creditAsk;
-  creditGrant = other121.creditGrant;
-  objectNews = other121.objectNews;
-  viewAsk = other121.viewAsk;
-  viewReply = other121.viewReply;
-  __isset = other121.__isset;
+Datagram::Datagram(const Datagram& other128) {
+  heartbeat = other128.heartbeat;
+  summary = other128.summary;
+  rows = other128.rows;
+  rowsRequest = other128.rowsRequest;
+  tokenAsk = other128.tokenAsk;
+  tokenGrant = other128.tokenGrant;
+  promiseRequest = other128.promiseRequest;
+  promiseReply = other128.promiseReply;
+  quarantine = other128.quarantine;
+  creditAsk = other128.creditAsk;
+  creditGrant = other128.creditGrant;
+  objectNews = other128.objectNews;
+  viewAsk = other128.viewAsk;
+  viewReply = other128.viewReply;
+  __isset = other128.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other129) {
+  heartbeat = other129.heartbeat;
+  summary = other129.summary;
+  rows = other129.rows;
+  rowsRequest = other129.rowsRequest;
+  tokenAsk = other129.tokenAsk;
+  tokenGrant = other129.tokenGrant;
+  promiseRequest = other129.promiseRequest;
+  promiseReply = other129.promiseReply;
+  quarantine = other129.quarantine;
+  creditAsk = other129.creditAsk;
+  creditGrant = other129.creditGrant;
+  objectNews = other129.objectNews;
+  viewAsk = other129.viewAsk;
+  viewReply = other129.viewReply;
+  __isset = other129.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -67,6 +67,8 @@
 
 class ObjectRow;
 
+class LoadRow;
+
 class ObjectNews;
 
 class ViewAsk;
@@ -1475,9 +1477,60 @@
 
 std::ostream& operator<<(std::ostream& out, const ObjectRow& obj);
 
+typedef struct _LoadRow__isset {
+  _LoadRow__isset() : target(false), busy(false) {}
+  bool target :1;
+  bool busy :1;
+} _LoadRow__isset;
+
+class LoadRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadRow(const LoadRow&) noexcept;
+  LoadRow& operator=(const LoadRow&) noexcept;
+  LoadRow() noexcept
+          : target(0),
+            busy(0) {
+  }
+
+  virtual ~LoadRow() noexcept;
+  int64_t target;
+  int32_t busy;
+
+  _LoadRow__isset __isset;
+
+  void __set_target(const int64_t val);
+
+  void __set_busy(const int32_t val);
+
+  bool operator == (const LoadRow & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(busy == rhs.busy))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadRow &a, LoadRow &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadRow& obj);
+
 typedef struct _ObjectNews__isset {
-  _ObjectNews__isset() : rows(false) {}
+  _ObjectNews__isset() : rows(false), loads(false) {}
   bool rows :1;
+  bool loads :1;
 } _ObjectNews__isset;
 
 class ObjectNews : public virtual ::apache::thrift::TBase {
@@ -1490,15 +1543,20 @@
 
   virtual ~ObjectNews() noexcept;
   std::vector<ObjectRow>  rows;
+  std::vector<LoadRow>  loads;
 
   _ObjectNews__isset __isset;
 
   void __set_rows(const std::vector<ObjectRow> & val);
 
+  void __set_loads(const std::vector<LoadRow> & val);
+
   bool operator == (const ObjectNews & rhs) const
   {
     if (!(rows == rhs.rows))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
     return true;
   }
   bool operator != (const ObjectNews &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -157,8 +157,14 @@
   3: bool warm
 }
 
+struct LoadRow {
+  1: i64 target
+  2: i32 busy
+}
+
 struct ObjectNews {
   1: list<ObjectRow> rows
+  2: list<LoadRow> loads
 }
 
 /// Asks what the receiver has read from the platform, and when.
--- a/packages/wire/src/newscodec.cpp
+++ b/packages/wire/src/newscodec.cpp
@@ -14,6 +14,12 @@
     Written.warm = Row.Warm;
     To.rows.push_back(Written);
   }
+  for (const load_row &Row : News.Loads) {
+    idl::LoadRow Written;
+    Written.target = static_cast<std::int64_t>(Row.Target);
+    Written.busy = static_cast<std::int32_t>(Row.Busy);
+    To.loads.push_back(Written);
+  }
   Body.__set_objectNews(To);
 }
 
@@ -87,6 +93,9 @@
   for (const idl::ObjectRow &Row : From.rows)
     News.Rows.push_back({static_cast<std::uint64_t>(Row.object),
                          static_cast<std::uint64_t>(Row.target), Row.warm});
+  for (const idl::LoadRow &Row : From.loads)
+    News.Loads.push_back({static_cast<std::uint64_t>(Row.target),
+                          readNumber<std::uint32_t>(Row.busy)});
   return News;
 }
 
