Regions keep the objects that their slots bear; evacuations beside too many changes

Change: the way is left out where an object has no holder; no further holder where both answers come late; a partial reply still carries evacuations and makes the asker read.

--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -112,6 +112,8 @@
   // Targets that were never read here can't be completed by changes.
   if (Revision == 0 || Reply.Revision < Revision || AsOf < TargetsAsOf)
     return Taken;
+  Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
+  Taken.Evacuated = Evacuated;
   Taken.ReadTargets = Reply.Partial;
   if (Reply.Partial)
     return Taken;
@@ -121,8 +123,6 @@
       targetChanged(Reply.Revision, Change);
   }
   targetsRead(Reply.Revision, AsOf);
-  Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
-  Taken.Evacuated = Evacuated;
   return Taken;
 }
 
--- /dev/null
+++ b/packages/coordination/tests/platformview.cpp
@@ -0,0 +1,136 @@
+#include <magnoliaspread/platformview.h>
+#include <magnoliaspread/story.h>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr boot_time Start{std::chrono::hours(1)};
+
+target_change changeOf(const std::string &Name) {
+  target_change Change;
+  Change.Record.Name = Name;
+  return Change;
+}
+
+platform_view viewOf(const std::string &Name) {
+  return platform_view(view_settings{}, Name);
+}
+
+} // namespace
+
+STORY(platform_view_readers) {
+  section("exactly one of the region's instances reads", [&] {
+    const std::vector<std::string> Names{"a", "b", "c", "d"};
+    int Readers = 0;
+    for (const std::string &Name : Names) {
+      platform_view View = viewOf(Name);
+      std::vector<std::string> Mates = Names;
+      std::erase(Mates, Name);
+      View.setMates(Mates);
+      Readers += View.isReader() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Readers);
+  });
+  section("whoever is alone reads", [&] {
+    platform_view View = viewOf("a");
+    View.setMates({});
+    CPPUNIT_ASSERT(View.isReader());
+  });
+  section("old knowledge has to be read by anyone", [&] {
+    platform_view View = viewOf("a");
+    View.targetsRead(5, Start);
+    View.routesProved(3, Start);
+    CPPUNIT_ASSERT(!View.targetsDue(Start + 1s));
+    CPPUNIT_ASSERT(View.targetsDue(Start + 1600ms));
+    CPPUNIT_ASSERT(!View.routesDue(Start + 2s));
+    CPPUNIT_ASSERT(View.routesDue(Start + 2600ms));
+    CPPUNIT_ASSERT(View.askDue(Start + 3100ms) == view_source::AnyPeer);
+  });
+}
+
+STORY(platform_view_proofs) {
+  platform_view Reader = viewOf("reader");
+  platform_view Asker = viewOf("asker");
+  Reader.routesProved(7, Start);
+  Reader.targetsRead(100, Start);
+  Asker.routesProved(7, Start - 3s);
+  Asker.targetsRead(100, Start - 3s);
+  const view_ask Ask = Asker.ask(Start + 500ms);
+  section("a reply proves what was current at a time of the asker", [&] {
+    const view_reply Reply = Reader.answer(Ask, Start + 600ms);
+    Asker.take(Reply);
+    CPPUNIT_ASSERT(Asker.routesProvedAt() <= Start);
+    CPPUNIT_ASSERT(Asker.routesProvedAt() > Start - 200ms);
+  });
+  section("one that comes seconds late proves no more", [&] {
+    platform_view Frozen = viewOf("frozen");
+    Frozen.routesProved(7, Start - 3s);
+    const view_reply Reply = Reader.answer(Ask, Start + 600ms);
+    // The process stood still in between; the reply is as old as its question.
+    Frozen.take(Reply);
+    CPPUNIT_ASSERT(Frozen.routesProvedAt() <= Start);
+  });
+  section("another version proves nothing, and a newer one is fetched", [&] {
+    platform_view Old = viewOf("old");
+    Old.routesProved(6, Start - 3s);
+    const auto Taken = Old.take(Reader.answer(Ask, Start + 600ms));
+    CPPUNIT_ASSERT(Taken.FetchRoutes);
+    CPPUNIT_ASSERT(Old.routesProvedAt() == Start - 3s);
+  });
+  section("a peer without a configuration proves nothing", [&] {
+    platform_view Empty = viewOf("empty");
+    const auto Taken = Asker.take(Empty.answer(Ask, Start + 600ms));
+    CPPUNIT_ASSERT(!Taken.FetchRoutes);
+  });
+}
+
+STORY(platform_view_changes) {
+  platform_view Reader = viewOf("reader");
+  platform_view Asker = viewOf("asker");
+  Reader.targetsRead(100, Start);
+  Reader.forgetChanges(100);
+  Asker.targetsRead(100, Start);
+  const auto AskAt = [&](boot_time Now) {
+    return Asker.take(Reader.answer(Asker.ask(Now), Now));
+  };
+  section("changes since the question's revision are taken over", [&] {
+    Reader.targetChanged(101, changeOf("x"));
+    Reader.targetsRead(101, Start + 1s);
+    Reader.setEvacuated({"dc"});
+    const auto Taken = AskAt(Start + 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Taken.Changes.size());
+    CPPUNIT_ASSERT(Taken.Evacuated->contains("dc"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(101), Asker.revision());
+    CPPUNIT_ASSERT(AskAt(Start + 2s).Changes.empty());
+  });
+  section("they can be passed on", [&] {
+    platform_view Third = viewOf("third");
+    Third.targetsRead(100, Start);
+    const auto Taken =
+        Third.take(Asker.answer(Third.ask(Start + 2s), Start + 2s));
+    CPPUNIT_ASSERT(Taken.ReadTargets || Taken.Changes.size() == 1);
+  });
+  section("too many of them have to be read", [&] {
+    Reader.setEvacuated({"dc", "other"});
+    for (std::uint64_t I = 0; I <= MaxViewRows; ++I)
+      Reader.targetChanged(102 + I, changeOf("y" + std::to_string(I)));
+    Reader.targetsRead(110, Start + 3s);
+    const auto Taken = AskAt(Start + 3s);
+    CPPUNIT_ASSERT(Taken.ReadTargets && Taken.Changes.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(101), Asker.revision());
+  });
+  section("evacuated data centres are taken over all the same", [&] {
+    const auto Taken = AskAt(Start + 4s);
+    CPPUNIT_ASSERT(Taken.ReadTargets);
+    CPPUNIT_ASSERT(Taken.Evacuated && Taken.Evacuated->contains("other"));
+  });
+  section("an older revision is not taken over", [&] {
+    platform_view Behind = viewOf("behind");
+    Behind.targetsRead(50, Start + 9s);
+    const auto Taken =
+        Asker.take(Behind.answer(Asker.ask(Start + 9s), Start + 9s));
+    CPPUNIT_ASSERT(Taken.Changes.empty() && !Taken.Evacuated);
+  });
+}
--- /dev/null
+++ b/packages/coordination/tests/registry.cpp
@@ -0,0 +1,104 @@
+#include <magnoliaspread/registry.h>
+#include <magnoliaspread/story.h>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr steady_time Start{std::chrono::hours(1)};
+
+target_record recordOf(const std::string &Name, std::int64_t StartedAt,
+                       std::uint64_t Sequence) {
+  target_record Record;
+  Record.Name = Name;
+  Record.Address = {"127.0.0.1", 8000};
+  Record.Service = "s";
+  Record.DataCentre = "dc-a";
+  Record.Slots = 4;
+  Record.StartedAtMs = StartedAt;
+  Record.Sequence = Sequence;
+  return Record;
+}
+
+std::size_t openCount(const target_registry &Registry) {
+  std::size_t Open = 0;
+  for (const registered_target &Row : Registry.targets())
+    Open += Row.Open ? 1 : 0;
+  return Open;
+}
+
+} // namespace
+
+STORY(registry_entries) {
+  target_registry Registry{registry_settings{}};
+  Registry.platformAnswered(Start);
+  Registry.replaceAll({recordOf("a", 1, 1), recordOf("b", 1, 1)}, Start);
+  section("a draining target gets no new work", [&] {
+    target_record Leaving = recordOf("a", 1, 2);
+    Leaving.Draining = true;
+    Registry.put(Leaving, Start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("an older report of the same start changes nothing", [&] {
+    Registry.put(recordOf("a", 1, 1), Start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("another start under the name is another target", [&] {
+    const auto Before = Registry.targets();
+    target_record Again = recordOf("a", 2, 1);
+    Again.ColdLeft = 3000ms;
+    Registry.put(Again, Start + 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), openCount(Registry));
+    for (const registered_target &Row : Registry.targets()) {
+      if (Row.Record.Name != "a")
+        continue;
+      CPPUNIT_ASSERT(Row.ColdUntil == Start + 4s);
+      for (const registered_target &Old : Before)
+        CPPUNIT_ASSERT(Old.Handle != Row.Handle);
+    }
+  });
+  section("an entry that is gone names no target", [&] {
+    Registry.remove("b", Start + 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Registry.targets().size());
+  });
+}
+
+STORY(registry_after_the_platform_was_away) {
+  target_registry Registry{registry_settings{}};
+  Registry.platformAnswered(Start);
+  Registry.replaceAll({recordOf("a", 1, 1), recordOf("b", 1, 1)}, Start);
+  section("entries that lapsed meanwhile are kept for a while", [&] {
+    Registry.platformAnswered(Start + 5s);
+    Registry.replaceAll({}, Start + 5s);
+    Registry.tick(Start + 6s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), openCount(Registry));
+  });
+  section("one that comes back stays", [&] {
+    Registry.put(recordOf("a", 1, 9), Start + 6s);
+    Registry.tick(Start + 8s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         Registry.targets().at(0).Record.Name);
+  });
+  section("without an absence a missing entry is gone at once", [&] {
+    Registry.platformAnswered(Start + 7s);
+    Registry.platformAnswered(Start + 9s);
+    Registry.remove("a", Start + 9s);
+    CPPUNIT_ASSERT(Registry.targets().empty());
+  });
+}
+
+STORY(registry_evacuations) {
+  target_registry Registry{registry_settings{}};
+  Registry.platformAnswered(Start);
+  Registry.replaceAll({recordOf("a", 1, 1)}, Start);
+  Registry.setEvacuated({"dc-a"}, Start + 1s);
+  section("an evacuated data centre gets nothing",
+          [&] { CPPUNIT_ASSERT_EQUAL(std::size_t(0), openCount(Registry)); });
+  section("its targets count as cold when it is taken back", [&] {
+    Registry.setEvacuated({}, Start + 9s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+    CPPUNIT_ASSERT(Registry.targets().at(0).ColdUntil > Start + 9s);
+  });
+}
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -52,12 +52,13 @@
   Registry.tick(Now);
   const bool Reads = View.isReader() || !complete();
   if (!PollingTargets && Now >= NextPoll &&
-      (Reads || View.targetsDue(Clock.boot())))
+      (Reads || MissedChanges || View.targetsDue(Clock.boot())))
     pollTargets();
   if (!ReadingRoutes && Now >= NextRoutes &&
-      (Reads || View.routesDue(Clock.boot())))
+      (Reads || RoutesAt < Newest || View.routesDue(Clock.boot())))
     readRoutes();
-  if (!ReadingEvacuations && Now >= NextEvacuations && Reads)
+  if (!ReadingEvacuations && Now >= NextEvacuations &&
+      (Reads || EvacuationsAt < Newest))
     readEvacuations();
 }
 
@@ -74,6 +75,7 @@
   const steady_time Now = Clock.now();
   if (TargetsAt == NoObject)
     return;
+  MissedChanges = MissedChanges || Taken.ReadTargets;
   if (Taken.ReadTargets)
     NextPoll = std::min(NextPoll, Now);
   for (const target_change &Change : Taken.Changes)
@@ -85,6 +87,8 @@
     return;
   Registry.platformAnswered(Now);
   Registry.setEvacuated(*Taken.Evacuated, Now);
+  if (Taken.ReadTargets)
+    return;
   TargetsAt = View.revision();
   HaveEvacuations = true;
   // The peer has seen them; a read here would tell nothing new.
@@ -109,6 +113,7 @@
 
 void platform_follower::pollTargets() {
   PollingTargets = true;
+  MissedChanges = false;
   const steady_time Now = Clock.now();
   NextPoll = Now + jittered(PollPeriod);
   if (TargetsAt == NoObject || Now >= NextList)
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -75,6 +75,8 @@
   bool HaveRoutes = false;
   bool HaveEvacuations = false;
   bool PollingTargets = false;
+  /// A peer knew of more changes than it could send.
+  bool MissedChanges = false;
   bool ReadingRoutes = false;
   bool ReadingEvacuations = false;
   bool Lost = false;
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -64,6 +64,9 @@
   /// A target that isn't a holder has to be this much sooner than the best
   /// holder.
   std::chrono::milliseconds LeaveMargin{60};
+  /// Part of the time left from which a holder's answer is so late that a
+  /// further holder is made for an answer that is late, too.
+  double LatePart = 0.5;
   /// Part of a target's slots that may be busy when it is made a further
   /// holder.
   double SparePart = 0.5;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -292,10 +292,15 @@
                               Load + 1 > Slots * Policy.SparePart))
       continue;
     const double Expected = expected(State, Request, Service, Now);
-    if ((Holder != nullptr || Best) && Expected >= Bar)
+    // The way to a target is weighed by the hash already.
+    const auto Distance = static_cast<std::size_t>(State.Info.Distance);
+    const double Cost = Holder != nullptr
+                            ? Expected
+                            : Expected - seconds(Policy.RoundTrip[Distance]);
+    if ((Holder != nullptr || Best) && Cost >= Bar)
       continue;
     Best = choice{Row.Target, Expected, Load < Slots + Policy.Ahead};
-    Bar = Expected - Margin;
+    Bar = Cost - Margin;
   }
   return Best;
 }
@@ -308,8 +313,12 @@
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
+  // Where both come late a further holder would only take slots.
   const std::optional<choice> Other = bestOther(Request, &*Holder, Now);
-  return Other ? Other : Holder;
+  const double Left = seconds(Request.Deadline - Now);
+  const bool Worth = Other && (Other->Expected <= Good ||
+                               Holder->Expected > Left * Policy.LatePart);
+  return Worth ? Other : Holder;
 }
 
 error placer::refusal(double Seconds) const {
