--- a/packages/base/include/magnoliaspread/clock.h
+++ b/packages/base/include/magnoliaspread/clock.h
@@ -16,7 +16,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT: named by the standard
 };
 
 using boot_time = boot_clock::time_point;
--- a/packages/coordination/include/magnoliaspread/limiter.h
+++ b/packages/coordination/include/magnoliaspread/limiter.h
@@ -47,7 +47,7 @@
   std::string Name;
   std::string Region;
 
-  auto operator<=>(const limiter_instance &) const = default;
+  bool operator==(const limiter_instance &) const = default;
 };
 
 class fleet_limiter final : public token_source {
--- a/packages/coordination/src/limiter.cpp
+++ b/packages/coordination/src/limiter.cpp
@@ -100,7 +100,10 @@
 
 void fleet_limiter::setInstances(std::vector<limiter_instance> NewInstances,
                                  std::size_t NewRegions, steady_time Now) {
-  std::sort(NewInstances.begin(), NewInstances.end());
+  std::sort(NewInstances.begin(), NewInstances.end(),
+            [](const limiter_instance &A, const limiter_instance &B) {
+              return A.Name < B.Name;
+            });
   Regions = std::max<std::size_t>(1, NewRegions);
   if (NewInstances == Instances)
     return;
--- /dev/null
+++ b/packages/traffic/tests/timers.cpp
@@ -0,0 +1,39 @@
+#include "timers_p.h"
+
+#include <magnoliaspread/story.h>
+
+#include <optional>
+#include <thread>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+STORY(read_timer_ends_with_its_scope) {
+  asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket Socket(Context);
+  Socket.connect(Acceptor.local_endpoint());
+  std::optional<error_code> Read;
+  char Byte = 0;
+  Socket.async_read_some(
+      asio::buffer(&Byte, 1),
+      [&](error_code Failure, std::size_t) { Read = Failure; });
+
+  section("a timer that expires with the end of its scope is harmless", [&] {
+    const auto End = std::chrono::steady_clock::now() + 20ms;
+    // Both expire in one pass of the reactor, so that the handler of the
+    // scope's timer is queued when the scope ends.
+    asio::steady_timer Ends(Context, End - 1ms);
+    std::optional<read_timer> Scope;
+    Ends.async_wait([&](error_code) { Scope.reset(); });
+    Scope.emplace(Socket, End);
+    std::this_thread::sleep_for(40ms);
+    Context.run_for(50ms);
+    CPPUNIT_ASSERT(!Read);
+  });
+  section("one that lives stops the operation", [&] {
+    const read_timer Timer(Socket, 10ms);
+    Context.run_for(100ms);
+    CPPUNIT_ASSERT(Read && *Read == asio::error::operation_aborted);
+  });
+}
