--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -138,10 +138,10 @@
   member_identity Identity;
   asio::io_context Context{1};
   http_store Store;
-  fleet_limiter Limiter;
   instance_metrics Metrics;
   datagram_port Datagrams;
   member_system Members;
+  fleet_limiter Limiter;
   target_registry Registry;
   platform_view View;
   platform_follower Follower;
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -1,4 +1,5 @@
 #include "gate_p.h"
+#include "sockets_p.h"
 
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr int ListenBacklog = 512;
 constexpr milliseconds AcceptPause{10};
 constexpr milliseconds SweepPeriod{1000};
 /// Pause between two looks at the requests that wait, while any do.
@@ -52,24 +52,6 @@
   return Numbers;
 }
 
-status openAcceptor(tcp::acceptor &Acceptor, const endpoint_address &Where) {
-  error_code Failure;
-  const auto Address = asio::ip::make_address(Where.Address, Failure);
-  const tcp::endpoint Endpoint(Address, Where.Port);
-  if (!Failure)
-    Acceptor.open(Endpoint.protocol(), Failure);
-  if (!Failure)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
-  if (!Failure)
-    Acceptor.bind(Endpoint, Failure);
-  if (!Failure)
-    Acceptor.listen(ListenBacklog, Failure);
-  if (!Failure)
-    return {};
-  return error{
-      error_kind::BadSettings, "public port: " + Failure.message(), {}};
-}
-
 } // namespace
 
 gate::state::state(asio::io_context &Context, const gate_settings &Settings,
@@ -314,7 +296,8 @@
 gate::~gate() = default;
 
 status gate::open() {
-  status Opened = openAcceptor(State->Acceptor, State->Settings.Public);
+  status Opened =
+      openPort(State->Acceptor, State->Settings.Public, port_use::Alone);
   if (failed(Opened))
     return Opened;
   asio::co_spawn(State->Context, State->sweepPool(), asio::detached);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -1,4 +1,5 @@
 #include "gate_p.h"
+#include "sockets_p.h"
 #include "timers_p.h"
 
 #include <magnoliaspread/log.h>
@@ -27,15 +28,6 @@
 /// A further attempt needs at least this much time.
 constexpr milliseconds LeastAttempt{50};
 
-bool hasClosed(tcp::socket &Socket) {
-  error_code Failure;
-  Socket.non_blocking(true, Failure);
-  char Byte = 0;
-  const std::size_t Count = Socket.receive(asio::buffer(&Byte, 1),
-                                           tcp::socket::message_peek, Failure);
-  return Failure != asio::error::would_block && Count == 0;
-}
-
 /// How one request ended.
 struct request_outcome {
   std::optional<whole_answer> Answer;
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -1,5 +1,6 @@
 #include "pool_p.h"
 
+#include "sockets_p.h"
 #include "timers_p.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -16,16 +17,6 @@
   return Peer.Address + ':' + std::to_string(Peer.Port);
 }
 
-/// True when the peer has neither closed the connection nor sent bytes that
-/// nobody asked for.
-bool isQuiet(tcp::socket &Socket) {
-  error_code Failure;
-  Socket.non_blocking(true, Failure);
-  char Byte = 0;
-  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
-  return Failure == asio::error::would_block;
-}
-
 } // namespace
 
 void upstream_pool::peer_pool::close(connection_id Id) {
--- /dev/null
+++ b/packages/traffic/src/sockets.cpp
@@ -0,0 +1,59 @@
+#include "sockets_p.h"
+
+#include <sys/socket.h>
+
+namespace magnoliaspread {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Looks at the next byte without taking it.
+std::size_t peek(tcp::socket &Socket, error_code &Failure) {
+  Socket.non_blocking(true, Failure);
+  char Byte = 0;
+  return Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                        Failure);
+}
+
+} // namespace
+
+status openPort(tcp::acceptor &Acceptor, const endpoint_address &Where,
+                port_use Use) {
+  error_code Failure;
+  const auto Address = asio::ip::make_address(Where.Address, Failure);
+  const tcp::endpoint Endpoint(Address, Where.Port);
+  if (!Failure)
+    Acceptor.open(Endpoint.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure && Use == port_use::Shared)
+    Acceptor.set_option(reuse_port(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Endpoint, Failure);
+  if (!Failure)
+    Acceptor.listen(ListenBacklog, Failure);
+  if (!Failure)
+    return {};
+  return error{error_kind::BadSettings,
+               "can't listen on " + Where.Address + ":" +
+                   std::to_string(Where.Port) + ": " + Failure.message(),
+               {}};
+}
+
+bool hasClosed(tcp::socket &Socket) {
+  error_code Failure;
+  const std::size_t Count = peek(Socket, Failure);
+  return Failure != asio::error::would_block && Count == 0;
+}
+
+bool isQuiet(tcp::socket &Socket) {
+  error_code Failure;
+  peek(Socket, Failure);
+  return Failure == asio::error::would_block;
+}
+
+} // namespace magnoliaspread
--- /dev/null
+++ b/packages/traffic/src/sockets_p.h
@@ -0,0 +1,28 @@
+/// What the package's sources ask of plain sockets.
+#ifndef MAGNOLIASPREAD_SOCKETS_P_H
+#define MAGNOLIASPREAD_SOCKETS_P_H
+
+#include "net_p.h"
+
+#include <magnoliaspread/error.h>
+#include <magnoliaspread/settings.h>
+
+namespace magnoliaspread {
+
+/// Whether several acceptors of the fleet's threads may share a port.
+enum class port_use : std::uint8_t { Alone, Shared };
+
+/// Opens, binds and listens; BadSettings when the port can't be had.
+status openPort(tcp::acceptor &Acceptor, const endpoint_address &Where,
+                port_use Use);
+
+/// True when the peer has closed the connection. Takes no bytes.
+bool hasClosed(tcp::socket &Socket);
+
+/// True when the peer has neither closed the connection nor sent bytes that
+/// nobody asked for.
+bool isQuiet(tcp::socket &Socket);
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -3,13 +3,13 @@
 #include "net_p.h"
 #include "pool_p.h"
 #include "session_p.h"
+#include "sockets_p.h"
 #include "steerer_p.h"
 
 #include <magnoliaspread/log.h>
 
 #include <atomic>
 #include <random>
-#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -21,10 +21,6 @@
 
 constexpr milliseconds SweepPeriod{1000};
 constexpr milliseconds AcceptPause{10};
-constexpr int ListenBacklog = 1024;
-
-using reuse_port =
-    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 std::uint64_t randomNumber() {
   std::random_device Device;
@@ -42,28 +38,6 @@
   return Text;
 }
 
-status openPort(tcp::acceptor &Acceptor, const endpoint_address &Where) {
-  error_code Failure;
-  const auto Address = asio::ip::make_address(Where.Address, Failure);
-  const tcp::endpoint Endpoint(Address, Where.Port);
-  if (!Failure)
-    Acceptor.open(Endpoint.protocol(), Failure);
-  if (!Failure)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
-  if (!Failure)
-    Acceptor.set_option(reuse_port(true), Failure);
-  if (!Failure)
-    Acceptor.bind(Endpoint, Failure);
-  if (!Failure)
-    Acceptor.listen(ListenBacklog, Failure);
-  if (!Failure)
-    return {};
-  return error{error_kind::BadSettings,
-               "can't listen on " + Where.Address + ":" +
-                   std::to_string(Where.Port) + ": " + Failure.message(),
-               {}};
-}
-
 } // namespace
 
 struct traffic_threads::state {
@@ -194,10 +168,12 @@
 status traffic_threads::start() {
   for (std::uint32_t I = 0; I < State->Settings.TrafficThreads; ++I) {
     auto Thread = std::make_unique<thread>(I, *State);
-    status Public = openPort(Thread->Public, State->Settings.Public);
+    status Public =
+        openPort(Thread->Public, State->Settings.Public, port_use::Shared);
     if (failed(Public))
       return Public;
-    status Internal = openPort(Thread->Internal, State->Settings.Internal);
+    status Internal =
+        openPort(Thread->Internal, State->Settings.Internal, port_use::Shared);
     if (failed(Internal))
       return Internal;
     State->Threads.push_back(std::move(Thread));
--- a/packages/traffic/src/watchdog.cpp
+++ b/packages/traffic/src/watchdog.cpp
@@ -1,19 +1,8 @@
 #include "watchdog_p.h"
 
-namespace magnoliaspread {
-
-namespace {
+#include "sockets_p.h"
 
-bool isClosed(tcp::socket &Socket) {
-  error_code Failure;
-  Socket.non_blocking(true, Failure);
-  char Byte = 0;
-  const std::size_t Count = Socket.receive(asio::buffer(&Byte, 1),
-                                           tcp::socket::message_peek, Failure);
-  return Failure != asio::error::would_block && Count == 0;
-}
-
-} // namespace
+namespace magnoliaspread {
 
 watchdog::watchdog(tcp::socket &Caller, tcp::socket &Upstream)
     : Shared(std::make_shared<state>(
@@ -64,7 +53,7 @@
 void watchdog::watchCaller() {
   Shared->Caller->async_wait(
       tcp::socket::wait_read, [State = Shared](error_code Failure) {
-        if (!State->Alive || Failure || !isClosed(*State->Caller))
+        if (!State->Alive || Failure || !hasClosed(*State->Caller))
           return;
         State->CallerGone = true;
         State->cancelAll();
