Tests keep the ports that they hand out

Ruled out: an instance of an earlier test that still ran (each fleet ends and reaps its processes), and the server not setting SO_REUSEADDR (it does).

Change: the socket stays bound with SO_REUSEADDR and never listens. The system then neither draws the port again nor gives it to an outgoing connection, while a server can listen on it.

Test: e2e_ports; before 494 of 500 distinct, after 500.

--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -113,8 +113,13 @@
   return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+/// The socket stays bound as long as this program runs: the system gives the
+/// port to no outgoing connection then, while a server that sets SO_REUSEADDR
+/// can listen on it, also again after a restart.
 std::uint16_t freePort() {
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -122,9 +127,10 @@
   auto *Generic = reinterpret_cast<sockaddr *>(&Address);
   const bool Bound = bind(Socket, Generic, Length) == 0 &&
                      getsockname(Socket, Generic, &Length) == 0;
-  close(Socket);
-  if (!Bound)
+  if (!Bound) {
+    close(Socket);
     throw std::runtime_error("no free port");
+  }
   return ntohs(Address.sin_port);
 }
 
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -36,7 +36,8 @@
   int Output = -1;
 };
 
-/// A port of 127.0.0.1 that was free a moment ago.
+/// A port of 127.0.0.1 that stays reserved for servers which this program
+/// starts.
 std::uint16_t freePort();
 
 } // namespace magnoliaspread
