Changes of targets reach the instances of a region in parts

A reply named five changes at most; with more, and after each full list of the reader, every instance of the region read the platform for itself, three calls each.

Change: a reply brings as many changes as fit and says that more are left; the asker asks on at once, and counts nothing as known before the last part has come. A full list logs what it has changed instead of forgetting the log.

--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -66,14 +66,19 @@
   bool routesDue(boot_time Now) const;
   view_source askDue(boot_time Now);
 
-  view_ask ask(boot_time Now) const { return {Now, Revision}; }
+  view_ask ask(boot_time Now) {
+    AskedAt = Now;
+    return {Now, Revision, Skip};
+  }
   view_reply answer(const view_ask &Ask, boot_time Now) const;
 
   struct taken {
     /// The peer has a newer configuration, which has to be fetched from it.
     bool FetchRoutes = false;
-    /// The peer knows more of the targets than it could send.
+    /// The peer doesn't know what has changed since the own revision.
     bool ReadTargets = false;
+    /// Further changes are left; ask the same instance again at once.
+    bool AskOn = false;
     /// To be applied to the registry.
     std::vector<target_change> Changes;
     /// Set when the reply is as new as what is known here.
@@ -86,6 +91,8 @@
   std::uint64_t revision() const { return Revision; }
 
 private:
+  void takePart(const view_reply &Reply, taken &Taken);
+
   struct logged_change {
     std::uint64_t Revision = 0;
     target_change Change;
@@ -103,6 +110,10 @@
   std::uint64_t LogSince = 0;
   std::set<std::string> Evacuated;
   boot_time NextAsk;
+  /// When the last question was asked.
+  boot_time AskedAt;
+  /// Changes after Revision that the reader's replies have brought so far.
+  std::uint32_t Skip = 0;
 };
 
 } // namespace magnoliaspread
--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -45,8 +45,10 @@
   /// The platform answered; call before the answer is applied.
   void platformAnswered(steady_time Now);
 
-  /// Takes in a list of all entries.
-  void replaceAll(const std::vector<target_record> &Records, steady_time Now);
+  /// Takes in a list of all entries. Returns what it has changed, reports
+  /// that differ only in their number left out.
+  std::vector<target_change>
+  replaceAll(const std::vector<target_record> &Records, steady_time Now);
   /// Takes in one entry that is new or changed.
   void put(const target_record &Record, steady_time Now);
   /// Takes in that an entry is gone or can't be read.
@@ -74,6 +76,7 @@
   };
 
   entry *find(std::string_view Name);
+  bool tellsNews(const target_record &Record);
   void add(const target_record &Record, steady_time Now);
   void drop(std::string_view Name);
 
--- a/packages/coordination/include/magnoliaspread/targetrecord.h
+++ b/packages/coordination/include/magnoliaspread/targetrecord.h
@@ -28,6 +28,14 @@
   bool operator==(const target_record &) const = default;
 };
 
+struct target_change {
+  /// Only the name is set of one that is removed.
+  target_record Record;
+  bool Removed = false;
+
+  bool operator==(const target_change &) const = default;
+};
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/coordination/include/magnoliaspread/viewmsg.h
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -14,25 +14,23 @@
 
 namespace magnoliaspread {
 
-/// Rows of one reply; fits a datagram.
-inline constexpr std::size_t MaxViewRows = 5;
+/// Bytes of one reply's changes and names of data centres, as
+/// platform_view::answer() counts them; with the other fields a reply fits a
+/// datagram (wire/tests/sizes.cpp).
+inline constexpr std::size_t MaxViewBytes = 1000;
 
 struct view_ask {
   /// The asker's own time, which the reply repeats.
   boot_time AskedAt;
   /// The asker knows the targets as of this revision.
   std::uint64_t Revision = 0;
+  /// Changes after Revision that earlier replies of the same instance have
+  /// brought.
+  std::uint32_t Skip = 0;
 
   bool operator==(const view_ask &) const = default;
 };
 
-struct target_change {
-  target_record Record;
-  bool Removed = false;
-
-  bool operator==(const target_change &) const = default;
-};
-
 struct view_reply {
   boot_time AskedAt;
   /// Of the configuration that the sender has in force; 0 is none.
@@ -43,9 +41,13 @@
   /// The same for the targets and the evacuated data centres at Revision.
   std::uint64_t Revision = 0;
   std::chrono::milliseconds TargetsAge{0};
-  /// What has changed since the revision in the question, unless Partial.
+  /// What has changed since the revision in the question, but for the first
+  /// Skip changes; empty if Partial.
   std::vector<target_change> Changes;
-  /// The changes are too many, or too old to be known here.
+  std::uint32_t Skip = 0;
+  /// Further changes are left; the asker asks on.
+  bool More = false;
+  /// The sender doesn't know what has changed since that revision.
   bool Partial = false;
   std::vector<std::string> Evacuated;
 
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -3,6 +3,7 @@
 #include <magnoliaspread/hash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace magnoliaspread {
 
@@ -11,7 +12,16 @@
 
 namespace {
 
-constexpr std::size_t MaxLoggedChanges = 512;
+/// About one change of each target at the size to design for.
+constexpr std::size_t MaxLoggedChanges = 1024;
+/// Bytes of a change's numbers on the wire, with the lengths of its names.
+constexpr std::size_t ChangeOverhead = 60;
+
+std::size_t bytesOf(const target_change &Change) {
+  const target_record &Record = Change.Record;
+  return ChangeOverhead + Record.Name.size() + Record.Address.Address.size() +
+         Record.Service.size() + Record.DataCentre.size();
+}
 
 /// Rounded up, so that knowledge isn't taken for newer than it is.
 milliseconds ageOf(boot_time AsOf, boot_time Now) {
@@ -21,7 +31,7 @@
 } // namespace
 
 void platform_view::setMates(const std::vector<std::string> &Names) {
-  Reader.clear();
+  const std::string Before = std::exchange(Reader, std::string());
   std::uint64_t Least = stableId(Instance);
   for (const std::string &Name : Names) {
     if (stableId(Name) >= Least)
@@ -29,6 +39,8 @@
     Least = stableId(Name);
     Reader = Name;
   }
+  if (Reader != Before)
+    Skip = 0;
 }
 
 void platform_view::routesProved(std::uint64_t Newest, boot_time AsOf) {
@@ -42,6 +54,7 @@
   if (Newest < Revision)
     return;
   Revision = Newest;
+  Skip = 0;
   TargetsAsOf = std::max(TargetsAsOf, AsOf);
 }
 
@@ -92,17 +105,36 @@
   Reply.TargetsAge = ageOf(TargetsAsOf, Now);
   Reply.Evacuated.assign(Evacuated.begin(), Evacuated.end());
   Reply.Partial = Ask.Revision < LogSince;
+  Reply.Skip = Ask.Skip;
+  if (Reply.Partial)
+    return Reply;
+  std::size_t Bytes = 0;
+  for (const std::string &Name : Reply.Evacuated)
+    Bytes += Name.size() + 1;
+  std::uint32_t Passed = 0;
   for (const logged_change &Row : Log) {
-    if (Row.Revision <= Ask.Revision || Reply.Partial)
+    if (Row.Revision <= Ask.Revision || Passed++ < Ask.Skip)
       continue;
-    Reply.Partial = Reply.Changes.size() >= MaxViewRows;
+    Bytes += bytesOf(Row.Change);
+    if (Bytes > MaxViewBytes && !Reply.Changes.empty()) {
+      Reply.More = true;
+      break;
+    }
     Reply.Changes.push_back(Row.Change);
   }
-  if (Reply.Partial)
-    Reply.Changes.clear();
   return Reply;
 }
 
+/// Takes a reply that stands for a part of the changes: nothing is known as of
+/// the reply's revision before the last part has come.
+void platform_view::takePart(const view_reply &Reply, taken &Taken) {
+  Skip += static_cast<std::uint32_t>(Reply.Changes.size());
+  Taken.AskOn = true;
+  Taken.Changes = Reply.Changes;
+  for (const target_change &Change : Reply.Changes)
+    targetChanged(Reply.Revision, Change);
+}
+
 platform_view::taken platform_view::take(const view_reply &Reply) {
   taken Taken;
   Taken.FetchRoutes = Reply.Version > Version;
@@ -114,6 +146,12 @@
     return Taken;
   Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
   Taken.Evacuated = Evacuated;
+  const bool Expected = Reply.AskedAt == AskedAt && Reply.Skip == Skip;
+  if (Reply.More || (Reply.Skip != 0 && !Expected)) {
+    if (Expected)
+      takePart(Reply, Taken);
+    return Taken;
+  }
   Taken.ReadTargets = Reply.Partial;
   if (Reply.Partial)
     return Taken;
--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -82,19 +82,42 @@
     Known->DropAt = HoldUntil;
 }
 
-void target_registry::replaceAll(const std::vector<target_record> &Records,
-                                 steady_time Now) {
+/// Whether an instance without \p Record would think otherwise of its target.
+bool target_registry::tellsNews(const target_record &Record) {
+  const entry *Known = find(Record.Name);
+  if (Known == nullptr || Known->DropAt)
+    return true;
+  if (isStale(Record, Known->Record))
+    return false;
+  target_record Same = Known->Record;
+  Same.Sequence = Record.Sequence;
+  Same.ColdLeft = Record.ColdLeft;
+  return Record != Same;
+}
+
+std::vector<target_change>
+target_registry::replaceAll(const std::vector<target_record> &Records,
+                            steady_time Now) {
+  std::vector<target_change> Changes;
   std::set<std::string_view> Listed;
   for (const target_record &Record : Records) {
     Listed.insert(Record.Name);
+    if (tellsNews(Record))
+      Changes.push_back({Record, false});
     put(Record, Now);
   }
   std::vector<std::string> Missing;
   for (const auto &[Name, Row] : Rows)
     if (!Listed.contains(Name))
       Missing.push_back(Name);
-  for (const std::string &Name : Missing)
+  for (const std::string &Name : Missing) {
+    target_change Change;
+    Change.Record.Name = Name;
+    Change.Removed = true;
+    Changes.push_back(std::move(Change));
     remove(Name, Now);
+  }
+  return Changes;
 }
 
 void target_registry::setEvacuated(std::set<std::string> DataCentres,
--- a/packages/coordination/tests/registry.cpp
+++ b/packages/coordination/tests/registry.cpp
@@ -102,3 +102,39 @@
     CPPUNIT_ASSERT(Registry.targets().at(0).ColdUntil > Start + 9s);
   });
 }
+
+STORY(registry_lists) {
+  target_registry Registry(registry_settings{});
+  section("the first list names every target", [&] {
+    const auto Changes =
+        Registry.replaceAll({recordOf("a", 1, 1), recordOf("b", 1, 1)}, Start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Changes.size());
+  });
+  section("later reports of the same state are no change", [&] {
+    const auto Changes = Registry.replaceAll(
+        {recordOf("a", 1, 2), recordOf("b", 1, 2)}, Start + 1s);
+    CPPUNIT_ASSERT(Changes.empty());
+  });
+  section("another state, another start and a loss are", [&] {
+    target_record Draining = recordOf("a", 1, 3);
+    Draining.Draining = true;
+    auto Changes =
+        Registry.replaceAll({Draining, recordOf("b", 2, 1)}, Start + 2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Changes.size());
+    Changes = Registry.replaceAll({Draining}, Start + 3s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Changes.size());
+    CPPUNIT_ASSERT(Changes[0].Removed);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Changes[0].Record.Name);
+  });
+  section("one that was missed and comes back is a change", [&] {
+    target_registry Held(registry_settings{});
+    Held.platformAnswered(Start);
+    Held.replaceAll({recordOf("a", 1, 1)}, Start);
+    Held.platformAnswered(Start + 20s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Held.replaceAll({}, Start + 20s).size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1),
+        Held.replaceAll({recordOf("a", 1, 1)}, Start + 21s).size());
+  });
+}
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -87,7 +87,7 @@
     return;
   Registry.platformAnswered(Now);
   Registry.setEvacuated(*Taken.Evacuated, Now);
-  if (Taken.ReadTargets)
+  if (Taken.ReadTargets || Taken.AskOn)
     return;
   TargetsAt = View.revision();
   HaveEvacuations = true;
@@ -165,10 +165,15 @@
         logEvent(log_level::Warning, "target_unreadable",
                  {{"target", Name}, {"detail", errorOf(Read).Detail}});
     }
-    Registry.replaceAll(Records, Clock.now());
+    const bool First = View.revision() == 0;
+    std::vector<target_change> Changes =
+        Registry.replaceAll(Records, Clock.now());
     TargetsAt = valueOf(List).Revision;
-    if (TargetsAt > View.revision())
+    if (First)
       View.forgetChanges(TargetsAt);
+    else
+      for (target_change &Change : Changes)
+        View.targetChanged(TargetsAt, std::move(Change));
     View.targetsRead(TargetsAt, AsOf);
     noteRevision(TargetsAt);
     NextList = Clock.now() + jittered(ListPeriod);
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -449,6 +449,8 @@
   const auto Row = Members.members().findIncarnation(Sender);
   if (Taken.FetchRoutes && Row)
     fetchRoutes(*Row);
+  if (Taken.AskOn)
+    sendTo(Row, View.ask(Clock.boot()));
 }
 
 void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3775,6 +3775,10 @@
 void ViewAsk::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void ViewAsk::__set_skip(const int32_t val) {
+  this->skip = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewAsk& obj)
 {
   obj.printTo(out);
@@ -3819,6 +3823,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->skip);
+          this->__isset.skip = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3844,6 +3856,10 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("skip", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->skip);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3853,17 +3869,20 @@
   using ::std::swap;
   swap(a.askedAtNs, b.askedAtNs);
   swap(a.revision, b.revision);
+  swap(a.skip, b.skip);
   swap(a.__isset, b.__isset);
 }
 
 ViewAsk::ViewAsk(const ViewAsk& other110) noexcept {
   askedAtNs = other110.askedAtNs;
   revision = other110.revision;
+  skip = other110.skip;
   __isset = other110.__isset;
 }
 ViewAsk& ViewAsk::operator=(const ViewAsk& other111) noexcept {
   askedAtNs = other111.askedAtNs;
   revision = other111.revision;
+  skip = other111.skip;
   __isset = other111.__isset;
   return *this;
 }
@@ -3872,6 +3891,7 @@
   out << "ViewAsk(";
   out << "askedAtNs=" << to_string(askedAtNs);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "skip=" << to_string(skip);
   out << ")";
 }
 
@@ -4203,6 +4223,14 @@
 void ViewReply::__set_evacuated(const std::vector<std::string> & val) {
   this->evacuated = val;
 }
+
+void ViewReply::__set_skip(const int32_t val) {
+  this->skip = val;
+}
+
+void ViewReply::__set_more(const bool val) {
+  this->more = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -4319,6 +4347,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->skip);
+          this->__isset.skip = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4384,6 +4428,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("skip", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->skip);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4399,6 +4451,8 @@
   swap(a.changes, b.changes);
   swap(a.partial, b.partial);
   swap(a.evacuated, b.evacuated);
+  swap(a.skip, b.skip);
+  swap(a.more, b.more);
   swap(a.__isset, b.__isset);
 }
 
@@ -4411,6 +4465,8 @@
   changes = other126.changes;
   partial = other126.partial;
   evacuated = other126.evacuated;
+  skip = other126.skip;
+  more = other126.more;
   __isset = other126.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other127) {
@@ -4422,6 +4478,8 @@
   changes = other127.changes;
   partial = other127.partial;
   evacuated = other127.evacuated;
+  skip = other127.skip;
+  more = other127.more;
   __isset = other127.__isset;
   return *this;
 }
@@ -4436,6 +4494,8 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "partial=" << to_string(partial);
   out << ", " << "evacuated=" << to_string(evacuated);
+  out << ", " << "skip=" << to_string(skip);
+  out << ", " << "more=" << to_string(more);
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1576,9 +1576,10 @@
 std::ostream& operator<<(std::ostream& out, const ObjectNews& obj);
 
 typedef struct _ViewAsk__isset {
-  _ViewAsk__isset() : askedAtNs(false), revision(false) {}
+  _ViewAsk__isset() : askedAtNs(false), revision(false), skip(false) {}
   bool askedAtNs :1;
   bool revision :1;
+  bool skip :1;
 } _ViewAsk__isset;
 
 class ViewAsk : public virtual ::apache::thrift::TBase {
@@ -1588,12 +1589,14 @@
   ViewAsk& operator=(const ViewAsk&) noexcept;
   ViewAsk() noexcept
           : askedAtNs(0),
-            revision(0) {
+            revision(0),
+            skip(0) {
   }
 
   virtual ~ViewAsk() noexcept;
   int64_t askedAtNs;
   int64_t revision;
+  int32_t skip;
 
   _ViewAsk__isset __isset;
 
@@ -1601,12 +1604,16 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_skip(const int32_t val);
+
   bool operator == (const ViewAsk & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(skip == rhs.skip))
+      return false;
     return true;
   }
   bool operator != (const ViewAsk &rhs) const {
@@ -1739,7 +1746,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false) {}
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
@@ -1748,6 +1755,8 @@
   bool changes :1;
   bool partial :1;
   bool evacuated :1;
+  bool skip :1;
+  bool more :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1761,7 +1770,9 @@
               ageMs(0),
               revision(0),
               targetsAgeMs(0),
-              partial(0) {
+              partial(0),
+              skip(0),
+              more(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1773,6 +1784,8 @@
   std::vector<TargetChange>  changes;
   bool partial;
   std::vector<std::string>  evacuated;
+  int32_t skip;
+  bool more;
 
   _ViewReply__isset __isset;
 
@@ -1792,6 +1805,10 @@
 
   void __set_evacuated(const std::vector<std::string> & val);
 
+  void __set_skip(const int32_t val);
+
+  void __set_more(const bool val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -1810,6 +1827,10 @@
       return false;
     if (!(evacuated == rhs.evacuated))
       return false;
+    if (!(skip == rhs.skip))
+      return false;
+    if (!(more == rhs.more))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -171,6 +171,7 @@
 struct ViewAsk {
   1: i64 askedAtNs
   2: i64 revision
+  3: i32 skip
 }
 
 struct TargetChange {
@@ -196,6 +197,8 @@
   6: list<TargetChange> changes
   7: bool partial
   8: list<string> evacuated
+  9: i32 skip
+  10: bool more
 }
 
 /// Exactly one field is set; it is the kind of the datagram.
--- a/packages/wire/src/newscodec.cpp
+++ b/packages/wire/src/newscodec.cpp
@@ -71,6 +71,7 @@
   idl::ViewAsk To;
   To.askedAtNs = Ask.AskedAt.time_since_epoch().count();
   To.revision = static_cast<std::int64_t>(Ask.Revision);
+  To.skip = static_cast<std::int32_t>(Ask.Skip);
   Body.__set_viewAsk(To);
 }
 
@@ -83,6 +84,8 @@
   To.targetsAgeMs = Reply.TargetsAge.count();
   for (const target_change &Change : Reply.Changes)
     To.changes.push_back(toWire(Change));
+  To.skip = static_cast<std::int32_t>(Reply.Skip);
+  To.more = Reply.More;
   To.partial = Reply.Partial;
   To.evacuated = Reply.Evacuated;
   Body.__set_viewReply(To);
@@ -101,7 +104,8 @@
 
 view_ask readViewAsk(const idl::ViewAsk &From) {
   return {boot_time(nanoseconds(From.askedAtNs)),
-          static_cast<std::uint64_t>(From.revision)};
+          static_cast<std::uint64_t>(From.revision),
+          readNumber<std::uint32_t>(From.skip)};
 }
 
 view_reply readViewReply(const idl::ViewReply &From) {
@@ -113,6 +117,8 @@
   Reply.TargetsAge = readAge(From.targetsAgeMs);
   for (const idl::TargetChange &Change : From.changes)
     Reply.Changes.push_back(fromWire(Change));
+  Reply.Skip = readNumber<std::uint32_t>(From.skip);
+  Reply.More = From.more;
   Reply.Partial = From.partial;
   for (const std::string &Name : From.evacuated)
     Reply.Evacuated.push_back(readName(Name));
--- a/packages/wire/tests/sizes.cpp
+++ b/packages/wire/tests/sizes.cpp
@@ -2,6 +2,7 @@
 /// names.
 #include <magnoliaspread/datagram.h>
 #include <magnoliaspread/member.h>
+#include <magnoliaspread/platformview.h>
 #include <magnoliaspread/story.h>
 
 #include <random>
@@ -84,3 +85,40 @@
           rows_request{Mate, longRow(Centre, 0).Identity.DataCentre}));
   });
 }
+
+STORY(view_datagrams) {
+  constexpr boot_time Now{std::chrono::hours(1000000)};
+  constexpr std::uint64_t Big = 1ull << 62;
+  const auto NameOf = [](std::size_t I, std::size_t Length) {
+    std::string Name = std::to_string(I);
+    Name.resize(Length, 'x');
+    return Name;
+  };
+  // Short names make many rows, long ones few.
+  for (const std::size_t Length : {std::size_t(1), std::size_t(9),
+                                   std::size_t(30), std::size_t(MaxNameBytes)})
+    section("of names of " + std::to_string(Length) + " bytes", [&] {
+      platform_view Reader({}, "reader");
+      for (std::size_t I = 0; I < 40; ++I) {
+        target_change Change;
+        target_record &Record = Change.Record;
+        Record.Name = NameOf(I, Length);
+        Record.Address = {LongAddress, 65535};
+        Record.Service = Record.DataCentre = NameOf(0, Length);
+        Record.Slots = 0x7fffffff;
+        Record.ColdLeft = std::chrono::milliseconds(0x7fffffff);
+        Record.Sequence = Big;
+        Record.StartedAtMs = static_cast<std::int64_t>(Big);
+        Reader.targetChanged(Big, Change);
+      }
+      Reader.routesProved(Big, boot_time{});
+      Reader.targetsRead(Big, boot_time{});
+      Reader.setEvacuated({NameOf(1, Length), NameOf(2, Length)});
+      const view_reply Reply = Reader.answer({Now, 0, 1}, Now);
+      CPPUNIT_ASSERT(Reply.More && !Reply.Changes.empty());
+      datagram_codec Codec(fleet_key{}, 1);
+      const auto Datagram = Codec.encode(Reply);
+      CPPUNIT_ASSERT_MESSAGE(failed(Datagram) ? errorOf(Datagram).Detail : "",
+                             !failed(Datagram));
+    });
+}
