Tokens of requests that did not run come back; no refusal as "not run" after a run

Change: token_source::refund; in an owner's bucket the token stands as if never spent, elsewhere it can be spent for half a second more.

Cause 2: a repeatable request that one target had run and the next one turned away was answered 503, which says that it did not run. Change: the error of the earlier run stays. Test: gateway_keeps_its_promises, last section, failed before with 503.

--- a/packages/coordination/include/magnoliaspread/limiter.h
+++ b/packages/coordination/include/magnoliaspread/limiter.h
@@ -33,6 +33,10 @@
   std::uint64_t Incarnation = 0;
   /// Tokens that are held unspent for this long are given up.
   std::chrono::milliseconds TokenLife{1000};
+  /// A token that comes back to an instance which doesn't own the limit can be
+  /// spent again for this long after it was spent first: targets that are full
+  /// say so within milliseconds.
+  std::chrono::milliseconds RefundLife{500};
   /// Pause before an ask without an answer is made again.
   std::chrono::milliseconds AskTimeout{250};
   /// Part of a second's tokens, and tokens besides, with which the bucket of a
@@ -71,6 +75,8 @@
 
   bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
   bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
+  void refund(limit_id Limit, milli_tokens Tokens, steady_time SpentAt,
+              steady_time Now) override;
   void addWaiting(limit_id Limit, milli_tokens Tokens) override;
 
   /// Asks that are due. Call after a spend that failed, and every few tens of
@@ -120,6 +126,7 @@
   limit_state *find(limit_id Id);
   const limit_state *find(limit_id Id) const;
   void assignOwners(limit_state &Limit, steady_time Now);
+  double most(const limit_state &Limit) const;
   void refill(limit_state &Limit, steady_time Now) const;
   bool take(limit_state &Limit, milli_tokens Tokens, steady_time Now);
   milli_tokens heldBy(const limit_state &Limit, steady_time Now) const;
--- a/packages/coordination/include/magnoliaspread/purse.h
+++ b/packages/coordination/include/magnoliaspread/purse.h
@@ -37,6 +37,8 @@
 public:
   bool spend(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
   bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now) override;
+  /// Gives them up: the bank has counted them as spent.
+  void refund(limit_id, milli_tokens, steady_time, steady_time) override {}
   void addWaiting(limit_id Limit, milli_tokens Tokens) override;
 
   /// Keeps the traffic threads out while the token bank moves tokens, so that
--- a/packages/coordination/include/magnoliaspread/tokensource.h
+++ b/packages/coordination/include/magnoliaspread/tokensource.h
@@ -21,6 +21,11 @@
   /// Another attempt of a caller that waits; not counted as demand again.
   virtual bool retry(limit_id Limit, milli_tokens Tokens, steady_time Now) = 0;
 
+  /// Returns tokens that were spent at \p SpentAt for a request that did not
+  /// run. Tokens that can't be used within the limit any more are given up.
+  virtual void refund(limit_id Limit, milli_tokens Tokens, steady_time SpentAt,
+                      steady_time Now) = 0;
+
   /// Adds to what waiting callers need, or with a negative number takes away.
   virtual void addWaiting(limit_id Limit, milli_tokens Tokens) = 0;
 };
--- a/packages/coordination/src/limiter.cpp
+++ b/packages/coordination/src/limiter.cpp
@@ -121,16 +121,21 @@
   Reachable = std::move(Names);
 }
 
+/// Level of a full bucket. A share of less than one token still has to let one
+/// pass.
+double fleet_limiter::most(const limit_state &Limit) const {
+  const double Part =
+      static_cast<double>(MilliPerToken) / static_cast<double>(Regions);
+  return std::max(Limit.Row.Burst * Part, static_cast<double>(MilliPerToken));
+}
+
 void fleet_limiter::refill(limit_state &Limit, steady_time Now) const {
   if (!Limit.MintsFrom || Now <= Limit.RefilledAt)
     return;
   const double Part =
       static_cast<double>(MilliPerToken) / static_cast<double>(Regions);
-  const double Most = Limit.Row.Burst * Part;
   Limit.Level += Limit.Row.Rate * Part * seconds(Now - Limit.RefilledAt);
-  // A share of less than one token still has to let one pass.
-  Limit.Level =
-      std::min(Limit.Level, std::max(Most, static_cast<double>(MilliPerToken)));
+  Limit.Level = std::min(Limit.Level, most(Limit));
   Limit.RefilledAt = Now;
 }
 
@@ -175,6 +180,21 @@
   return Limit != nullptr && take(*Limit, Tokens, Now);
 }
 
+/// In an owner's bucket the token stands as if it had never been spent.
+void fleet_limiter::refund(limit_id Id, milli_tokens Tokens,
+                           steady_time SpentAt, steady_time Now) {
+  limit_state *Limit = find(Id);
+  if (Limit == nullptr)
+    return;
+  if (Limit->MintsFrom) {
+    refill(*Limit, Now);
+    Limit->Level =
+        std::min(Limit->Level + static_cast<double>(Tokens), most(*Limit));
+  } else if (Now - SpentAt < Settings.RefundLife) {
+    Limit->Held.push_back({Tokens, SpentAt + Settings.RefundLife});
+  }
+}
+
 void fleet_limiter::addWaiting(limit_id Id, milli_tokens Tokens) {
   if (limit_state *Limit = find(Id))
     Limit->Waiting += Tokens;
--- a/packages/coordination/tests/limiter.cpp
+++ b/packages/coordination/tests/limiter.cpp
@@ -66,6 +66,7 @@
     while (Now < End) {
       Now += 10ms;
       deliver();
+      refundDue();
       for (int I = Arrivals(Random); I > 0; --I)
         ask(Random() % Members.size());
       retryWaiting();
@@ -91,6 +92,10 @@
   std::size_t Asked = 0;
   std::size_t Refused = 0;
   double Loss = 0;
+  /// Part of the requests that targets turn away, some time after the token
+  /// was spent.
+  double Shed = 0;
+  std::size_t TurnedAway = 0;
 
 private:
   struct waiting_request {
@@ -98,6 +103,12 @@
     steady_time Until;
   };
 
+  struct spent_token {
+    std::size_t Member;
+    steady_time SpentAt;
+    steady_time BackAt;
+  };
+
   struct message {
     steady_time At;
     std::string From;
@@ -111,11 +122,32 @@
       return;
     ++Asked;
     if (Member.Limiter->spend(Row.Id, MilliPerToken, Now))
-      return Passed.push_back(Now);
+      return send(Index);
     Member.Limiter->addWaiting(Row.Id, MilliPerToken);
     Waiting.push_back({Index, Now + 300ms});
   }
 
+  /// Sends a request that has its token to a target.
+  void send(std::size_t Index) {
+    if (std::uniform_real_distribution<>(0, 1)(Random) >= Shed)
+      return Passed.push_back(Now);
+    ++TurnedAway;
+    // Most are told at once, some after a wait.
+    const milliseconds Took(Random() % 10 == 0 ? Random() % 3000
+                                               : Random() % 20);
+    Refunds.push_back({Index, Now, Now + Took});
+  }
+
+  void refundDue() {
+    std::erase_if(Refunds, [&](const spent_token &Token) {
+      if (Token.BackAt > Now)
+        return false;
+      Members[Token.Member].Limiter->refund(Row.Id, MilliPerToken,
+                                            Token.SpentAt, Now);
+      return true;
+    });
+  }
+
   void retryWaiting() {
     std::deque<waiting_request> Still;
     for (const waiting_request &Request : Waiting) {
@@ -128,7 +160,7 @@
       }
       Member.Limiter->addWaiting(Row.Id, -MilliPerToken);
       if (Got)
-        Passed.push_back(Now);
+        send(Request.Member);
       else
         ++Refused;
     }
@@ -172,6 +204,7 @@
   std::mt19937_64 Random;
   steady_time Now = Start;
   std::deque<waiting_request> Waiting;
+  std::vector<spent_token> Refunds;
   std::vector<message> Messages;
 };
 
@@ -247,6 +280,38 @@
   });
 }
 
+STORY(limiter_with_targets_that_turn_requests_away) {
+  section("they don't use up the rate of those that run", [&] {
+    // As many as callers are told to use in three regions of three data
+    // centres.
+    limiter_fleet Fleet(18, limitOf(60, 60), 6);
+    Fleet.run(40, 3000ms);
+    Fleet.Shed = 0.5;
+    Fleet.Asked = Fleet.Refused = 0;
+    // Half of 100 requests a second run, which is under the rate.
+    Fleet.run(100, 20000ms);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Fleet.Refused),
+                           Fleet.Refused * 20 < Fleet.Asked);
+  });
+  section("nor let more run than the rate allows, 40 seeds", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+      const double Rate = Seed % 2 == 0 ? 30 : 120;
+      limiter_fleet Fleet(12, limitOf(Rate, Rate), Seed);
+      Fleet.Shed = 0.8;
+      Fleet.Loss = 0.1;
+      Fleet.run(Rate * 6, 3000ms);
+      // All that was turned away comes back, and nothing is shed any more.
+      Fleet.Shed = 0;
+      Fleet.run(Rate * 10, 4000ms);
+      Fleet.Shed = 0.5;
+      Fleet.run(Rate * 8, 4000ms);
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(Seed) + ": " +
+                                 std::to_string(Fleet.busiestWindow()),
+                             Fleet.busiestWindow() <= allowed(Rate, Rate));
+    }
+  });
+}
+
 STORY(limiter_owners) {
   section("one instance of each region owns a limit", [&] {
     limiter_fleet Fleet(30, limitOf(10, 10), 5);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -286,8 +286,10 @@
       resultOf(Result.End, Result.Answer.result_int());
   State.finished({Target, Wanted.Place.Object, Wanted.Place.Kind, Verdict, Took,
                   Result.Head.Report});
+  // A target that turns the request away doesn't undo an earlier run.
+  if (!NotRun || !Outcome.MayHaveRun)
+    Outcome.Error = {errorOfEnd(Result.End), std::move(Result.Detail), {}};
   Outcome.MayHaveRun = Outcome.MayHaveRun || !NotRun;
-  Outcome.Error = {errorOfEnd(Result.End), std::move(Result.Detail), {}};
   const bool Done = Result.End == call_end::Answered;
   if (Done)
     Outcome.Answer = std::move(Result.Answer);
@@ -382,7 +384,9 @@
                      Decision.RetryAfter};
     co_return Outcome;
   }
-  if (Wanted.Workspace != nullptr && Wanted.Workspace->Rate > 0) {
+  const bool Limited =
+      Wanted.Workspace != nullptr && Wanted.Workspace->Rate > 0;
+  if (Limited) {
     const status Passed = co_await State.Tokens.pass(Wanted.Workspace->Name,
                                                      Wanted.Place.Deadline);
     if (failed(Passed)) {
@@ -391,7 +395,10 @@
     }
   }
   State.countRequest(Wanted.Service);
+  const steady_time PassedAt = State.Clock.now();
   co_await runAttempts(Wanted, Outcome);
+  if (Limited && !Outcome.MayHaveRun)
+    State.Tokens.refund(Wanted.Workspace->Name, PassedAt);
   co_return Outcome;
 }
 
@@ -437,6 +444,7 @@
 
 asio::awaitable<bool> gate_session::serve() {
   const live_count Mark(State.InFlight);
+  ++State.Requests;
   result<gate_request> Admitted = State.admit(Request, ArrivedAt);
   if (failed(Admitted)) {
     const std::string Id(State.Dialect.read(Request.base()).Id);
--- a/packages/traffic/src/tokens.cpp
+++ b/packages/traffic/src/tokens.cpp
@@ -45,6 +45,14 @@
   co_return refusal(Line);
 }
 
+void token_gate::refund(const std::string &Workspace, steady_time PassedAt) {
+  const steady_time Now = Clock.now();
+  line &Line = lineOf(Workspace);
+  Source.refund(Line.Limit, MilliPerToken, PassedAt, Now);
+  if (!Line.Waiters.empty() && Source.retry(Line.Limit, MilliPerToken, Now))
+    passFirst(Line);
+}
+
 asio::awaitable<bool> token_gate::wait(line &Line, steady_time End) {
   auto Waiter = std::make_shared<waiter>(Context);
   Line.Waiters.push_back(Waiter);
--- a/packages/traffic/src/tokens_p.h
+++ b/packages/traffic/src/tokens_p.h
@@ -32,6 +32,9 @@
   /// when none can be expected in time, otherwise after the wait.
   asio::awaitable<status> pass(std::string Workspace, steady_time Deadline);
 
+  /// Returns the token of a request that did not run.
+  void refund(const std::string &Workspace, steady_time PassedAt);
+
   /// Takes the waits that the token bank expects into account.
   void publish(const std::vector<token_wait> &Waits);
 
