--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 process::process(const std::vector<std::string> &Command,
-                 const std::string &LogFile) {
+                 const std::string &LogFile, bool LogsOutput) {
   int Pipe[2];
   if (pipe2(Pipe, O_CLOEXEC) != 0)
     throw std::runtime_error("pipe2 failed");
@@ -44,6 +44,8 @@
   posix_spawn_file_actions_adddup2(&Actions, Pipe[1], STDOUT_FILENO);
   posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  if (LogsOutput)
+    posix_spawn_file_actions_adddup2(&Actions, STDERR_FILENO, STDOUT_FILENO);
   const std::vector<char *> Arguments = argumentsOf(Command);
   const int Failure = posix_spawn(&Pid, Arguments[0], &Actions, nullptr,
                                   Arguments.data(), environ);
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -12,8 +12,10 @@
 
 class process {
 public:
-  /// Standard error goes to \p LogFile, which is appended to.
-  process(const std::vector<std::string> &Command, const std::string &LogFile);
+  /// Standard error goes to \p LogFile, which is appended to; standard output
+  /// too when \p LogsOutput, else firstLine() reads it.
+  process(const std::vector<std::string> &Command, const std::string &LogFile,
+          bool LogsOutput = false);
   ~process();
   process(process &&Other) noexcept;
   process &operator=(process &&Other) noexcept;
--- /dev/null
+++ b/tests/soak/world.cpp
@@ -0,0 +1,237 @@
+#include "world.h"
+
+#include <client.h>
+
+#include <csignal>
+#include <fstream>
+#include <random>
+
+namespace magnoliaspread {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr unsigned CallerThreads = 8;
+constexpr milliseconds CallerPause{15};
+constexpr milliseconds Work{15};
+constexpr int InstancesPerDataCentre = 2;
+constexpr int TargetsPerDataCentre = 3;
+constexpr const char *Secret =
+    "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+/// By data centre.
+const std::vector<std::pair<std::string, std::string>> Regions{
+    {"north-a", "north"}, {"north-b", "north"}, {"south-a", "south"}};
+
+json::object routeRow(const std::string &Name, const std::string &Kind) {
+  return {{"name", Name},
+          {"host", "a.example"},
+          {"pathPrefix", "/" + Name + "/"},
+          {"kind", Kind},
+          {"timeoutMs", 2000},
+          {"targetLatencyMs", 300},
+          {"priority", 1},
+          {"service", "desk"},
+          {"attempts", 2},
+          {"public", false},
+          {"stickySessions", true},
+          {"homeRegions", json::array{}}};
+}
+
+json::object tenantRow(const std::string &Name, json::array Keys, int Rate) {
+  return {{"name", Name},  {"keys", std::move(Keys)},
+          {"priority", 1}, {"ratePerS", Rate},
+          {"burst", Rate}, {"homeRegions", json::array{}}};
+}
+
+std::string at(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+std::string fieldOf(const http_answer &Answer, const char *Name) {
+  const auto Found = Answer.Fields.find(Name);
+  return Found == Answer.Fields.end() ? std::string() : Found->second;
+}
+
+} // namespace
+
+soak_world::soak_world(const std::string &Folder) : Folder(Folder) {
+  configure(false);
+  int Host = 20;
+  for (const auto &[DataCentre, Region] : Regions) {
+    for (int I = 0; I < TargetsPerDataCentre; ++I) {
+      soak_target &Target = Targets.emplace_back();
+      Target.DataCentre = DataCentre;
+      Target.Target = std::make_unique<target_standin>(
+          "i-" + std::to_string(Targets.size()));
+      Target.Target->setWork(Work);
+      Target.Link = std::make_unique<fault_proxy>(Target.Target->port());
+      putTarget(Target, "ready");
+    }
+    for (int I = 0; I < InstancesPerDataCentre; ++I) {
+      soak_instance &Instance = Instances.emplace_back();
+      Instance.Name = DataCentre + "-" + std::to_string(I + 1);
+      Instance.DataCentre = DataCentre;
+      Instance.Region = Region;
+      Instance.InternalHost = "127.0.0." + std::to_string(Host++);
+      for (std::uint16_t *Port : {&Instance.Public, &Instance.Admin,
+                                  &Instance.Directory, &Instance.Ready})
+        *Port = freePort();
+      Instance.Store = std::make_unique<fault_proxy>(Store.port());
+    }
+  }
+  for (soak_instance &Instance : Instances) {
+    std::ofstream(Folder + "/" + Instance.Name + ".json")
+        << settingsOf(Instance);
+    start(Instance);
+  }
+}
+
+soak_world::~soak_world() { stopCallers(); }
+
+std::string soak_world::settingsOf(const soak_instance &Instance) const {
+  json::object DataCentres;
+  for (const auto &[DataCentre, Region] : Regions)
+    DataCentres[DataCentre] = Region;
+  json::array Seeds;
+  for (const soak_instance &Row : Instances)
+    Seeds.emplace_back(Row.InternalHost + ":" + std::to_string(InternalPort));
+  return json::serialize(json::object{
+      {"name", Instance.Name},
+      {"region", Instance.Region},
+      {"data_centre", Instance.DataCentre},
+      {"public", at(Instance.Public)},
+      {"internal", Instance.InternalHost + ":" + std::to_string(InternalPort)},
+      {"admin", at(Instance.Admin)},
+      {"platform", at(Instance.Store->port())},
+      {"fleet_secret", Secret},
+      {"lookup_ttl_ms", 1000},
+      {"control_tick_ms", 50},
+      {"gateway", json::object{{"directory", at(Instance.Directory)},
+                               {"ready", at(Instance.Ready)},
+                               {"data_centres", std::move(DataCentres)},
+                               {"seeds", std::move(Seeds)},
+                               {"revocation_ms", 5000},
+                               {"retry_ratio", 0.2},
+                               {"grace_ms", 6000}}}});
+}
+
+void soak_world::start(soak_instance &Instance) {
+  Instance.Process.emplace(
+      std::vector<std::string>{DAEMON_PROGRAM, "--settings",
+                               Folder + "/" + Instance.Name + ".json"},
+      Folder + "/" + Instance.Name + ".log", true);
+  Instance.Paused = false;
+  Instance.Ending.reset();
+  Instance.Disturbed = false;
+}
+
+bool soak_world::ready(const soak_instance &Instance) const {
+  return call(Instance.Ready, {.Target = "/magnoliaspread/readiness",
+                               .Timeout = milliseconds(500)})
+             .Status == 200;
+}
+
+bool soak_world::waitAllReady(milliseconds Limit) {
+  const soak_time End = std::chrono::steady_clock::now() + Limit;
+  for (const soak_instance &Instance : Instances)
+    while (!ready(Instance)) {
+      if (std::chrono::steady_clock::now() >= End)
+        return false;
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+  return true;
+}
+
+void soak_world::configure(bool WithoutKey) {
+  KeyGone = KeyGone || WithoutKey;
+  json::array ClubKeys{"key-club"};
+  if (!KeyGone)
+    ClubKeys.emplace_back("key-gone");
+  Store.put(
+      "config", "main",
+      json::object{
+          {"version", "r" + std::to_string(++Version)},
+          {"routes", json::array{routeRow("read", "idempotent"),
+                                 routeRow("pay", "non_idempotent")}},
+          {"services", json::array{json::object{{"name", "desk"},
+                                                {"healthCheckPath", "/health"},
+                                                {"connectionLimit", 390},
+                                                {"coldStartS", 3.0},
+                                                {"coldPerS", 30.0}}}},
+          {"limits", json::object{{"headerBytes", 16384},
+                                  {"bodyBytes", 1 << 20},
+                                  {"headerTimeoutMs", 3000},
+                                  {"idleTimeoutMs", 15000}}},
+          {"tenants",
+           json::array{tenantRow("club", std::move(ClubKeys), 1000),
+                       tenantRow("small", {"key-small"}, SmallRate)}}});
+  if (WithoutKey && !Withdrawn)
+    Withdrawn = std::chrono::steady_clock::now();
+}
+
+void soak_world::putTarget(const soak_target &Target,
+                           const std::string &State) {
+  Store.put(
+      "servers", Target.Target->name(),
+      Target.Target->entry(State, Target.DataCentre, Target.Link->port()));
+}
+
+sent_request soak_world::send(const soak_instance &Instance,
+                              const std::string &Key, bool Repeatable) {
+  sent_request Request;
+  Request.Id = "id-" + std::to_string(++NextId);
+  Request.Key = Key;
+  Request.Repeatable = Repeatable;
+  Request.SentAt = std::chrono::steady_clock::now();
+  const http_answer Answer =
+      call(Instance.Public,
+           {.Method = Repeatable ? "GET" : "POST",
+            .Target = Repeatable ? "/read/1" : "/pay/1",
+            .Fields = {{"Host", "a.example"},
+                       {"Attempt-Id", Request.Id},
+                       {"Affinity-Key", std::to_string(NextId % 40)},
+                       {"Request-Deadline", "1500"},
+                       {"Key", Key}},
+            .Body = Repeatable ? "" : "sum=3",
+            .Timeout = milliseconds(4000)});
+  Request.Status = Answer.Status;
+  Request.Signature = fieldOf(Answer, "Server-Signature");
+  Request.EchoedId = fieldOf(Answer, "Attempt-Id");
+  Request.Body = Answer.Body;
+  const std::lock_guard Lock(Mutex);
+  Sent.push_back(Request);
+  return Request;
+}
+
+std::vector<sent_request> soak_world::sent() const {
+  const std::lock_guard Lock(Mutex);
+  return Sent;
+}
+
+void soak_world::callerLoop(unsigned Number) {
+  std::mt19937 Random(Number);
+  const std::vector<std::string> Keys{"key-club", "key-gone", "key-small",
+                                      "key-small"};
+  while (Calling) {
+    send(Instances[Random() % Instances.size()], Keys[Random() % Keys.size()],
+         Random() % 2 == 0);
+    std::this_thread::sleep_for(CallerPause);
+  }
+}
+
+void soak_world::startCallers() {
+  Calling = true;
+  for (unsigned I = 0; I < CallerThreads; ++I)
+    Callers.emplace_back([this, I] { callerLoop(I); });
+}
+
+void soak_world::stopCallers() {
+  Calling = false;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  Callers.clear();
+}
+
+} // namespace magnoliaspread
