News about objects goes to instances that get callers

Ruled out: going by the rate that a row tells, which isn't fresh for other data centres.

Change: the strong instances of each data centre get the news, all of them from a third of the own capacity on.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <random>
 #include <set>
 
@@ -73,6 +74,9 @@
 /// Part of the last rate of requests that counts a second later at least, so
 /// that a pause between two waves changes nothing.
 constexpr double RateDecay = 0.8;
+/// Part of its capacity from which an instance takes weaker ones to be named
+/// too: under the two thirds at which entry_policy names more of equal load.
+constexpr double BusyPart = 0.33;
 
 http_store_settings storeSettings(const instance_settings &Settings,
                                   const fleet_platform &Platform) {
@@ -150,6 +154,7 @@
   void askPeers();
   void fetchRoutes(const member_row &Peer);
   void tellObjects(steady_time Now);
+  std::vector<endpoint_address> newsReceivers() const;
   void beginDrain();
   void watchDrain(steady_time Now);
 
@@ -626,14 +631,31 @@
   const std::vector<object_news> News = Gate.takeNews();
   if (News.empty())
     return;
-  std::vector<endpoint_address> To;
-  for (const member_row &Row : Peers)
-    if (Row.Identity.Region == Settings.Region)
-      To.push_back(Row.Identity.Internal);
+  const std::vector<endpoint_address> To = newsReceivers();
   for (const object_news &Message : News)
     Datagrams.send(To, Message);
 }
 
+/// Instances of the region that callers are told to use: the strong ones of
+/// each data centre, and all while there is so much to do that others are
+/// named too.
+std::vector<endpoint_address> gateway::newsReceivers() const {
+  const bool Busy = Load.Rate >= Load.Capacity * BusyPart;
+  std::map<std::string, std::vector<entry_candidate>> Candidates;
+  for (const member_row &Row : Peers)
+    if (Row.Identity.Region == Settings.Region)
+      Candidates[Row.Identity.DataCentre].push_back(
+          candidateOf(Row.Identity, Row.Report.Load));
+  std::vector<endpoint_address> Receivers;
+  for (const member_row &Row : Peers) {
+    const auto Mates = Candidates.find(Row.Identity.DataCentre);
+    if (Mates != Candidates.end() &&
+        (Busy || Row.Report.Load.Capacity >= strongFrom(Mates->second)))
+      Receivers.push_back(Row.Identity.Internal);
+  }
+  return Receivers;
+}
+
 void gateway::beginDrain() {
   if (DrainingSince)
     return;
