Asks for tokens of many limits fit datagrams

Change: at most 24 limits in one ask. Test: limiter_datagrams, failed before with a message of 5,010 bytes.

--- a/packages/coordination/src/limiter.cpp
+++ b/packages/coordination/src/limiter.cpp
@@ -23,6 +23,8 @@
 constexpr double LeastAheadDemand = 4;
 constexpr milliseconds LeastWait{30};
 constexpr milliseconds LongestWait{1000};
+/// Rows of one ask; it fits a datagram (wire/tests/sizes.cpp).
+constexpr std::size_t MaxAskRows = 24;
 
 double seconds(steady_time::duration Time) {
   return duration<double>(Time).count();
@@ -243,7 +245,7 @@
       updateDemand(Limit, seconds(Now - DemandAt));
     DemandAt = Now;
   }
-  std::map<std::string, token_ask> Asks;
+  std::map<std::string, std::vector<ask_row>> Asks;
   for (limit_state &Limit : Limits) {
     if (Limit.Asked && Now - Limit.AskedAt < Settings.AskTimeout)
       continue;
@@ -262,14 +264,19 @@
     Row.Limit = Limit.Row.Id;
     Row.Want = Want;
     Row.Urgent = Limit.Waiting;
-    Asks[*To].Rows.push_back(Row);
+    Asks[*To].push_back(Row);
   }
   std::vector<outgoing_ask> Out;
-  for (auto &[To, Ask] : Asks) {
-    Ask.Incarnation = Settings.Incarnation;
-    Ask.Sequence = ++Sequence;
-    Out.push_back({To, std::move(Ask)});
-  }
+  for (const auto &[To, Wanted] : Asks)
+    for (std::size_t First = 0; First < Wanted.size(); First += MaxAskRows) {
+      const std::size_t End = std::min(First + MaxAskRows, Wanted.size());
+      token_ask Ask;
+      Ask.Incarnation = Settings.Incarnation;
+      Ask.Sequence = ++Sequence;
+      Ask.Rows.assign(Wanted.begin() + static_cast<std::ptrdiff_t>(First),
+                      Wanted.begin() + static_cast<std::ptrdiff_t>(End));
+      Out.push_back({To, std::move(Ask)});
+    }
   return Out;
 }
 
--- a/packages/wire/tests/sizes.cpp
+++ b/packages/wire/tests/sizes.cpp
@@ -1,10 +1,12 @@
 /// Every message that membership sends fits a datagram, also with the longest
 /// names.
 #include <magnoliaspread/datagram.h>
+#include <magnoliaspread/limiter.h>
 #include <magnoliaspread/member.h>
 #include <magnoliaspread/platformview.h>
 #include <magnoliaspread/story.h>
 
+#include <memory>
 #include <random>
 
 using namespace magnoliaspread;
@@ -122,3 +124,42 @@
                              !failed(Datagram));
     });
 }
+
+STORY(limiter_datagrams) {
+  // An instance of a small fleet asks one owner for many workspaces at once.
+  constexpr steady_time Now{1h};
+  constexpr std::size_t Limits = 500;
+  std::vector<limit_row> Rows;
+  for (std::size_t I = 0; I < Limits; ++I)
+    Rows.push_back(
+        {workspaceLimit("workspace-" + std::to_string(I)), 1e6, 1e6});
+  const auto Started = [&](const std::string &Name) {
+    limiter_settings Settings;
+    Settings.Instance = Name;
+    Settings.Region = "region";
+    Settings.Incarnation = ~std::uint64_t{0} >> 1;
+    auto Limiter = std::make_unique<fleet_limiter>(Settings, Now);
+    Limiter->setInstances({{"a", "region"}, {"b", "region"}}, 1, Now);
+    Limiter->setReachable({"a", "b"});
+    Limiter->setLimits(Rows, Now);
+    return Limiter;
+  };
+  const auto Asker = Started("a");
+  const auto Owner = Started("b");
+  constexpr milli_tokens Many = 1000000;
+  for (const limit_row &Row : Rows)
+    Asker->addWaiting(Row.Id, Many);
+  datagram_codec Codec(fleet_key{}, 1);
+  std::size_t Asked = 0;
+  for (const outgoing_ask &Ask : Asker->tick(Now + 1s)) {
+    Asked += Ask.Ask.Rows.size();
+    for (const quota_message &Message :
+         {quota_message(Ask.Ask),
+          quota_message(Owner->answer(Ask.Ask, Now + 1s))}) {
+      const auto Datagram = Codec.encode(Message);
+      CPPUNIT_ASSERT_MESSAGE(failed(Datagram) ? errorOf(Datagram).Detail : "",
+                             !failed(Datagram));
+    }
+  }
+  CPPUNIT_ASSERT(Asked > Limits / 3);
+}
