Parts of the changes belong to the instance that sent them; any peer is asked sooner

Change: the number goes with the incarnation that was asked; any peer is asked when the targets are known only as of more than 1.9 s ago.

Tests: platform_view_many_changes (another instance, several asked), platform_view_readers; both failed to compile against, or contradict, the code before.

--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -35,6 +35,10 @@
   std::chrono::milliseconds RoutesLimit{2600};
   /// Any peer is asked for a proof when it is older than this.
   std::chrono::milliseconds AnyPeerAfter{3000};
+  /// Any peer is asked when the targets are known only as of longer ago: the
+  /// own read that was due at TargetsLimit has had no answer, and an answer
+  /// still comes within the time in which a drain has to be known.
+  std::chrono::milliseconds AnyPeerForTargets{1900};
 };
 
 /// Whom to ask.
@@ -66,10 +70,9 @@
   bool routesDue(boot_time Now) const;
   view_source askDue(boot_time Now);
 
-  view_ask ask(boot_time Now) {
-    AskedAt = Now;
-    return {Now, Revision, Skip};
-  }
+  /// A question to the instance with the incarnation \p To, or to several
+  /// with 0. What others have brought in part is asked for anew.
+  view_ask ask(boot_time Now, std::uint64_t To);
   view_reply answer(const view_ask &Ask, boot_time Now) const;
 
   struct taken {
@@ -84,14 +87,15 @@
     /// Set when the reply is as new as what is known here.
     std::optional<std::set<std::string>> Evacuated;
   };
-  taken take(const view_reply &Reply);
+  taken take(const view_reply &Reply, std::uint64_t From);
 
   std::uint64_t version() const { return Version; }
   boot_time routesProvedAt() const { return RoutesAsOf; }
   std::uint64_t revision() const { return Revision; }
 
 private:
-  void takePart(const view_reply &Reply, taken &Taken);
+  bool isExpected(const view_reply &Reply, std::uint64_t From) const;
+  void takePart(const view_reply &Reply, std::uint64_t From, taken &Taken);
 
   struct logged_change {
     std::uint64_t Revision = 0;
@@ -112,8 +116,10 @@
   boot_time NextAsk;
   /// When the last question was asked.
   boot_time AskedAt;
-  /// Changes after Revision that the reader's replies have brought so far.
+  /// Changes after Revision that replies of PartsFrom have brought so far.
   std::uint32_t Skip = 0;
+  /// Incarnation that was asked last; 0 is several.
+  std::uint64_t PartsFrom = 0;
 };
 
 } // namespace magnoliaspread
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -3,7 +3,6 @@
 #include <magnoliaspread/hash.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace magnoliaspread {
 
@@ -31,7 +30,7 @@
 } // namespace
 
 void platform_view::setMates(const std::vector<std::string> &Names) {
-  const std::string Before = std::exchange(Reader, std::string());
+  Reader.clear();
   std::uint64_t Least = stableId(Instance);
   for (const std::string &Name : Names) {
     if (stableId(Name) >= Least)
@@ -39,8 +38,6 @@
     Least = stableId(Name);
     Reader = Name;
   }
-  if (Reader != Before)
-    Skip = 0;
 }
 
 void platform_view::routesProved(std::uint64_t Newest, boot_time AsOf) {
@@ -86,7 +83,8 @@
 view_source platform_view::askDue(boot_time Now) {
   if (Now < NextAsk)
     return view_source::None;
-  if (Now - RoutesAsOf >= Settings.AnyPeerAfter) {
+  if (Now - RoutesAsOf >= Settings.AnyPeerAfter ||
+      Now - TargetsAsOf >= Settings.AnyPeerForTargets) {
     NextAsk = Now + Settings.AskPeriod;
     return view_source::AnyPeer;
   }
@@ -96,6 +94,14 @@
   return view_source::Reader;
 }
 
+view_ask platform_view::ask(boot_time Now, std::uint64_t To) {
+  if (To != PartsFrom)
+    Skip = 0;
+  PartsFrom = To;
+  AskedAt = Now;
+  return {Now, Revision, Skip};
+}
+
 view_reply platform_view::answer(const view_ask &Ask, boot_time Now) const {
   view_reply Reply;
   Reply.AskedAt = Ask.AskedAt;
@@ -127,7 +133,9 @@
 
 /// Takes a reply that stands for a part of the changes: nothing is known as of
 /// the reply's revision before the last part has come.
-void platform_view::takePart(const view_reply &Reply, taken &Taken) {
+void platform_view::takePart(const view_reply &Reply, std::uint64_t From,
+                             taken &Taken) {
+  PartsFrom = From;
   Skip += static_cast<std::uint32_t>(Reply.Changes.size());
   Taken.AskOn = true;
   Taken.Changes = Reply.Changes;
@@ -135,7 +143,15 @@
     targetChanged(Reply.Revision, Change);
 }
 
-platform_view::taken platform_view::take(const view_reply &Reply) {
+/// Whether a reply goes on where the last one ended.
+bool platform_view::isExpected(const view_reply &Reply,
+                               std::uint64_t From) const {
+  return Reply.AskedAt == AskedAt && Reply.Skip == Skip &&
+         (PartsFrom == 0 || PartsFrom == From);
+}
+
+platform_view::taken platform_view::take(const view_reply &Reply,
+                                         std::uint64_t From) {
   taken Taken;
   Taken.FetchRoutes = Reply.Version > Version;
   if (Reply.Version != 0 && Reply.Version == Version)
@@ -146,10 +162,10 @@
     return Taken;
   Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
   Taken.Evacuated = Evacuated;
-  const bool Expected = Reply.AskedAt == AskedAt && Reply.Skip == Skip;
+  const bool Expected = isExpected(Reply, From);
   if (Reply.More || (Reply.Skip != 0 && !Expected)) {
     if (Expected)
-      takePart(Reply, Taken);
+      takePart(Reply, From, Taken);
     return Taken;
   }
   Taken.ReadTargets = Reply.Partial;
--- a/packages/coordination/tests/platformview.cpp
+++ b/packages/coordination/tests/platformview.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr boot_time Start{std::chrono::hours(1)};
+/// Incarnations of two peers.
+constexpr std::uint64_t Mate = 7;
+constexpr std::uint64_t Other = 8;
 
 target_change changeOf(const std::string &Name) {
   target_change Change;
@@ -46,6 +49,9 @@
     CPPUNIT_ASSERT(View.targetsDue(Start + 1600ms));
     CPPUNIT_ASSERT(!View.routesDue(Start + 2s));
     CPPUNIT_ASSERT(View.routesDue(Start + 2600ms));
+    CPPUNIT_ASSERT(View.askDue(Start + 1800ms) == view_source::None);
+    CPPUNIT_ASSERT(View.askDue(Start + 1900ms) == view_source::AnyPeer);
+    View.targetsRead(6, Start + 3s);
     CPPUNIT_ASSERT(View.askDue(Start + 3100ms) == view_source::AnyPeer);
   });
 }
@@ -57,10 +63,10 @@
   Reader.targetsRead(100, Start);
   Asker.routesProved(7, Start - 3s);
   Asker.targetsRead(100, Start - 3s);
-  const view_ask Ask = Asker.ask(Start + 500ms);
+  const view_ask Ask = Asker.ask(Start + 500ms, Mate);
   section("a reply proves what was current at a time of the asker", [&] {
     const view_reply Reply = Reader.answer(Ask, Start + 600ms);
-    Asker.take(Reply);
+    Asker.take(Reply, Mate);
     CPPUNIT_ASSERT(Asker.routesProvedAt() <= Start);
     CPPUNIT_ASSERT(Asker.routesProvedAt() > Start - 200ms);
   });
@@ -69,19 +75,19 @@
     Frozen.routesProved(7, Start - 3s);
     const view_reply Reply = Reader.answer(Ask, Start + 600ms);
     // The process stood still in between; the reply is as old as its question.
-    Frozen.take(Reply);
+    Frozen.take(Reply, Mate);
     CPPUNIT_ASSERT(Frozen.routesProvedAt() <= Start);
   });
   section("another version proves nothing, and a newer one is fetched", [&] {
     platform_view Old = viewOf("old");
     Old.routesProved(6, Start - 3s);
-    const auto Taken = Old.take(Reader.answer(Ask, Start + 600ms));
+    const auto Taken = Old.take(Reader.answer(Ask, Start + 600ms), Mate);
     CPPUNIT_ASSERT(Taken.FetchRoutes);
     CPPUNIT_ASSERT(Old.routesProvedAt() == Start - 3s);
   });
   section("a peer without a configuration proves nothing", [&] {
     platform_view Empty = viewOf("empty");
-    const auto Taken = Asker.take(Empty.answer(Ask, Start + 600ms));
+    const auto Taken = Asker.take(Empty.answer(Ask, Start + 600ms), Mate);
     CPPUNIT_ASSERT(!Taken.FetchRoutes);
   });
 }
@@ -93,7 +99,7 @@
   Reader.forgetChanges(100);
   Asker.targetsRead(100, Start);
   const auto AskAt = [&](boot_time Now) {
-    return Asker.take(Reader.answer(Asker.ask(Now), Now));
+    return Asker.take(Reader.answer(Asker.ask(Now, Mate), Now), Mate);
   };
   section("changes since the question's revision are taken over", [&] {
     Reader.targetChanged(101, changeOf("x"));
@@ -109,7 +115,7 @@
     platform_view Third = viewOf("third");
     Third.targetsRead(100, Start);
     const auto Taken =
-        Third.take(Asker.answer(Third.ask(Start + 2s), Start + 2s));
+        Third.take(Asker.answer(Third.ask(Start + 2s, Mate), Start + 2s), Mate);
     CPPUNIT_ASSERT(Taken.ReadTargets || Taken.Changes.size() == 1);
   });
   section("those that nobody has noted have to be read", [&] {
@@ -128,8 +134,8 @@
   section("an older revision is not taken over", [&] {
     platform_view Behind = viewOf("behind");
     Behind.targetsRead(50, Start + 9s);
-    const auto Taken =
-        Asker.take(Behind.answer(Asker.ask(Start + 9s), Start + 9s));
+    const auto Taken = Asker.take(
+        Behind.answer(Asker.ask(Start + 9s, Mate), Start + 9s), Mate);
     CPPUNIT_ASSERT(Taken.Changes.empty() && !Taken.Evacuated);
   });
 }
@@ -151,11 +157,13 @@
     Reader.setEvacuated({"dc"});
   }
 
-  view_reply reply(boot_time Now) { return Reader.answer(Asker.ask(Now), Now); }
+  view_reply reply(boot_time Now) {
+    return Reader.answer(Asker.ask(Now, Mate), Now);
+  }
 
   /// Whether there is more to ask for.
   bool take(const view_reply &Reply) {
-    const auto Taken = Asker.take(Reply);
+    const auto Taken = Asker.take(Reply, Mate);
     CPPUNIT_ASSERT(!Taken.ReadTargets);
     for (const target_change &Change : Taken.Changes)
       Seen.push_back(Change.Record.Name);
@@ -210,15 +218,28 @@
     CPPUNIT_ASSERT(!Case.take(Late));
     Case.checkAll();
   });
-  section("another reader is asked from the start", [&] {
+  section("another instance is asked from the start", [&] {
     many_changes Case;
     Case.take(Case.reply(Start + 1100ms));
-    Case.Asker.setMates({"a", "b", "c", "d"});
-    CPPUNIT_ASSERT(!Case.Asker.isReader());
+    for (const std::uint64_t To : {Other, std::uint64_t(0)}) {
+      Case.take(Case.reply(Start + 1200ms));
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t(0),
+                           Case.Asker.ask(Start + 1300ms, To).Skip);
+    }
     Case.Seen.clear();
     Case.finish(Start + 1600ms);
     Case.checkAll();
   });
+  section("of several that are asked the first one is asked on", [&] {
+    many_changes Case;
+    const view_ask Ask = Case.Asker.ask(Start + 1100ms, 0);
+    const view_reply Reply = Case.Reader.answer(Ask, Start + 1100ms);
+    CPPUNIT_ASSERT(Case.Asker.take(Reply, Other).AskOn);
+    CPPUNIT_ASSERT(!Case.Asker.take(Reply, Mate).AskOn);
+    CPPUNIT_ASSERT(Case.Asker.ask(Start + 1101ms, Other).Skip > 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(0),
+                         Case.Asker.ask(Start + 1101ms, Mate).Skip);
+  });
   section("changes that come in between follow at the end", [&] {
     many_changes Case;
     Case.take(Case.reply(Start + 1100ms));
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -310,9 +310,14 @@
   const view_source Source = View.askDue(Clock.boot());
   if (Source == view_source::None)
     return;
-  const view_ask Ask = View.ask(Clock.boot());
-  if (Source == view_source::Reader)
-    return sendTo(Members.members().find(View.reader()), Ask);
+  if (Source == view_source::Reader) {
+    const std::optional<member_row> Reader =
+        Members.members().find(View.reader());
+    if (Reader)
+      sendTo(Reader, View.ask(Clock.boot(), Reader->Identity.Incarnation));
+    return;
+  }
+  const view_ask Ask = View.ask(Clock.boot(), 0);
   std::vector<member_row> Some = Peers;
   std::shuffle(Some.begin(), Some.end(), Random);
   Some.resize(std::min(Some.size(), ProofPeers));
@@ -489,14 +494,14 @@
 }
 
 void gateway::takeView(std::uint64_t Sender, const view_reply &Reply) {
-  const platform_view::taken Taken = View.take(Reply);
+  const platform_view::taken Taken = View.take(Reply, Sender);
   Follower.take(Taken);
   Gate.setProved(View.routesProvedAt());
   const auto Row = Members.members().findIncarnation(Sender);
   if (Taken.FetchRoutes && Row)
     fetchRoutes(*Row);
   if (Taken.AskOn)
-    sendTo(Row, View.ask(Clock.boot()));
+    sendTo(Row, View.ask(Clock.boot(), Sender));
 }
 
 void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
@@ -414,7 +415,7 @@
 
 } // namespace
 
-int main(int Argc, char **Argv) {
+static int runProgram(int Argc, char **Argv) {
   CLI::App App("Fault soak of magnoliaspread instances on one machine");
   std::vector<std::uint64_t> Seeds{1};
   int Seconds = 10;
@@ -439,3 +440,12 @@
   }
   return Result;
 }
+
+int main(int Argc, char **Argv) {
+  try {
+    return runProgram(Argc, Argv);
+  } catch (const std::exception &Problem) {
+    std::fputs(Problem.what(), stderr);
+    return 1;
+  }
+}
