A part that answers a question from before an own read is not counted

Cause, found on reading the change again: parts are counted from the revision of their question. An own read that ended between question and reply moved that revision, and the part was counted all the same, so that the next question left out as many changes until the next full list. Ruled out: the ages of the two, which exclude the case only when the own read began after the reader's.

Change: a read ends the question whose parts are taken.

--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -114,7 +114,7 @@
   std::uint64_t LogSince = 0;
   std::set<std::string> Evacuated;
   boot_time NextAsk;
-  /// When the last question was asked.
+  /// When the question was asked whose parts are taken; none after a read.
   boot_time AskedAt;
   /// Changes after Revision that replies of PartsFrom have brought so far.
   std::uint32_t Skip = 0;
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -51,7 +51,9 @@
   if (Newest < Revision)
     return;
   Revision = Newest;
+  // Parts that answer an earlier question count from another revision.
   Skip = 0;
+  AskedAt = {};
   TargetsAsOf = std::max(TargetsAsOf, AsOf);
 }
 
--- a/packages/coordination/tests/platformview.cpp
+++ b/packages/coordination/tests/platformview.cpp
@@ -243,6 +243,16 @@
     Case.finish(Start + 1600ms);
     Case.checkAll();
   });
+  section("a part that comes after an own read belongs to what is over", [&] {
+    many_changes Case;
+    const view_reply Part = Case.reply(Start + 1100ms);
+    // A slow read that was begun before the reader's ends only now.
+    Case.Asker.targetsRead(149, Start + 900ms);
+    CPPUNIT_ASSERT(!Case.take(Part));
+    Case.Seen.clear();
+    Case.finish(Start + 1600ms);
+    Case.checkAll();
+  });
   section("of several that are asked the first one is asked on", [&] {
     many_changes Case;
     const view_ask Ask = Case.Asker.ask(Start + 1100ms, 0);
