Targets stay known in time where the region's reader is cut off

The peers' parts began anew with every question, every 0.5 s, and over 35 ms one way the last of them did not come while many targets changed. Parts that were given up stayed in the list of changes under a revision of their own, so that peers were told of some changes as if they were all.

Ruled out: the store's client (no failed call in the instance's log), the membership, a decision before a slow connection.

Change: only a reply that makes the targets current counts as one, and none puts off an own read. A question under way isn't begun anew; a lost part is asked for once more; several parts answer one question. Parts are held back until the last has come. Changes carry their revision, so that none is told twice. Peers are asked from 1.4 s on (1.9 s before), two of the region first. A reader that others knew more than is passed over for 5 s.

--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -5,7 +5,8 @@
 /// reads the platform; the others ask it, and read for themselves when they
 /// learn nothing in time. Nobody is elected: whoever is cut off from the
 /// reader, or asks one that is cut off from the platform, finds its knowledge
-/// too old and reads. A reply proves what was current at a time of the asker's
+/// too old, asks others and reads, and passes that reader over for a while.
+/// A reply proves what was current at a time of the asker's
 /// own clock, however long it was on its way. Pure: time is passed in.
 #ifndef MAGNOLIASPREAD_PLATFORMVIEW_H
 #define MAGNOLIASPREAD_PLATFORMVIEW_H
@@ -16,9 +17,12 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliaspread {
@@ -36,13 +40,21 @@
   /// Any peer is asked for a proof when it is older than this.
   std::chrono::milliseconds AnyPeerAfter{3000};
   /// Any peer is asked when the targets are known only as of longer ago: the
-  /// own read that was due at TargetsLimit has had no answer, and an answer
-  /// still comes within the time in which a drain has to be known.
-  std::chrono::milliseconds AnyPeerForTargets{1900};
+  /// region's reader learns nothing, as its own pause of 0.77 s, AskPeriod and
+  /// the ways stay under it. Peers know the targets as of up to this time, and
+  /// an instance that can't read itself asks twice before a drain has to be
+  /// known.
+  std::chrono::milliseconds AnyPeerForTargets{1400};
 };
 
 /// Whom to ask.
-enum class view_source : std::uint8_t { None, Reader, AnyPeer };
+enum class view_source : std::uint8_t {
+  None,
+  Reader,
+  AnyPeer,
+  /// The one that part of a reply has come from; see partsFrom().
+  SamePeer,
+};
 
 class platform_view {
 public:
@@ -51,6 +63,8 @@
 
   /// Live instances of the region, this one left out.
   void setMates(const std::vector<std::string> &Names);
+  /// Live instances of other regions.
+  void setOthers(std::vector<std::string> Names) { Others = std::move(Names); }
 
   /// Reads the platform for the region.
   bool isReader() const { return Reader.empty(); }
@@ -60,7 +74,8 @@
   void routesProved(std::uint64_t Version, boot_time AsOf);
   /// The targets are known as of \p Revision, which was current at \p AsOf.
   void targetsRead(std::uint64_t Revision, boot_time AsOf);
-  /// A change that led to \p Revision, for peers that ask later.
+  /// A change, for peers that ask later. One whose revision isn't known
+  /// counts as made at \p Revision.
   void targetChanged(std::uint64_t Revision, target_change Change);
   /// Changes up to \p Revision aren't known one by one.
   void forgetChanges(std::uint64_t Revision);
@@ -69,20 +84,31 @@
   bool targetsDue(boot_time Now) const;
   bool routesDue(boot_time Now) const;
   view_source askDue(boot_time Now);
+  /// Incarnation of the peer whose parts are being taken.
+  std::uint64_t partsFrom() const { return PartsFrom; }
+  /// Whom to ask for view_source::AnyPeer.
+  std::vector<std::string> drawPeers(std::mt19937_64 &Random) const;
 
   /// A question to the instance with the incarnation \p To, or to several
   /// with 0. What others have brought in part is asked for anew.
   view_ask ask(boot_time Now, std::uint64_t To);
+  /// One part of what a peer asks for.
   view_reply answer(const view_ask &Ask, boot_time Now) const;
+  /// To be sent as they are: one part, or several to a peer that asks on.
+  std::vector<view_reply> answers(view_ask Ask, boot_time Now) const;
 
   struct taken {
     /// The peer has a newer configuration, which has to be fetched from it.
     bool FetchRoutes = false;
     /// The peer doesn't know what has changed since the own revision.
     bool ReadTargets = false;
+    /// The targets are known as of the reply's time. Not set by a part, nor by
+    /// a reply that can't be used.
+    bool Current = false;
     /// Further changes are left; ask the same instance again at once.
     bool AskOn = false;
-    /// To be applied to the registry.
+    /// To be applied to the registry; with several parts they come with the
+    /// last one.
     std::vector<target_change> Changes;
     /// Set when the reply is as new as what is known here.
     std::optional<std::set<std::string>> Evacuated;
@@ -97,27 +123,42 @@
   bool isExpected(const view_reply &Reply, std::uint64_t From) const;
   void takePart(const view_reply &Reply, std::uint64_t From, taken &Taken);
 
-  struct logged_change {
-    std::uint64_t Revision = 0;
-    target_change Change;
-  };
-
   view_settings Settings;
   std::string Instance;
   std::string Reader;
+  std::vector<std::string> Mates;
+  std::vector<std::string> Others;
   std::uint64_t Version = 0;
   boot_time RoutesAsOf;
   std::uint64_t Revision = 0;
   boot_time TargetsAsOf;
-  std::deque<logged_change> Log;
+  std::deque<target_change> Log;
   /// Every change after this revision is in Log.
   std::uint64_t LogSince = 0;
   std::set<std::string> Evacuated;
+  /// When several were asked last. A reply to it is followed up although one
+  /// that knew less came first.
+  boot_time SeveralAskedAt;
   boot_time NextAsk;
+  boot_time NextAskAny;
+  bool isTakingParts(boot_time Now) const;
+  bool isGap(const view_reply &Reply, std::uint64_t From) const;
+  void chooseReader();
+  void passOverReader();
+
+  /// Mates that don't read for the region until then, as they knew less than
+  /// others did.
+  std::map<std::string, boot_time> PassedOver;
+  /// What the reader knows was found too old then.
+  std::optional<boot_time> SuspectedAt;
+
   /// When the question was asked whose parts are taken; none after a read.
   boot_time AskedAt;
   /// Changes after Revision that replies of PartsFrom have brought so far.
   std::uint32_t Skip = 0;
+  std::vector<target_change> Parts;
+  /// The next part did not come and has been asked for once more.
+  bool PartsAskedAgain = false;
   /// Incarnation that was asked last; 0 is several.
   std::uint64_t PartsFrom = 0;
 };
--- a/packages/coordination/include/magnoliaspread/targetrecord.h
+++ b/packages/coordination/include/magnoliaspread/targetrecord.h
@@ -32,6 +32,9 @@
   /// Only the name is set of one that is removed.
   target_record Record;
   bool Removed = false;
+  /// Of the platform: who knows the targets as of this revision knows of the
+  /// change. 0 is not known.
+  std::uint64_t Revision = 0;
 
   bool operator==(const target_change &) const = default;
 };
--- a/packages/coordination/include/magnoliaspread/viewmsg.h
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -47,6 +47,8 @@
   std::uint32_t Skip = 0;
   /// Further changes are left; the asker asks on.
   bool More = false;
+  /// The next part comes without being asked for.
+  bool Follows = false;
   /// The sender doesn't know what has changed since that revision.
   bool Partial = false;
   std::vector<std::string> Evacuated;
--- a/packages/coordination/tests/platformview.cpp
+++ b/packages/coordination/tests/platformview.cpp
@@ -49,8 +49,8 @@
     CPPUNIT_ASSERT(View.targetsDue(Start + 1600ms));
     CPPUNIT_ASSERT(!View.routesDue(Start + 2s));
     CPPUNIT_ASSERT(View.routesDue(Start + 2600ms));
-    CPPUNIT_ASSERT(View.askDue(Start + 1800ms) == view_source::None);
-    CPPUNIT_ASSERT(View.askDue(Start + 1900ms) == view_source::AnyPeer);
+    CPPUNIT_ASSERT(View.askDue(Start + 1350ms) == view_source::None);
+    CPPUNIT_ASSERT(View.askDue(Start + 1400ms) == view_source::AnyPeer);
     View.targetsRead(6, Start + 3s);
     CPPUNIT_ASSERT(View.askDue(Start + 3100ms) == view_source::AnyPeer);
   });
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -102,7 +102,7 @@
     return;
   Registry.platformAnswered(Now);
   Registry.setEvacuated(*Taken.Evacuated, Now);
-  if (Taken.ReadTargets || Taken.AskOn)
+  if (!Taken.Current)
     return;
   TargetsAt = View.revision();
   HaveEvacuations = true;
@@ -110,7 +110,6 @@
   // The peer has seen them; a read here would tell nothing new.
   Newest = std::max(Newest, TargetsAt);
   RoutesAt = EvacuationsAt = Newest;
-  NextPoll = Now + jittered(PollPeriod);
   // The reader lists everything for its region.
   NextList = Now + jittered(ListPeriod);
 }
@@ -140,12 +139,17 @@
     pollChanges();
 }
 
+/// \p Revision is that of the platform's answer. An object that the answer
+/// before should have brought counts as changed only now, as those who have
+/// taken that answer over miss it, too.
 void platform_follower::putTarget(const stored_object &Object,
                                   object_version Revision) {
   const std::string Name = Object.Name.substr(Platform.targetsPrefix().size());
   const result<target_record> Read = Platform.readTarget(Name, Object.Value);
   if (!failed(Read)) {
-    View.targetChanged(Revision, {valueOf(Read), false});
+    const bool New = Object.Version > TargetsAt && Object.Version <= Revision;
+    View.targetChanged(Revision,
+                       {valueOf(Read), false, New ? Object.Version : Revision});
     return Registry.put(valueOf(Read), Clock.now());
   }
   logEvent(log_level::Warning, "target_unreadable",
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -48,8 +48,6 @@
 constexpr milliseconds AcceptGrace{700};
 /// Between the close of the public port and the end, at least.
 constexpr milliseconds CloseGrace{300};
-/// Peers asked for their proof at a time.
-constexpr std::size_t ProofPeers = 3;
 /// Left of the platform's grace when requests in flight are given up.
 constexpr milliseconds GraceMargin{400};
 /// Instances that may send to a cold target, so that together they keep to
@@ -317,12 +315,12 @@
       sendTo(Reader, View.ask(Clock.boot(), Reader->Identity.Incarnation));
     return;
   }
+  if (Source == view_source::SamePeer)
+    return sendTo(Members.members().findIncarnation(View.partsFrom()),
+                  View.ask(Clock.boot(), View.partsFrom()));
   const view_ask Ask = View.ask(Clock.boot(), 0);
-  std::vector<member_row> Some = Peers;
-  std::shuffle(Some.begin(), Some.end(), Random);
-  Some.resize(std::min(Some.size(), ProofPeers));
-  for (const member_row &Row : Some)
-    Datagrams.send({Row.Identity.Internal}, Ask);
+  for (const std::string &Name : View.drawPeers(Random))
+    sendTo(Members.members().find(Name), Ask);
 }
 
 void gateway::fetchRoutes(const member_row &Peer) {
@@ -446,10 +444,12 @@
       Members.listSoon();
   }
   std::vector<std::string> Mates;
+  std::vector<std::string> Others;
   for (const member_row &Row : Peers)
-    if (Row.Identity.Region == Settings.Region)
-      Mates.push_back(Row.Identity.Name);
+    (Row.Identity.Region == Settings.Region ? Mates : Others)
+        .push_back(Row.Identity.Name);
   View.setMates(Mates);
+  View.setOthers(std::move(Others));
   Limiter.setReachable(std::move(Names));
   Limiter.setInstances(limiterInstances(Now), Regions, Now);
 }
@@ -484,9 +484,12 @@
     return receive(Datagram.Sender, *Limits);
   if (const auto *News = std::get_if<object_news>(&Message))
     return Gate.receive(*News);
-  if (const auto *Ask = std::get_if<view_ask>(&Message))
-    return sendTo(Members.members().findIncarnation(Datagram.Sender),
-                  View.answer(*Ask, Clock.boot()));
+  if (const auto *Ask = std::get_if<view_ask>(&Message)) {
+    const auto Asker = Members.members().findIncarnation(Datagram.Sender);
+    for (const view_reply &Reply : View.answers(*Ask, Clock.boot()))
+      sendTo(Asker, Reply);
+    return;
+  }
   if (const auto *Reply = std::get_if<view_reply>(&Message))
     return takeView(Datagram.Sender, *Reply);
   if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3983,6 +3983,10 @@
 void TargetChange::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void TargetChange::__set_revision(const int64_t val) {
+  this->revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj)
 {
   obj.printTo(out);
@@ -4099,6 +4103,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4160,6 +4172,10 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4178,6 +4194,7 @@
   swap(a.sequence, b.sequence);
   swap(a.startedAtMs, b.startedAtMs);
   swap(a.removed, b.removed);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -4193,6 +4210,7 @@
   sequence = other112.sequence;
   startedAtMs = other112.startedAtMs;
   removed = other112.removed;
+  revision = other112.revision;
   __isset = other112.__isset;
 }
 TargetChange& TargetChange::operator=(const TargetChange& other113) {
@@ -4207,6 +4225,7 @@
   sequence = other113.sequence;
   startedAtMs = other113.startedAtMs;
   removed = other113.removed;
+  revision = other113.revision;
   __isset = other113.__isset;
   return *this;
 }
@@ -4224,6 +4243,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "startedAtMs=" << to_string(startedAtMs);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
@@ -4271,6 +4291,10 @@
 void ViewReply::__set_more(const bool val) {
   this->more = val;
 }
+
+void ViewReply::__set_follows(const bool val) {
+  this->follows = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -4403,6 +4427,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->follows);
+          this->__isset.follows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4476,6 +4508,10 @@
   xfer += oprot->writeBool(this->more);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("follows", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->follows);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4493,6 +4529,7 @@
   swap(a.evacuated, b.evacuated);
   swap(a.skip, b.skip);
   swap(a.more, b.more);
+  swap(a.follows, b.follows);
   swap(a.__isset, b.__isset);
 }
 
@@ -4507,6 +4544,7 @@
   evacuated = other126.evacuated;
   skip = other126.skip;
   more = other126.more;
+  follows = other126.follows;
   __isset = other126.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other127) {
@@ -4520,6 +4558,7 @@
   evacuated = other127.evacuated;
   skip = other127.skip;
   more = other127.more;
+  follows = other127.follows;
   __isset = other127.__isset;
   return *this;
 }
@@ -4536,6 +4575,7 @@
   out << ", " << "evacuated=" << to_string(evacuated);
   out << ", " << "skip=" << to_string(skip);
   out << ", " << "more=" << to_string(more);
+  out << ", " << "follows=" << to_string(follows);
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1647,7 +1647,7 @@
 std::ostream& operator<<(std::ostream& out, const ViewAsk& obj);
 
 typedef struct _TargetChange__isset {
-  _TargetChange__isset() : name(false), address(false), port(false), serviceName(false), dataCentre(false), slots(false), draining(false), coldLeftMs(false), sequence(false), startedAtMs(false), removed(false) {}
+  _TargetChange__isset() : name(false), address(false), port(false), serviceName(false), dataCentre(false), slots(false), draining(false), coldLeftMs(false), sequence(false), startedAtMs(false), removed(false), revision(false) {}
   bool name :1;
   bool address :1;
   bool port :1;
@@ -1659,6 +1659,7 @@
   bool sequence :1;
   bool startedAtMs :1;
   bool removed :1;
+  bool revision :1;
 } _TargetChange__isset;
 
 class TargetChange : public virtual ::apache::thrift::TBase {
@@ -1677,7 +1678,8 @@
                  coldLeftMs(0),
                  sequence(0),
                  startedAtMs(0),
-                 removed(0) {
+                 removed(0),
+                 revision(0) {
   }
 
   virtual ~TargetChange() noexcept;
@@ -1692,6 +1694,7 @@
   int64_t sequence;
   int64_t startedAtMs;
   bool removed;
+  int64_t revision;
 
   _TargetChange__isset __isset;
 
@@ -1717,6 +1720,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_revision(const int64_t val);
+
   bool operator == (const TargetChange & rhs) const
   {
     if (!(name == rhs.name))
@@ -1741,6 +1746,8 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (!(revision == rhs.revision))
+      return false;
     return true;
   }
   bool operator != (const TargetChange &rhs) const {
@@ -1760,7 +1767,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false) {}
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
@@ -1771,6 +1778,7 @@
   bool evacuated :1;
   bool skip :1;
   bool more :1;
+  bool follows :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1786,7 +1794,8 @@
               targetsAgeMs(0),
               partial(0),
               skip(0),
-              more(0) {
+              more(0),
+              follows(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1800,6 +1809,7 @@
   std::vector<std::string>  evacuated;
   int32_t skip;
   bool more;
+  bool follows;
 
   _ViewReply__isset __isset;
 
@@ -1823,6 +1833,8 @@
 
   void __set_more(const bool val);
 
+  void __set_follows(const bool val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -1845,6 +1857,8 @@
       return false;
     if (!(more == rhs.more))
       return false;
+    if (!(follows == rhs.follows))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -188,6 +188,7 @@
   9: i64 sequence
   10: i64 startedAtMs
   11: bool removed
+  12: i64 revision
 }
 
 struct ViewReply {
@@ -201,6 +202,7 @@
   8: list<string> evacuated
   9: i32 skip
   10: bool more
+  11: bool follows
 }
 
 /// Exactly one field is set; it is the kind of the datagram.
--- a/packages/wire/src/newscodec.cpp
+++ b/packages/wire/src/newscodec.cpp
@@ -39,6 +39,7 @@
   To.sequence = static_cast<std::int64_t>(Record.Sequence);
   To.startedAtMs = Record.StartedAtMs;
   To.removed = Change.Removed;
+  To.revision = static_cast<std::int64_t>(Change.Revision);
   return To;
 }
 
@@ -56,6 +57,7 @@
   Record.Sequence = static_cast<std::uint64_t>(From.sequence);
   Record.StartedAtMs = From.startedAtMs;
   Change.Removed = From.removed;
+  Change.Revision = static_cast<std::uint64_t>(From.revision);
   return Change;
 }
 
@@ -86,6 +88,7 @@
     To.changes.push_back(toWire(Change));
   To.skip = static_cast<std::int32_t>(Reply.Skip);
   To.more = Reply.More;
+  To.follows = Reply.Follows;
   To.partial = Reply.Partial;
   To.evacuated = Reply.Evacuated;
   Body.__set_viewReply(To);
@@ -119,6 +122,7 @@
     Reply.Changes.push_back(fromWire(Change));
   Reply.Skip = readNumber<std::uint32_t>(From.skip);
   Reply.More = From.more;
+  Reply.Follows = From.follows;
   Reply.Partial = From.partial;
   for (const std::string &Name : From.evacuated)
     Reply.Evacuated.push_back(readName(Name));
