Model of callers, instances and targets; magnoliactl model compares policies

A discrete-event model runs the daemon's placer, or a plainer policy, against a load plan: regions with waves, kinds with objects, targets that remember some objects, callers that come back, and troubles.

--- a/packages/ctl/src/cli.cpp
+++ b/packages/ctl/src/cli.cpp
@@ -2,6 +2,8 @@
 
 #include "commands_p.h"
 
+#include <magnoliaspread/placement_policy.h>
+
 #include <CLI/CLI.hpp>
 
 namespace magnoliaspread {
@@ -35,6 +37,7 @@
   fleet_options Fleet;
   lookup_options Lookup;
   burn_options Burn;
+  model_options Model;
   std::int64_t TimeoutMs = 2000;
 };
 
@@ -299,6 +302,30 @@
       ->check(CLI::Range(0.0, 99.9999));
 }
 
+void addModelCommand(CLI::App &App, cli_state &State) {
+  // A run of the model holds every request in memory.
+  constexpr std::uint64_t MaxRuns = 1000;
+  const std::vector<std::string> Names(PolicyNames.begin(), PolicyNames.end());
+  State.Model.Policies = Names;
+  CLI::App *Model = addCommand(
+      App, State, "model",
+      "Run a load against placement policies in a model, without a network",
+      [](cli_state &S) { return comparePolicies(S.Context, S.Model); });
+  Model->add_option("LOAD", State.Model.File, "Load plan as JSON")->required();
+  Model
+      ->add_option("--policy", State.Model.Policies,
+                   "Policies to compare, with commas between")
+      ->delimiter(',')
+      ->check(CLI::IsMember(Names));
+  Model
+      ->add_option("--set", State.Model.Settings,
+                   "FIELD=VALUE of the policy \"holders\", with commas between")
+      ->delimiter(',');
+  Model->add_option("--seed", State.Model.Seed, "Seed of the first run");
+  Model->add_option("--runs", State.Model.Runs, "Runs, each with the next seed")
+      ->check(CLI::Range(std::uint64_t{1}, MaxRuns));
+}
+
 void addCommands(CLI::App &App, cli_state &State) {
   App.require_subcommand(1);
   // Options of the program may follow its commands.
@@ -324,6 +351,7 @@
                    drain_state::Active);
   addFleetCommands(App, State);
   addReportCommands(App, State);
+  addModelCommand(App, State);
   App.parse_complete_callback(
       [&State] { State.Context.Platform = *parseAddress(State.Platform); });
 }
--- a/packages/ctl/src/commands_p.h
+++ b/packages/ctl/src/commands_p.h
@@ -89,10 +89,24 @@
   double ObjectivePercent = 99.9;
 };
 
+struct model_options {
+  /// A load plan as JSON.
+  std::string File;
+  /// Names of policies, see placement_policy.h; empty compares all.
+  std::vector<std::string> Policies;
+  /// "field=value" of placer_policy, for the policy "holders".
+  std::vector<std::string> Settings;
+  std::uint64_t Seed = 1;
+  std::uint64_t Runs = 1;
+};
+
 exit_code showStatus(ctl_context &Context, const fleet_options &Options);
 exit_code lookUp(ctl_context &Context, const lookup_options &Options);
 exit_code reportBurn(ctl_context &Context, const burn_options &Options);
 
+/// Runs a load against policies in the model and prints what callers got.
+exit_code comparePolicies(ctl_context &Context, const model_options &Options);
+
 } // namespace magnoliaspread
 
 #endif
--- /dev/null
+++ b/packages/model/src/model_target.cpp
@@ -0,0 +1,32 @@
+#include "model_target_p.h"
+
+#include <algorithm>
+
+namespace magnoliaspread {
+
+bool model_target::remembers(std::uint64_t Object) const {
+  return Object != 0 &&
+         std::find(Objects.begin(), Objects.end(), Object) != Objects.end();
+}
+
+void model_target::remember(std::uint64_t Object) {
+  if (Object == 0 || KeptObjects == 0)
+    return;
+  std::erase(Objects, Object);
+  if (Objects.size() >= KeptObjects)
+    Objects.erase(Objects.begin());
+  Objects.push_back(Object);
+}
+
+void model_target::restart() {
+  ++Life;
+  Running = 0;
+  Waiting.clear();
+  Objects.clear();
+}
+
+target_report model_target::report() const {
+  return {Running, static_cast<std::uint32_t>(Waiting.size()), Slots};
+}
+
+} // namespace magnoliaspread
--- a/packages/settings/src/json_read_p.h
+++ b/packages/settings/src/json_read_p.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnoliaspread {
 
@@ -81,6 +82,23 @@
   std::set<std::string_view> Known;
 };
 
+/// Reads the array in field \p Kind; rows are described by visitFields().
+template <class Row>
+void readRows(object_reader &Reader, std::string_view Kind,
+              std::vector<Row> &Rows, read_fault &Fault) {
+  const boost::json::array *Array = Reader.takeArray(Kind);
+  if (!Array)
+    return;
+  Rows.reserve(Array->size());
+  for (const boost::json::value &Json : *Array) {
+    std::string Where =
+        std::string(Kind) + "[" + std::to_string(Rows.size()) + "]";
+    object_reader RowReader(Json, std::move(Where), Fault);
+    visitFields(RowReader, Rows.emplace_back());
+    RowReader.finish();
+  }
+}
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/settings/src/table_parse.cpp
+++ b/packages/settings/src/table_parse.cpp
@@ -6,22 +6,6 @@
 namespace magnoliaspread {
 namespace {
 
-template <class Row>
-void readRows(object_reader &Reader, std::string_view Kind,
-              std::vector<Row> &Rows, read_fault &Fault) {
-  const boost::json::array *Array = Reader.takeArray(Kind);
-  if (!Array)
-    return;
-  Rows.reserve(Array->size());
-  for (const boost::json::value &Json : *Array) {
-    std::string Where =
-        std::string(Kind) + "[" + std::to_string(Rows.size()) + "]";
-    object_reader RowReader(Json, std::move(Where), Fault);
-    visitFields(RowReader, Rows.emplace_back());
-    RowReader.finish();
-  }
-}
-
 void readOrigin(object_reader &Reader, shift_origin &Origin,
                 read_fault &Fault) {
   const boost::json::value *Json = Reader.take("origin", presence::Optional);
