--- a/packages/ctl/tests/cli.cpp
+++ b/packages/ctl/tests/cli.cpp
@@ -43,6 +43,30 @@
       {"check", "settings", EXAMPLES_DIR "/ventania/instances/faro-1-a.json"});
 }
 
+STORY(policies_are_compared_in_a_model) {
+  bench Bench;
+  const std::string Load =
+      Bench.write("load.json", R"({"length_ms":500,"regions":[{"name":"north"}],
+        "pools":[{"service":"calendar","region":"north","targets":4}],
+        "kinds":[{"name":"read","service":"calendar","rate":20}]})");
+  section("each policy has a row", [&] {
+    Bench.expect(exit_code::Ok, {"model", Load});
+    for (const char *Name : {"holders", "least_loaded", "spilling"})
+      CPPUNIT_ASSERT(contains(Bench.Out.str(), Name));
+  });
+  section("some policies, fields and seeds can be chosen", [&] {
+    Bench.expect(exit_code::Ok,
+                 {"--json", "model", Load, "--policy", "holders", "--set",
+                  "late_part=0.2,ahead=0", "--seed", "7", "--runs", "2"});
+    CPPUNIT_ASSERT(contains(Bench.Out.str(), "\"seed\":8"));
+  });
+  section("what isn't known is refused", [&] {
+    Bench.expect(exit_code::Usage, {"model", Load, "--policy", "best"});
+    Bench.expect(exit_code::Refused, {"model", Load, "--set", "luck=1"});
+    Bench.expect(exit_code::Refused, {"model", Load + ".none"});
+  });
+}
+
 STORY(an_operator_edits_the_table) {
   bench Bench;
   section("the first import creates it", [&] {
