A cold target's owners stay when an instance loses sight of the others

Cause: which instances may send to a cold target, and how much, was worked out from those alive, so that each instance which lost sight of its mates took nine tenths of the rate for itself.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include "membersys_p.h"
 #include "peerfetch_p.h"
 
+#include <magnoliaspread/coldshare.h>
 #include <magnoliaspread/entries.h>
 #include <magnoliaspread/gate.h>
 #include <magnoliaspread/http_store.h>
@@ -50,11 +51,6 @@
 constexpr milliseconds CloseGrace{300};
 /// Left of the platform's grace when requests in flight are given up.
 constexpr milliseconds GraceMargin{400};
-/// Instances that may send to a cold target, so that together they keep to
-/// its rate.
-constexpr std::size_t ColdOwners = 3;
-/// Part of a cold target's rate that is used.
-constexpr double ColdPart = 0.9;
 /// Callers wait for a starting instance's configuration and targets for this
 /// long; then they are told that there is none.
 constexpr milliseconds StartWait{800};
@@ -135,6 +131,8 @@
   void publishTargets(steady_time Now);
   double coldRate(const target_record &Record) const;
   entry_candidate ownCandidate() const;
+  /// Live peers of the own region.
+  std::vector<entry_candidate> regionCandidates() const;
   void updatePeers(steady_time Now);
   void runLimits(steady_time Now);
   std::vector<limiter_instance> limiterInstances(steady_time Now) const;
@@ -172,6 +170,7 @@
   target_registry Registry;
   platform_view View;
   platform_follower Follower;
+  cold_shares ColdShares;
   gate Gate;
   admin_port Admin;
   admin_port Directory;
@@ -352,13 +351,20 @@
   return {200, "application/json", Source.Json};
 }
 
+std::vector<entry_candidate> gateway::regionCandidates() const {
+  std::vector<entry_candidate> Candidates;
+  for (const member_row &Row : Peers)
+    if (Row.Identity.Region == Settings.Region)
+      Candidates.push_back(candidateOf(Row.Identity, Row.Report.Load));
+  return Candidates;
+}
+
 entry_candidate gateway::ownCandidate() const {
   return {stableId(Settings.Name), Load.Capacity, Load.Rate};
 }
 
-/// What this instance may send to the target while it is cold. A few strong
-/// instances of the target's region, which callers are told to use, share its
-/// rate; the others send nothing.
+/// Requests a second that this instance may send to the target while it is
+/// cold; nothing to one of another region.
 double gateway::coldRate(const target_record &Record) const {
   const routed_service *Service =
       InForce == nullptr ? nullptr : InForce->service(Record.Service);
@@ -366,28 +372,8 @@
   if (Service == nullptr || Region == Settings.Gateway->Regions.end() ||
       Region->second != Settings.Region)
     return 0;
-  const std::uint64_t Target = stableId(Record.Name);
-  const entry_candidate Own = ownCandidate();
-  std::vector<entry_candidate> Mates{Own};
-  for (const member_row &Row : Peers)
-    if (Row.Identity.Region == Settings.Region)
-      Mates.push_back(candidateOf(Row.Identity, Row.Report.Load));
-  const std::uint32_t Strong = strongCapacity(Mates);
-  if (Own.Capacity < Strong)
-    return 0;
-  std::size_t Better = 0;
-  std::size_t Instances = 0;
-  for (const entry_candidate &Mate : Mates) {
-    if (Mate.Capacity < Strong)
-      continue;
-    ++Instances;
-    Better +=
-        rendezvousScore(Target, Mate.Id) > rendezvousScore(Target, Own.Id);
-  }
-  if (Better >= ColdOwners)
-    return 0;
-  return Service->ColdRate * ColdPart /
-         static_cast<double>(std::min(Instances, ColdOwners));
+  return Service->ColdRate *
+         ColdShares.share(stableId(Record.Name), ownCandidate());
 }
 
 void gateway::publishTargets(steady_time Now) {
@@ -450,6 +436,7 @@
         .push_back(Row.Identity.Name);
   View.setMates(Mates);
   View.setOthers(std::move(Others));
+  ColdShares.setMates(regionCandidates(), Now);
   Limiter.setReachable(std::move(Names));
   Limiter.setInstances(limiterInstances(Now), Regions, Now);
 }
