--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr milliseconds AcceptPause{10};
-constexpr milliseconds SweepPeriod{1000};
 /// Pause between two looks at the requests that wait, while any do.
 constexpr milliseconds PollPeriod{15};
 /// A target whose connection broke and that can't be reached in this time has
@@ -64,33 +62,6 @@
       RegionNumbers(numberRegions(Settings.Regions)), NextId(Seed),
       Acceptor(Context), PollTimer(Context) {}
 
-asio::awaitable<void> gate::state::acceptAll() {
-  for (;;) {
-    auto [Failure, Socket] = co_await Acceptor.async_accept(Awaited);
-    if (Failure == asio::error::operation_aborted ||
-        Failure == asio::error::bad_descriptor)
-      co_return;
-    if (Failure) {
-      logEvent(log_level::Warning, "accept_failed",
-               {{"detail", Failure.message()}});
-      asio::steady_timer Pause(Context, AcceptPause);
-      co_await Pause.async_wait(Awaited);
-      continue;
-    }
-    asio::co_spawn(Context, serveCaller(std::move(Socket), *this),
-                   asio::detached);
-  }
-}
-
-asio::awaitable<void> gate::state::sweepPool() {
-  asio::steady_timer Timer(Context);
-  for (;;) {
-    Timer.expires_after(SweepPeriod);
-    co_await Timer.async_wait(Awaited);
-    Pool.sweep();
-  }
-}
-
 /// Looks again at requests that wait: other instances' load on a target fades
 /// without a message.
 asio::awaitable<void> gate::state::pollWaiting() {
@@ -300,12 +271,17 @@
       openPort(State->Acceptor, State->Settings.Public, port_use::Alone);
   if (failed(Opened))
     return Opened;
-  asio::co_spawn(State->Context, State->sweepPool(), asio::detached);
+  asio::co_spawn(State->Context, State->Pool.sweepAll(), asio::detached);
   return {};
 }
 
 void gate::acceptCallers() {
-  asio::co_spawn(State->Context, State->acceptAll(), asio::detached);
+  asio::co_spawn(State->Context,
+                 acceptAll(State->Context, State->Acceptor,
+                           [State = State.get()](tcp::socket Socket) {
+                             return serveCaller(std::move(Socket), *State);
+                           }),
+                 asio::detached);
 }
 
 void gate::setRoutes(route_index_ptr Routes) {
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -45,8 +45,6 @@
         const clock &Clock, const gate_dialect &Dialect, token_source &Tokens,
         instance_metrics &Metrics, std::uint64_t Seed);
 
-  asio::awaitable<void> acceptAll();
-  asio::awaitable<void> sweepPool();
   asio::awaitable<void> pollWaiting();
 
   /// Checks route, key and homes; nothing is sent or counted yet.
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds ConnectTimeout{1000};
+/// Between two looks for connections that have been idle for too long.
+constexpr milliseconds SweepPeriod{1000};
 
 std::string keyFor(const endpoint_address &Peer) {
   return Peer.Address + ':' + std::to_string(Peer.Port);
@@ -98,6 +100,15 @@
     Found->second.close(Found->second.Idle.begin()->first);
 }
 
+asio::awaitable<void> upstream_pool::sweepAll() {
+  asio::steady_timer Timer(Context);
+  for (;;) {
+    Timer.expires_after(SweepPeriod);
+    co_await Timer.async_wait(Awaited);
+    sweep();
+  }
+}
+
 void upstream_pool::sweep() {
   for (auto &[Key, Pool] : Pools)
     for (const connection_id Id : Pool.Table.expired(Clock.now()))
--- a/packages/traffic/src/pool_p.h
+++ b/packages/traffic/src/pool_p.h
@@ -52,8 +52,8 @@
   /// Closes every idle connection to \p Peer.
   void dropIdle(const endpoint_address &Peer);
 
-  /// Closes connections that have been idle for too long.
-  void sweep();
+  /// Closes connections that have been idle for too long, again and again.
+  asio::awaitable<void> sweepAll();
 
 private:
   struct peer_pool {
@@ -65,6 +65,7 @@
     void close(connection_id Id);
   };
 
+  void sweep();
   peer_pool &poolOf(const endpoint_address &Peer);
 
   asio::io_context &Context;
--- a/packages/traffic/src/sockets.cpp
+++ b/packages/traffic/src/sockets.cpp
@@ -1,5 +1,7 @@
 #include "sockets_p.h"
 
+#include <magnoliaspread/log.h>
+
 #include <sys/socket.h>
 
 namespace magnoliaspread {
@@ -7,6 +9,8 @@
 namespace {
 
 constexpr int ListenBacklog = 1024;
+/// Pause when no connection can be taken, as when descriptors have run out.
+constexpr std::chrono::milliseconds AcceptPause{10};
 
 using reuse_port =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -44,6 +48,25 @@
                {}};
 }
 
+asio::awaitable<void>
+acceptAll(asio::io_context &Context, tcp::acceptor &Acceptor,
+          std::function<asio::awaitable<void>(tcp::socket)> Serve) {
+  for (;;) {
+    auto [Failure, Socket] = co_await Acceptor.async_accept(Awaited);
+    if (Failure == asio::error::operation_aborted ||
+        Failure == asio::error::bad_descriptor)
+      co_return;
+    if (Failure) {
+      logEvent(log_level::Warning, "accept_failed",
+               {{"detail", Failure.message()}});
+      asio::steady_timer Pause(Context, AcceptPause);
+      co_await Pause.async_wait(Awaited);
+      continue;
+    }
+    asio::co_spawn(Context, Serve(std::move(Socket)), asio::detached);
+  }
+}
+
 bool hasClosed(tcp::socket &Socket) {
   error_code Failure;
   const std::size_t Count = peek(Socket, Failure);
--- a/packages/traffic/src/sockets_p.h
+++ b/packages/traffic/src/sockets_p.h
@@ -7,6 +7,8 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/settings.h>
 
+#include <functional>
+
 namespace magnoliaspread {
 
 /// Whether several acceptors of the fleet's threads may share a port.
@@ -16,6 +18,12 @@
 status openPort(tcp::acceptor &Acceptor, const endpoint_address &Where,
                 port_use Use);
 
+/// Serves each connection with a coroutine of its own until the acceptor is
+/// closed.
+asio::awaitable<void>
+acceptAll(asio::io_context &Context, tcp::acceptor &Acceptor,
+          std::function<asio::awaitable<void>(tcp::socket)> Serve);
+
 /// True when the peer has closed the connection. Takes no bytes.
 bool hasClosed(tcp::socket &Socket);
 
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -19,9 +19,6 @@
 
 namespace {
 
-constexpr milliseconds SweepPeriod{1000};
-constexpr milliseconds AcceptPause{10};
-
 std::uint64_t randomNumber() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
@@ -71,8 +68,7 @@
               randomPrefix()},
         Public(Context), Internal(Context) {}
 
-  asio::awaitable<void> acceptAll(tcp::acceptor &Acceptor, entry_port Port);
-  asio::awaitable<void> sweepPool();
+  void accept(tcp::acceptor &Acceptor, entry_port Port);
   asio::awaitable<void> sendFrames();
   void run();
   /// Closes idle connections to targets that take no new work.
@@ -90,34 +86,6 @@
   std::thread Thread;
 };
 
-asio::awaitable<void>
-traffic_threads::thread::acceptAll(tcp::acceptor &Acceptor, entry_port Port) {
-  for (;;) {
-    auto [Failure, Socket] = co_await Acceptor.async_accept(Awaited);
-    if (Failure == asio::error::operation_aborted ||
-        Failure == asio::error::bad_descriptor)
-      co_return;
-    if (Failure) {
-      logEvent(log_level::Warning, "accept_failed",
-               {{"detail", Failure.message()}});
-      asio::steady_timer Pause(Context, AcceptPause);
-      co_await Pause.async_wait(Awaited);
-      continue;
-    }
-    asio::co_spawn(Context, serveConnection(std::move(Socket), State, Port),
-                   asio::detached);
-  }
-}
-
-asio::awaitable<void> traffic_threads::thread::sweepPool() {
-  asio::steady_timer Timer(Context);
-  for (;;) {
-    Timer.expires_after(SweepPeriod);
-    co_await Timer.async_wait(Awaited);
-    Pool.sweep();
-  }
-}
-
 asio::awaitable<void> traffic_threads::thread::sendFrames() {
   asio::steady_timer Timer(Context);
   for (;;) {
@@ -141,12 +109,20 @@
       Pool.dropIdle({Row.Address, Row.Port});
 }
 
-void traffic_threads::thread::run() {
-  asio::co_spawn(Context, acceptAll(Public, entry_port::Public),
+void traffic_threads::thread::accept(tcp::acceptor &Acceptor, entry_port Port) {
+  asio::co_spawn(Context,
+                 acceptAll(Context, Acceptor,
+                           [this, Port](tcp::socket Socket) {
+                             return serveConnection(std::move(Socket), State,
+                                                    Port);
+                           }),
                  asio::detached);
-  asio::co_spawn(Context, acceptAll(Internal, entry_port::Internal),
-                 asio::detached);
-  asio::co_spawn(Context, sweepPool(), asio::detached);
+}
+
+void traffic_threads::thread::run() {
+  accept(Public, entry_port::Public);
+  accept(Internal, entry_port::Internal);
+  asio::co_spawn(Context, Pool.sweepAll(), asio::detached);
   asio::co_spawn(Context, sendFrames(), asio::detached);
   Thread = std::thread([this] { Context.run(); });
 }
