--- a/packages/model/src/fleet_model.cpp
+++ b/packages/model/src/fleet_model.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// Period of the gate's look at requests that wait; as PollPeriod there.
+/// Between two looks at requests that wait: near the 15 ms of the gate, and a
+/// part of NewsPeriod.
 constexpr milliseconds PollPeriod{10};
 /// Period in which instances of a region tell each other news; as in the
 /// daemon.
--- a/packages/model/src/model_troubles.cpp
+++ b/packages/model/src/model_troubles.cpp
@@ -5,11 +5,11 @@
 namespace magnoliaspread {
 namespace {
 
-/// Numbers that lie in the part \p Part of a table, drawn by hash.
+/// Whether \p Row is among the part \p Part of a table that is drawn by hash.
 bool chosen(std::uint64_t Trouble, std::uint64_t Row, double Part) {
-  constexpr double Scale = 1.0 / 9007199254740992.0;
-  const std::uint64_t Bits = rendezvousScore(Trouble + 1, Row + 1) >> 11U;
-  return static_cast<double>(Bits) * Scale < Part;
+  constexpr std::uint64_t Steps = 1000000;
+  const std::uint64_t Drawn = rendezvousScore(Trouble + 1, Row + 1) % Steps;
+  return static_cast<double>(Drawn) < Part * static_cast<double>(Steps);
 }
 
 } // namespace
