Tests of the codec, parts at once and passed-over readers one by one; members of platform_view by purpose

Read as a newcomer: the view's private part mixed functions and fields, and the datagram tests' samples left out the messages about the platform and about objects, so that neither the round trip nor the mutations met them.

--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -120,47 +120,50 @@
   std::uint64_t revision() const { return Revision; }
 
 private:
+  void chooseReader();
+  void passOverReader();
+  bool isTakingParts(boot_time Now) const;
   bool isExpected(const view_reply &Reply, std::uint64_t From) const;
+  bool isGap(const view_reply &Reply, std::uint64_t From) const;
   void takePart(const view_reply &Reply, std::uint64_t From, taken &Taken);
 
   view_settings Settings;
   std::string Instance;
+
+  // Who reads for the region.
   std::string Reader;
   std::vector<std::string> Mates;
   std::vector<std::string> Others;
+  /// Mates that don't read until then, as they knew less than others did.
+  std::map<std::string, boot_time> PassedOver;
+  /// What the reader knows was found too old then.
+  std::optional<boot_time> SuspectedAt;
+
+  // What is known, and for peers what has changed.
   std::uint64_t Version = 0;
   boot_time RoutesAsOf;
   std::uint64_t Revision = 0;
   boot_time TargetsAsOf;
+  std::set<std::string> Evacuated;
   std::deque<target_change> Log;
   /// Every change after this revision is in Log.
   std::uint64_t LogSince = 0;
-  std::set<std::string> Evacuated;
+
+  // Questions, and the parts of the reply that is being taken.
+  boot_time NextAsk;
+  boot_time NextAskAny;
   /// When several were asked last. A reply to it is followed up although one
   /// that knew less came first.
   boot_time SeveralAskedAt;
-  boot_time NextAsk;
-  boot_time NextAskAny;
-  bool isTakingParts(boot_time Now) const;
-  bool isGap(const view_reply &Reply, std::uint64_t From) const;
-  void chooseReader();
-  void passOverReader();
-
-  /// Mates that don't read for the region until then, as they knew less than
-  /// others did.
-  std::map<std::string, boot_time> PassedOver;
-  /// What the reader knows was found too old then.
-  std::optional<boot_time> SuspectedAt;
-
   /// When the question was asked whose parts are taken; none after a read.
   boot_time AskedAt;
+  /// Incarnation that was asked last; 0 is several.
+  std::uint64_t PartsFrom = 0;
   /// Changes after Revision that replies of PartsFrom have brought so far.
   std::uint32_t Skip = 0;
   std::vector<target_change> Parts;
   /// The next part did not come and has been asked for once more.
   bool PartsAskedAgain = false;
-  /// Incarnation that was asked last; 0 is several.
-  std::uint64_t PartsFrom = 0;
 };
 
 } // namespace magnoliaspread
--- a/packages/coordination/tests/platformview.cpp
+++ b/packages/coordination/tests/platformview.cpp
@@ -1,6 +1,9 @@
 #include <magnoliaspread/platformview.h>
 #include <magnoliaspread/story.h>
 
+#include <algorithm>
+#include <random>
+
 using namespace magnoliaspread;
 using namespace std::chrono_literals;
 
@@ -264,3 +267,94 @@
                          Case.Asker.ask(Start + 1101ms, Mate).Skip);
   });
 }
+
+STORY(platform_view_parts_at_once) {
+  section("the first question brings one part, the next one several", [&] {
+    many_changes Case;
+    const auto First =
+        Case.Reader.answers(Case.Asker.ask(Start + 1100ms, Mate), Start + 1s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), First.size());
+    CPPUNIT_ASSERT(Case.take(First[0]));
+    const auto Next =
+        Case.Reader.answers(Case.Asker.ask(Start + 1101ms, Mate), Start + 1s);
+    CPPUNIT_ASSERT(Next.size() > 1 && Next.size() <= 8);
+    for (const view_reply &Part : Next)
+      CPPUNIT_ASSERT_EQUAL(&Part != &Next.back(), Part.Follows);
+  });
+  section("only the last of them is asked on", [&] {
+    many_changes Case;
+    Case.take(Case.reply(Start + 1100ms));
+    for (boot_time Now = Start + 1101ms; Case.Asker.revision() != 150;
+         Now += 1ms) {
+      CPPUNIT_ASSERT(Now < Start + 1200ms);
+      const auto Parts = Case.Reader.answers(Case.Asker.ask(Now, Mate), Now);
+      for (const view_reply &Part : Parts)
+        CPPUNIT_ASSERT_EQUAL(Part.More && !Part.Follows, Case.take(Part));
+    }
+    Case.checkAll();
+  });
+  section("a part that is lost between them is asked for at once", [&] {
+    many_changes Case;
+    Case.take(Case.reply(Start + 1100ms));
+    const auto Parts =
+        Case.Reader.answers(Case.Asker.ask(Start + 1101ms, Mate), Start + 1s);
+    CPPUNIT_ASSERT(Parts.size() > 2);
+    Case.take(Parts[0]);
+    CPPUNIT_ASSERT(Case.take(Parts[2]));
+    Case.finish(Start + 1102ms);
+    Case.checkAll();
+  });
+  section("one that is lost at the end once more, then others are asked", [&] {
+    many_changes Case;
+    Case.take(Case.reply(Start + 1100ms));
+    CPPUNIT_ASSERT(Case.Asker.askDue(Start + 1200ms) == view_source::None);
+    CPPUNIT_ASSERT(Case.Asker.askDue(Start + 1400ms) == view_source::SamePeer);
+    CPPUNIT_ASSERT_EQUAL(Mate, Case.Asker.partsFrom());
+    CPPUNIT_ASSERT(Case.Asker.ask(Start + 1400ms, Mate).Skip > 0);
+    CPPUNIT_ASSERT(Case.Asker.askDue(Start + 1700ms) == view_source::AnyPeer);
+  });
+}
+
+STORY(platform_view_readers_that_are_cut_off) {
+  // Of the two mates one comes before the instance in the readers' order.
+  const std::vector<std::string> Names{"a", "b", "c"};
+  const auto Behind =
+      std::find_if(Names.begin(), Names.end(), [&](const std::string &Name) {
+        platform_view View = viewOf(Name);
+        std::vector<std::string> Mates = Names;
+        std::erase(Mates, Name);
+        View.setMates(Mates);
+        return !View.isReader();
+      });
+  platform_view View = viewOf(*Behind);
+  std::vector<std::string> Mates = Names;
+  std::erase(Mates, *Behind);
+  View.setMates(Mates);
+  View.setOthers({"d", "e"});
+  View.routesProved(3, Start);
+  View.targetsRead(5, Start);
+  const std::string First = View.reader();
+  section("two of the region and one of another are asked", [&] {
+    CPPUNIT_ASSERT(View.askDue(Start + 1400ms) == view_source::AnyPeer);
+    std::mt19937_64 Random(1);
+    const std::vector<std::string> Drawn = View.drawPeers(Random);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Drawn.size());
+    CPPUNIT_ASSERT(Drawn[2] == "d" || Drawn[2] == "e");
+  });
+  section("a reader stays while nobody knows more", [&] {
+    View.targetsRead(5, Start + 200ms);
+    CPPUNIT_ASSERT_EQUAL(First, View.reader());
+  });
+  section("and is passed over when somebody does", [&] {
+    View.targetsRead(6, Start + 1300ms);
+    CPPUNIT_ASSERT(View.reader() != First);
+    View.setMates(Mates);
+    CPPUNIT_ASSERT(View.reader() != First);
+  });
+  section("for five seconds", [&] {
+    View.askDue(Start + 6300ms);
+    CPPUNIT_ASSERT(View.reader() != First);
+    View.askDue(Start + 6500ms);
+    CPPUNIT_ASSERT_EQUAL(First, View.reader());
+  });
+}
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -19,6 +19,33 @@
   return Key;
 }
 
+/// Every field differs from its default.
+view_reply sampleReply() {
+  view_reply Reply;
+  Reply.AskedAt = boot_time(2h);
+  Reply.Version = 12;
+  Reply.Age = 700ms;
+  Reply.Revision = 1ull << 61;
+  Reply.TargetsAge = 900ms;
+  target_record Record;
+  Record.Name = "i-1";
+  Record.Address = {"10.1.2.3", 8080};
+  Record.Service = "calendar";
+  Record.DataCentre = "lisboa-1";
+  Record.Slots = 4;
+  Record.Draining = true;
+  Record.ColdLeft = 3000ms;
+  Record.Sequence = 77;
+  Record.StartedAtMs = 1800000000000;
+  Reply.Changes = {{Record, false, 55}, {Record, true, 1ull << 60}};
+  Reply.Skip = 24;
+  Reply.More = true;
+  Reply.Follows = true;
+  Reply.Partial = true;
+  Reply.Evacuated = {"porto-1", "faro-1"};
+  return Reply;
+}
+
 member_row sampleRow(std::size_t NameBytes = 8) {
   member_row Row;
   Row.Identity.Name = std::string(NameBytes, 'n');
@@ -65,6 +92,9 @@
       quota_message(promise_request{{"a", 9}, 8, {{65535, 77}, {1, 2}}}),
       quota_message(promise_reply{{"a", 9}, 8, {0, 1, 65535}}),
       quarantine_notice{0xffffffffffffffffull, 90000ms, 3},
+      object_news{{{1ull << 63, 7, true}, {8, 9, false}}, {{10, 65535}}},
+      view_ask{boot_time(1h), 1ull << 62, 0xffff},
+      sampleReply(),
   };
 }
 
