A caller's close is seen behind requests that it sent ahead

Change: what comes ahead is taken into the connection's buffer, up to 64 KB, and the watch goes on; the same before a request that waited is sent. Test: watchdog_of_a_caller_that_sends_ahead, fails without the change.

--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -333,7 +333,7 @@
   const endpoint_address Address = State.Targets[Target.Index].Address;
   const steady_time Sent = State.Clock.now();
   call_result Result =
-      co_await callTarget(State.Dialect, Socket, *Connection, Call);
+      co_await callTarget(State.Dialect, {Socket, Buffer}, *Connection, Call);
   const steady_time Now = State.Clock.now();
   if (Result.ConnectionReusable)
     State.Pool.putBack(Address, std::move(Connection));
@@ -363,8 +363,9 @@
         Outcome.Error = errorOf(Target);
       co_return;
     }
-    if (hasClosed(Socket)) {
-      State.finished({valueOf(Target), 0, 0, target_result::Abandoned, {}, {}});
+    if (takeAhead(Socket, Buffer, MostAheadBytes)) {
+      State.finished(
+          {valueOf(Target), 0, 0, target_result::Abandoned, {}, {}, {}});
       Outcome.Error = {error_kind::CallerGone, "closed while it waited", {}};
       co_return;
     }
--- a/packages/traffic/src/sockets.cpp
+++ b/packages/traffic/src/sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <magnoliaspread/log.h>
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace magnoliaspread {
@@ -73,6 +74,19 @@
   return Failure != asio::error::would_block && Count == 0;
 }
 
+bool takeAhead(tcp::socket &Socket, beast::flat_buffer &Ahead,
+               std::size_t Most) {
+  constexpr std::size_t PieceBytes = 4096;
+  error_code Failure;
+  Socket.non_blocking(true, Failure);
+  while (!Failure && Ahead.size() < Most) {
+    const std::size_t Piece = std::min(PieceBytes, Most - Ahead.size());
+    const std::size_t Count = Socket.read_some(Ahead.prepare(Piece), Failure);
+    Ahead.commit(Count);
+  }
+  return Failure && Failure != asio::error::would_block;
+}
+
 bool isQuiet(tcp::socket &Socket) {
   error_code Failure;
   peek(Socket, Failure);
--- a/packages/traffic/src/sockets_p.h
+++ b/packages/traffic/src/sockets_p.h
@@ -27,6 +27,12 @@
 /// True when the peer has closed the connection. Takes no bytes.
 bool hasClosed(tcp::socket &Socket);
 
+/// Takes what the peer has sent ahead into \p Ahead, up to \p Most bytes in
+/// all, and tells whether it has closed the connection: a close that comes
+/// behind bytes is seen only when they have been taken.
+bool takeAhead(tcp::socket &Socket, beast::flat_buffer &Ahead,
+               std::size_t Most);
+
 /// True when the peer has neither closed the connection nor sent bytes that
 /// nobody asked for.
 bool isQuiet(tcp::socket &Socket);
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -23,9 +23,10 @@
 
 class exchange {
 public:
-  exchange(const gate_dialect &Dialect, tcp::socket &Caller, upstream &Up,
+  exchange(const gate_dialect &Dialect, call_side Caller, upstream &Up,
            const target_call &Call)
-      : Dialect(Dialect), Up(Up), Call(Call), Dog(Caller, Up.Socket) {}
+      : Dialect(Dialect), Up(Up), Call(Call), Ahead(Caller.Ahead),
+        Dog(Caller.Socket, Up.Socket) {}
 
   asio::awaitable<call_result> run();
 
@@ -44,6 +45,7 @@
   const target_call &Call;
   watchdog Dog;
   bool Sent = false;
+  beast::flat_buffer &Ahead;
   call_result Result;
 };
 
@@ -109,7 +111,7 @@
     return false;
   Dog.restart(Call.Deadline);
   if (Call.EndsWithCaller)
-    Dog.watchCaller();
+    Dog.watchCaller(Ahead, MostAheadBytes);
   return true;
 }
 
@@ -168,7 +170,7 @@
 
 asio::awaitable<call_result> exchange::run() {
   if (Call.EndsWithCaller)
-    Dog.watchCaller();
+    Dog.watchCaller(Ahead, MostAheadBytes);
   bool Going = co_await send();
   if (Going)
     Going = co_await readAnswer();
@@ -178,7 +180,7 @@
 } // namespace
 
 asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
-                                        tcp::socket &Caller, upstream &Up,
+                                        call_side Caller, upstream &Up,
                                         target_call Call) {
   exchange Exchange(Dialect, Caller, Up, Call);
   co_return co_await Exchange.run();
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -29,6 +29,16 @@
   bool EndsWithCaller = false;
 };
 
+/// The caller's side of a call.
+struct call_side {
+  tcp::socket &Socket;
+  /// Takes what the caller sends before the answer.
+  beast::flat_buffer &Ahead;
+};
+
+/// Bytes that are taken of requests sent before the answer to an earlier one.
+inline constexpr std::size_t MostAheadBytes = 65536;
+
 enum class call_end : std::uint8_t {
   /// The target gave its whole answer.
   Answered,
@@ -54,7 +64,7 @@
 
 /// Sends the request and reads the answer. \p Caller is watched only.
 asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
-                                        tcp::socket &Caller, upstream &Up,
+                                        call_side Caller, upstream &Up,
                                         target_call Call);
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/watchdog.cpp
+++ b/packages/traffic/src/watchdog.cpp
@@ -7,8 +7,7 @@
 watchdog::watchdog(tcp::socket &Caller, tcp::socket &Upstream)
     : Shared(std::make_shared<state>(
           state{&Caller, &Upstream, asio::steady_timer(Caller.get_executor()),
-                steady_time::max(), true, false, false, false, false, false})) {
-}
+                steady_time::max()})) {}
 
 watchdog::~watchdog() {
   Shared->Alive = false;
@@ -50,14 +49,31 @@
   });
 }
 
-void watchdog::watchCaller() {
-  Shared->Caller->async_wait(
-      tcp::socket::wait_read, [State = Shared](error_code Failure) {
-        if (!State->Alive || Failure || !hasClosed(*State->Caller))
-          return;
-        State->CallerGone = true;
-        State->cancelAll();
-      });
+bool watchdog::state::lookAtCaller() {
+  return Ahead == nullptr ? hasClosed(*Caller)
+                          : takeAhead(*Caller, *Ahead, MostAhead);
+}
+
+void watchdog::watchCaller(const std::shared_ptr<state> &Shared) {
+  Shared->Caller->async_wait(tcp::socket::wait_read, [Shared](
+                                                         error_code Failure) {
+    if (!Shared->Alive || Failure)
+      return;
+    Shared->CallerGone = Shared->lookAtCaller();
+    if (Shared->CallerGone)
+      return Shared->cancelAll();
+    // Bytes that stay on the socket would fire the watch at once.
+    if (Shared->Ahead != nullptr && Shared->Ahead->size() < Shared->MostAhead)
+      watchCaller(Shared);
+  });
+}
+
+void watchdog::watchCaller() { watchCaller(Shared); }
+
+void watchdog::watchCaller(beast::flat_buffer &Ahead, std::size_t Most) {
+  Shared->Ahead = &Ahead;
+  Shared->MostAhead = Most;
+  watchCaller(Shared);
 }
 
 void watchdog::watchAnswer() {
--- a/packages/traffic/src/watchdog_p.h
+++ b/packages/traffic/src/watchdog_p.h
@@ -28,6 +28,11 @@
   /// Fires callerGone() when the caller closes its connection.
   void watchCaller();
 
+  /// The same for a caller that may send further requests before this one is
+  /// answered: they are taken into \p Ahead, up to \p Most bytes in all, as
+  /// they would hide the close. Ahead must outlive the watchdog.
+  void watchCaller(beast::flat_buffer &Ahead, std::size_t Most);
+
   /// Fires answerBegan() when the upstream sends or closes.
   void watchAnswer();
   void stopWatchingAnswer() { Shared->WatchingAnswer = false; }
@@ -48,11 +53,16 @@
     bool Expired = false;
     bool CallerGone = false;
     bool AnswerBegan = false;
+    beast::flat_buffer *Ahead = nullptr;
+    std::size_t MostAhead = 0;
 
     void cancelAll();
+    /// True when the caller has closed its connection.
+    bool lookAtCaller();
   };
 
   static void wait(const std::shared_ptr<state> &Shared);
+  static void watchCaller(const std::shared_ptr<state> &Shared);
 
   std::shared_ptr<state> Shared;
 };
--- a/packages/traffic/tests/timers.cpp
+++ b/packages/traffic/tests/timers.cpp
@@ -1,8 +1,11 @@
+#include "sockets_p.h"
 #include "timers_p.h"
+#include "watchdog_p.h"
 
 #include <magnoliaspread/story.h>
 
 #include <optional>
+#include <string>
 #include <thread>
 
 using namespace magnoliaspread;
@@ -37,3 +40,45 @@
     CPPUNIT_ASSERT(Read && *Read == asio::error::operation_aborted);
   });
 }
+
+STORY(watchdog_of_a_caller_that_sends_ahead) {
+  asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket Client(Context);
+  Client.connect(Acceptor.local_endpoint());
+  tcp::socket Caller = Acceptor.accept();
+  tcp::socket Upstream(Context);
+  Upstream.connect(Acceptor.local_endpoint());
+  beast::flat_buffer Ahead;
+  constexpr std::size_t Most = 64;
+  watchdog Dog(Caller, Upstream);
+  Dog.watchCaller(Ahead, Most);
+  const std::string Next = "GET /next HTTP/1.1\r\n\r\n";
+
+  section("further requests are kept and don't end the call", [&] {
+    asio::write(Client, asio::buffer(Next));
+    Context.run_for(50ms);
+    CPPUNIT_ASSERT(!Dog.callerGone());
+    CPPUNIT_ASSERT_EQUAL(Next.size(), Ahead.size());
+  });
+  section("a close behind them does", [&] {
+    Client.close();
+    Context.restart();
+    Context.run_for(50ms);
+    CPPUNIT_ASSERT(Dog.callerGone());
+  });
+}
+
+STORY(watchdog_takes_a_bounded_number_of_bytes_ahead) {
+  asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket Client(Context);
+  Client.connect(Acceptor.local_endpoint());
+  tcp::socket Caller = Acceptor.accept();
+  beast::flat_buffer Ahead;
+  constexpr std::size_t Most = 64;
+  asio::write(Client, asio::buffer(std::string(1000, 'x')));
+  std::this_thread::sleep_for(20ms);
+  CPPUNIT_ASSERT(!takeAhead(Caller, Ahead, Most));
+  CPPUNIT_ASSERT_EQUAL(Most, Ahead.size());
+}
