Targets that say they leave or ask for a pause are heeded

Server-Leaving in an answer closes that start of the target for good, whatever its entry says later; idle connections to it are closed. A 503 with Retry-After holds the target for that time, at most a minute, then one request at a time until one is answered; when all are held callers are refused at once with the time of the first to open. Nothing of either was in the code before. An answer that names no request no longer leaves its connection for the next one, as a late copy of it could pass for that one's answer; interim answers are bounded.

--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -11,9 +11,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace magnoliaspread {
@@ -54,6 +56,11 @@
   /// Takes in that an entry is gone or can't be read.
   void remove(std::string_view Name, steady_time Now);
 
+  /// The target has said in an answer that it leaves. That start of it gets no
+  /// new work any more, whatever its entry or a peer says: entries lag, and
+  /// some targets never report that they leave. False when it was known.
+  bool noteLeaving(const std::string &Name, std::int64_t StartedAtMs);
+
   /// Data centres whose targets are to get nothing.
   void setEvacuated(std::set<std::string> DataCentres, steady_time Now);
 
@@ -76,6 +83,7 @@
   };
 
   entry *find(std::string_view Name);
+  bool isLeaving(const target_record &Record) const;
   bool tellsNews(const target_record &Record);
   void add(const target_record &Record, steady_time Now);
   void drop(std::string_view Name);
@@ -84,6 +92,8 @@
   std::vector<entry> Entries;
   name_map<std::uint16_t> Rows;
   std::set<std::string> Evacuated;
+  /// Starts that leave by their own word: name and time of the start.
+  std::deque<std::pair<std::string, std::int64_t>> Leaving;
   std::optional<steady_time> AnsweredAt;
   steady_time HoldUntil;
   std::uint16_t NextRow = 0;
--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -120,6 +120,25 @@
   return Changes;
 }
 
+bool target_registry::noteLeaving(const std::string &Name,
+                                  std::int64_t StartedAtMs) {
+  const std::pair<std::string, std::int64_t> Start(Name, StartedAtMs);
+  if (std::find(Leaving.begin(), Leaving.end(), Start) != Leaving.end())
+    return false;
+  // The oldest ones have gone long since: a table holds MaxTargets at a time.
+  if (Leaving.size() >= MaxTargets)
+    Leaving.pop_front();
+  Leaving.push_back(Start);
+  ++Revision;
+  return true;
+}
+
+bool target_registry::isLeaving(const target_record &Record) const {
+  return std::any_of(Leaving.begin(), Leaving.end(), [&](const auto &Start) {
+    return Start.second == Record.StartedAtMs && Start.first == Record.Name;
+  });
+}
+
 void target_registry::setEvacuated(std::set<std::string> DataCentres,
                                    steady_time Now) {
   if (DataCentres == Evacuated)
@@ -148,8 +167,8 @@
     const entry &Entry = Entries[I];
     if (!Entry.Used)
       continue;
-    const bool Open =
-        !Entry.Record.Draining && !Evacuated.contains(Entry.Record.DataCentre);
+    const bool Open = !Entry.Record.Draining && !isLeaving(Entry.Record) &&
+                      !Evacuated.contains(Entry.Record.DataCentre);
     Targets.push_back(
         {handleAt<target_handle>(I), Entry.Record, Open, Entry.ColdUntil});
   }
--- a/packages/coordination/tests/registry.cpp
+++ b/packages/coordination/tests/registry.cpp
@@ -138,3 +138,33 @@
         Held.replaceAll({recordOf("a", 1, 1)}, Start + 21s).size());
   });
 }
+
+STORY(registry_of_targets_that_say_they_leave) {
+  target_registry Registry{registry_settings{}};
+  Registry.platformAnswered(Start);
+  Registry.replaceAll({recordOf("a", 1, 1), recordOf("b", 1, 1)}, Start);
+  section("such a target gets no new work", [&] {
+    CPPUNIT_ASSERT(Registry.noteLeaving("a", 1));
+    CPPUNIT_ASSERT(!Registry.noteLeaving("a", 1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("later reports of its entry and lists don't bring it back", [&] {
+    Registry.put(recordOf("a", 1, 5), Start + 1s);
+    Registry.replaceAll({recordOf("a", 1, 6), recordOf("b", 1, 2)}, Start + 2s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("nor does an entry that was gone and comes back", [&] {
+    Registry.remove("a", Start + 3s);
+    Registry.put(recordOf("a", 1, 7), Start + 4s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("nor the end of an evacuation", [&] {
+    Registry.setEvacuated({"dc-a"}, Start + 5s);
+    Registry.setEvacuated({}, Start + 6s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), openCount(Registry));
+  });
+  section("a new start under its name is another target", [&] {
+    Registry.put(recordOf("a", 2, 1), Start + 7s);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), openCount(Registry));
+  });
+}
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -269,6 +269,10 @@
   Gate.onTokenShortage([this] {
     asio::post(Context, [this] { runLimits(this->Clock.now()); });
   });
+  Gate.onTargetLeaving(
+      [this](const std::string &Name, std::int64_t StartedAtMs) {
+        return Registry.noteLeaving(Name, StartedAtMs);
+      });
   Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
 }
 
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -17,6 +17,7 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
+#include <magnoliaspread/pushback.h>
 
 #include <array>
 #include <bitset>
@@ -184,6 +185,8 @@
   /// From the first byte sent to the whole answer.
   std::chrono::nanoseconds Took{0};
   std::optional<target_report> Report;
+  /// The target wants no further request for this long.
+  std::optional<std::chrono::milliseconds> HoldFor;
 };
 
 class placer {
@@ -209,6 +212,14 @@
 
   void finished(const target_end &End, steady_time Now);
 
+  /// Gives the target no new work; it is leaving. The caller sees to it that
+  /// later calls of setTargets() say so, too.
+  void close(target_handle Target);
+
+  /// Whether a request that has been placed may still be sent: the target
+  /// neither leaves nor has asked for a pause since.
+  bool accepts(target_handle Target, steady_time Now) const;
+
   std::size_t waiting() const { return Waiting.size(); }
   std::size_t inFlight() const { return InFlight; }
 
@@ -321,8 +332,10 @@
   void forgetWarming(std::uint64_t Object, target_handle Target);
   void tell(std::uint64_t Object, target_handle Target, bool Warm);
   error refusal(double Seconds) const;
+  error refuseAll(const place_request &Request, steady_time Now) const;
 
   placer_policy Policy;
+  pushback_table Pushback;
   std::vector<target_state> Targets;
   /// Handles by service.
   std::vector<std::vector<target_handle>> ByService;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -82,6 +82,7 @@
       ByService.resize(Row.Service.Index + 1U);
     target_state &State = Targets[Row.Handle.Index];
     if (State.Info.Id != Row.Id) {
+      Pushback.forget(Row.Handle);
       State = target_state();
       State.MarkedAt = Now;
       State.ReportedAt = Now;
@@ -126,6 +127,10 @@
                     steady_time Now) const {
   if (!Target.Present || !Target.Info.Open || Target.PausedUntil > Now)
     return false;
+  const target_access Access = Pushback.access(Target.Info.Handle, Now);
+  if (Access == target_access::Held ||
+      (Access == target_access::Probing && Target.InFlight > 0))
+    return false;
   if (Request.Homes.any() && !Request.Homes.test(Target.Info.Region))
     return false;
   return coldAllowed(Target, Now) && !tried(Request, Target.Info.Handle);
@@ -327,12 +332,37 @@
           std::clamp(Wait, LeastRetryAfter, MostRetryAfter)};
 }
 
+/// No target is usable. Where all have asked for a pause, callers come back
+/// when the first one opens.
+error placer::refuseAll(const place_request &Request, steady_time Now) const {
+  error Refusal = refusal(seconds(MostRetryAfter) / 3);
+  if (Request.Service.Index >= ByService.size())
+    return Refusal;
+  std::optional<steady_time> First;
+  for (const target_handle Handle : ByService[Request.Service.Index]) {
+    const target_state &State = Targets[Handle.Index];
+    const bool Allowed =
+        Request.Homes.none() || Request.Homes.test(State.Info.Region);
+    if (!State.Present || !State.Info.Open || !Allowed)
+      continue;
+    const auto Until = Pushback.heldUntil(Handle, Now);
+    if (!Until)
+      return Refusal;
+    First = std::min(First.value_or(*Until), *Until);
+  }
+  if (First)
+    Refusal.RetryAfter = std::chrono::ceil<milliseconds>(*First - Now);
+  return Refusal;
+}
+
 placement_verdict placer::decide(const place_request &Request, steady_time Now,
                                  target_handle &Waits) {
   const std::optional<choice> Choice = choose(Request, Now);
   const double Left = seconds(Request.Deadline - Now);
-  if (!Choice || Choice->Expected > Left * DeadlinePart)
-    return refusal(Choice ? Choice->Expected : seconds(MostRetryAfter) / 3);
+  if (!Choice)
+    return refuseAll(Request, Now);
+  if (Choice->Expected > Left * DeadlinePart)
+    return refusal(Choice->Expected);
   if (Choice->HasRoom) {
     start(Request, Choice->Target, Now);
     return place_send{Choice->Target};
@@ -558,10 +588,25 @@
     });
 }
 
+void placer::close(target_handle Target) {
+  if (target_state *State = find(Target))
+    State->Info.Open = false;
+}
+
+bool placer::accepts(target_handle Target, steady_time Now) const {
+  const target_state *State = find(Target);
+  return State != nullptr && State->Present && State->Info.Open &&
+         Pushback.access(Target, Now) != target_access::Held;
+}
+
 void placer::finished(const target_end &End, steady_time Now) {
   target_state *State = find(End.Target);
   if (State == nullptr)
     return;
+  if (End.HoldFor)
+    Pushback.hold(End.Target, *End.HoldFor, Now);
+  else if (End.Result == target_result::Answered)
+    Pushback.answered(End.Target, Now);
   if (State->InFlight > 0) {
     --State->InFlight;
     --InFlight;
--- a/packages/steering/tests/placer.cpp
+++ b/packages/steering/tests/placer.cpp
@@ -54,7 +54,7 @@
 void answer(placer &Placer, target_handle Target, std::uint64_t Object,
             milliseconds Took, steady_time Now) {
   Placer.finished(
-      {Target, Object, Kind, target_result::Answered, Took, std::nullopt}, Now);
+      {Target, Object, Kind, target_result::Answered, Took, {}, {}}, Now);
 }
 
 /// Targets that remember the objects they have handled, driven at a rate by
@@ -261,7 +261,7 @@
     const target_handle Only{0};
     const auto Fail = [&](steady_time Now) {
       Placer.finished(
-          {Only, 0, Kind, target_result::Unreachable, 0ms, std::nullopt}, Now);
+          {Only, 0, Kind, target_result::Unreachable, 0ms, {}, {}}, Now);
     };
     CPPUNIT_ASSERT(sentTo(Placer.place(requestAt(Start, 1, 0), Start)));
     Fail(Start);
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -78,6 +78,11 @@
   void onTokenShortage(std::function<void()> Handler);
   /// Tokens have come: lets requests that wait for them try again.
   void tokensCame();
+  /// Called when a target has said in an answer that it leaves. The next
+  /// targets that are set must not have it open. False when it was known.
+  using leaving_handler =
+      std::function<bool(const std::string &Name, std::int64_t StartedAtMs)>;
+  void onTargetLeaving(leaving_handler Handler);
   /// Connections are closed after each answer from now on.
   void setLeaving();
 
--- a/packages/traffic/include/magnoliaspread/gate_dialect.h
+++ b/packages/traffic/include/magnoliaspread/gate_dialect.h
@@ -42,6 +42,9 @@
 struct answer_head {
   /// It names another request than the one that was sent.
   bool OtherRequest = false;
+  /// It names the request. A copy of an answer that names none could pass for
+  /// the answer to a later request.
+  bool Named = false;
   /// The target did not run the request.
   bool NotRun = false;
   /// Another process than the named one answered; nothing was run.
@@ -49,6 +52,10 @@
   /// A target vouches for the answer.
   bool Signed = false;
   std::optional<target_report> Report;
+  /// The target leaves: it is to get no new requests.
+  bool Leaving = false;
+  /// The target turned the request away and wants no other for this long.
+  std::optional<std::chrono::milliseconds> HoldFor;
 };
 
 /// A caller that asks which instances to use.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -139,6 +139,10 @@
               {"result", nameOf(End.Result)},
               {"load", Placer.loadOf(End.Target, Clock.now())},
               {"reported_waiting", End.Report ? End.Report->Waiting : 0U}});
+  if (End.HoldFor)
+    logEvent(log_level::Info, "target_held",
+             {{"target", Targets[End.Target.Index].Name},
+              {"hold_ms", End.HoldFor->count()}});
   Placer.finished(End, Clock.now());
   if (Placer.waiting() > 0)
     wakePlaced();
@@ -202,6 +206,20 @@
          Clock.boot() - ProvedAt < Settings.KeyProof;
 }
 
+void gate::state::targetLeaves(target_handle Target,
+                               const std::string &RequestId) {
+  const known_target &Row = Targets[Target.Index];
+  if (OnTargetLeaving && !OnTargetLeaving(Row.Name, Row.StartedAtMs))
+    return;
+  logEvent(log_level::Info, "target_leaving",
+           {{"target", Row.Name},
+            {"started_at_ms", Row.StartedAtMs},
+            {"source", "answer"},
+            {"request_id", RequestId}});
+  Placer.close(Target);
+  Pool.dropIdle(Row.Address);
+}
+
 namespace {
 
 error unproved() {
@@ -301,7 +319,7 @@
     const std::size_t Index = Row.Target.Handle.Index;
     if (Index >= State->Targets.size())
       State->Targets.resize(Index + 1);
-    State->Targets[Index] = {Record.Name, Record.Address};
+    State->Targets[Index] = {Record.Name, Record.Address, Record.StartedAtMs};
     if (!Row.Target.Open)
       State->Pool.dropIdle(Record.Address);
     placer_target Target;
@@ -342,6 +360,10 @@
 
 void gate::tokensCame() { State->Tokens.tick(); }
 
+void gate::onTargetLeaving(leaving_handler Handler) {
+  State->OnTargetLeaving = std::move(Handler);
+}
+
 void gate::setLeaving() { State->Leaving = true; }
 
 void gate::tick() {
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -55,6 +55,8 @@
   void finished(const target_end &End);
   /// No connection to a target: it may have died of what it ran.
   void targetDied(target_handle Target);
+  /// The target has said that it leaves; no effect when that is known.
+  void targetLeaves(target_handle Target, const std::string &RequestId);
   bool takeRetry(const std::string &Service);
   void countRequest(const std::string &Service);
   std::string pickService(const route_row &Route);
@@ -71,6 +73,7 @@
   struct known_target {
     std::string Name;
     endpoint_address Address;
+    std::int64_t StartedAtMs = 0;
   };
 
   struct retry_account {
@@ -93,6 +96,7 @@
   name_map<std::size_t> RegionNumbers;
   /// By target handle.
   std::vector<known_target> Targets;
+  leaving_handler OnTargetLeaving;
   std::unordered_map<std::uint64_t, place_waiter *> Waiters;
   name_map<retry_account> Retries;
   /// Draws by route, to follow the weights of its parts.
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -206,7 +206,7 @@
   ++Outcome.Unreachable;
   if (!Outcome.MayHaveRun)
     Outcome.Error = errorOf(Fresh);
-  State.finished({Target, 0, 0, target_result::Unreachable, {}, {}});
+  State.finished({Target, 0, 0, target_result::Unreachable, {}, {}, {}});
   State.targetDied(Target);
   co_return nullptr;
 }
@@ -222,7 +222,7 @@
       State.Placer.placeNow(Again, State.Clock.now());
   if (!Next || mayRetry(Wanted, Outcome, false))
     return Next;
-  State.finished({*Next, 0, 0, target_result::Abandoned, {}, {}});
+  State.finished({*Next, 0, 0, target_result::Abandoned, {}, {}, {}});
   return std::nullopt;
 }
 
@@ -284,8 +284,12 @@
       Result.End == call_end::NotRun || Result.End == call_end::Misdirected;
   const target_result Verdict =
       resultOf(Result.End, Result.Answer.result_int());
+  const auto HoldFor =
+      Result.End == call_end::Misdirected ? std::nullopt : Result.Head.HoldFor;
   State.finished({Target, Wanted.Place.Object, Wanted.Place.Kind, Verdict, Took,
-                  Result.Head.Report});
+                  Result.Head.Report, HoldFor});
+  if (Result.Leaving)
+    State.targetLeaves(Target, Wanted.Id);
   // A target that turns the request away doesn't undo an earlier run.
   if (!NotRun || !Outcome.MayHaveRun)
     Outcome.Error = {errorOfEnd(Result.End), std::move(Result.Detail), {}};
@@ -310,6 +314,14 @@
     Wanted.Place.Tried.push_back(Target);
     co_return Outcome.Unreachable < MaxUnreachable;
   }
+  if (!State.Placer.accepts(Target, State.Clock.now())) {
+    // It said so while the connection was made.
+    State.finished({Target, 0, 0, target_result::Abandoned, {}, {}, {}});
+    State.Pool.putBack(State.Targets[Target.Index].Address,
+                       std::move(Connection));
+    Wanted.Place.Tried.push_back(Target);
+    co_return true;
+  }
   const whole_request Message = requestFor(Wanted, Target);
   target_call Call;
   Call.Request = &Message;
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -16,6 +16,8 @@
 /// Answers to other requests that are skipped before the connection is given
 /// up: a target may repeat an answer, and rarely more than once.
 constexpr int MaxStrayAnswers = 3;
+/// Interim answers before the final one; targets send one at most.
+constexpr int MaxInterimAnswers = 8;
 /// How long a target that answers before it has read the request may take.
 constexpr milliseconds LastWordTimeout{1000};
 
@@ -43,9 +45,9 @@
   const gate_dialect &Dialect;
   upstream &Up;
   const target_call &Call;
+  beast::flat_buffer &Ahead;
   watchdog Dog;
   bool Sent = false;
-  beast::flat_buffer &Ahead;
   call_result Result;
 };
 
@@ -126,9 +128,9 @@
     Result.Detail = "a success that no target vouches for";
   }
   Result.ConnectionReusable =
-      Sent && !Parser.get().need_eof() && Parser.get().keep_alive() &&
-      Up.Buffer.size() == 0 && Result.End != call_end::Broken &&
-      Result.End != call_end::Misdirected;
+      Sent && Result.Head.Named && !Parser.get().need_eof() &&
+      Parser.get().keep_alive() && Up.Buffer.size() == 0 &&
+      Result.End != call_end::Broken && Result.End != call_end::Misdirected;
   Result.Answer = Parser.release();
 }
 
@@ -138,6 +140,7 @@
     HeadBy = std::min(HeadBy, steady_clock::now() + Call.HeadTimeout);
   if (!Sent)
     HeadBy = std::min(HeadBy, steady_clock::now() + LastWordTimeout);
+  int Interim = 0;
   for (int Strays = 0; Strays <= MaxStrayAnswers;) {
     answer_parser Parser;
     Parser.header_limit(MaxAnswerHeaderBytes);
@@ -149,10 +152,17 @@
     if (!HeadCame)
       co_return false;
     Dog.expireAt(Call.Deadline);
+    Result.Head = Dialect.judge(Parser.get(), Call.Id);
+    if (!Result.Head.Misdirected)
+      Result.Leaving = Result.Leaving || Result.Head.Leaving;
     if (http::to_status_class(Parser.get().result()) ==
-        http::status_class::informational)
+        http::status_class::informational) {
+      if (++Interim > MaxInterimAnswers) {
+        Result.Detail = "interim answers without end";
+        co_return false;
+      }
       continue;
-    Result.Head = Dialect.judge(Parser.get(), Call.Id);
+    }
     const error_code Failure = co_await readRest(Parser);
     if (Failure) {
       explain(Failure);
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -57,12 +57,15 @@
   call_end End = call_end::Broken;
   whole_answer Answer;
   answer_head Head;
+  /// The target said that it leaves, in the answer or in an interim one.
+  bool Leaving = false;
   /// For people: what broke.
   std::string Detail;
   bool ConnectionReusable = false;
 };
 
-/// Sends the request and reads the answer. \p Caller is watched only.
+/// Sends the request and reads the answer. Of \p Caller nothing is read but
+/// what it sends ahead.
 asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
                                         call_side Caller, upstream &Up,
                                         target_call Call);
