Memory of bodies is counted while they come, in sum

Uploads that don't fit are refused as not run. What a connection buffers ahead is bounded too (a chunk's extension without end); an idle connection keeps no body.

--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -60,7 +60,7 @@
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Pool(Context, Clock, silence()), Quarantine(quarantineSettings()),
       RegionNumbers(numberRegions(Settings.Regions)), NextId(Seed),
-      Acceptor(Context), PollTimer(Context) {}
+      Memory(Settings.MaxHeldBytes), Acceptor(Context), PollTimer(Context) {}
 
 /// Looks again at requests that wait: other instances' load on a target fades
 /// without a message.
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -2,6 +2,7 @@
 #ifndef MAGNOLIASPREAD_GATE_P_H
 #define MAGNOLIASPREAD_GATE_P_H
 
+#include "held_p.h"
 #include "names_p.h"
 #include "net_p.h"
 #include "pool_p.h"
@@ -107,7 +108,7 @@
   std::size_t InFlight = 0;
   std::uint64_t Requests = 0;
   std::size_t Connections = 0;
-  std::size_t HeldBytes = 0;
+  memory_account Memory;
   steady_time NextNotices;
   tcp::acceptor Acceptor;
   asio::steady_timer PollTimer;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -31,6 +31,8 @@
 /// How one request ended.
 struct request_outcome {
   std::optional<whole_answer> Answer;
+  /// Of the answer's body.
+  std::optional<held_bytes> Held;
   error Error;
   /// Some target may have run it.
   bool MayHaveRun = false;
@@ -54,6 +56,7 @@
 
   asio::awaitable<bool> awaitRequest();
   asio::awaitable<bool> readRequest();
+  asio::awaitable<error_code> readBody();
   asio::awaitable<bool> serve();
   asio::awaitable<bool> refuseRead(error_code Failure, bool HeadCame);
   asio::awaitable<request_outcome> steer(gate_request &Request);
@@ -81,7 +84,9 @@
   tcp::socket Socket;
   gate::state &State;
   std::uint64_t Number;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MostAheadBytes + MaxBufferedBytes};
+  /// Of the request's body.
+  held_bytes Held{State.Memory};
   std::optional<request_parser> Parser;
   whole_request Request;
   steady_time ArrivedAt;
@@ -106,8 +111,10 @@
 asio::awaitable<bool> gate_session::refuseRead(error_code Failure,
                                                bool HeadCame) {
   const bool Stalled = Failure == asio::error::operation_aborted;
-  if (!Stalled && Failure.category() !=
-                      http::make_error_code(http::error::bad_method).category())
+  const bool NoMemory = Failure == asio::error::no_memory;
+  if (!Stalled && !NoMemory &&
+      Failure.category() !=
+          http::make_error_code(http::error::bad_method).category())
     co_return false;
   if (Failure == http::error::end_of_stream ||
       Failure == http::error::partial_message)
@@ -115,6 +122,8 @@
   error_kind Kind = error_kind::BadRequest;
   if (Stalled)
     Kind = error_kind::RequestStalled;
+  else if (NoMemory)
+    Kind = error_kind::QueueFull;
   else if (Failure == http::error::body_limit)
     Kind = error_kind::BodyTooLarge;
   else if (Failure == http::error::header_limit ||
@@ -126,6 +135,19 @@
   co_return false;
 }
 
+/// Reads the body in pieces, so that its memory is counted while it grows.
+asio::awaitable<error_code> gate_session::readBody() {
+  read_timer Timer(Socket, limits().IdleTimeout);
+  error_code Failure;
+  while (!Failure && !Parser->is_done()) {
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read_some(Socket, Buffer, *Parser, Awaited);
+    if (!Held.resize(Parser->get().body().capacity()))
+      Failure = asio::error::no_memory;
+  }
+  co_return Failure;
+}
+
 asio::awaitable<bool> gate_session::readRequest() {
   if (!co_await awaitRequest())
     co_return false;
@@ -146,11 +168,8 @@
     constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(Socket, asio::buffer(Line), Awaited);
   }
-  if (!Parser->is_done()) {
-    read_timer Timer(Socket, Limits.IdleTimeout);
-    std::tie(Failure, std::ignore) =
-        co_await http::async_read(Socket, Buffer, *Parser, Awaited);
-  }
+  if (!Parser->is_done())
+    Failure = co_await readBody();
   if (Failure)
     co_return co_await refuseRead(Failure, true);
   Request = Parser->release();
@@ -297,6 +316,8 @@
   const bool Done = Result.End == call_end::Answered;
   if (Done)
     Outcome.Answer = std::move(Result.Answer);
+  if (Done)
+    Outcome.Held = std::move(Result.Held);
   if (Verdict == target_result::Answered ||
       Result.End == call_end::CallerGone ||
       Result.End == call_end::DeadlinePassed ||
@@ -323,7 +344,17 @@
     co_return true;
   }
   const whole_request Message = requestFor(Wanted, Target);
+  held_bytes Copy(State.Memory);
+  if (!Copy.resize(Message.body().size())) {
+    State.finished({Target, 0, 0, target_result::Abandoned, {}, {}, {}});
+    State.Pool.putBack(State.Targets[Target.Index].Address,
+                       std::move(Connection));
+    if (!Outcome.MayHaveRun)
+      Outcome.Error = {error_kind::QueueFull, "too many bodies are held", {}};
+    co_return false;
+  }
   target_call Call;
+  Call.Memory = &State.Memory;
   Call.Request = &Message;
   Call.Id = Wanted.Id;
   Call.Deadline = Wanted.Place.Deadline;
@@ -382,6 +413,7 @@
       co_return;
     }
     Outcome.Answer.reset();
+    Outcome.Held.reset();
     Again = co_await attempt(Wanted, valueOf(Target), Outcome);
   }
 }
@@ -471,13 +503,7 @@
     co_return co_await refuse(Error, Id);
   }
   gate_request &Wanted = valueOf(Admitted);
-  const std::size_t Held = Request.body().size();
-  if (State.HeldBytes + Held > State.Settings.MaxHeldBytes)
-    co_return co_await refuse(
-        {error_kind::QueueFull, "too many bodies are held", {}}, Wanted.Id);
-  State.HeldBytes += Held;
   request_outcome Outcome = co_await steer(Wanted);
-  State.HeldBytes -= Held;
   logEnd(Wanted, Outcome);
   if (Outcome.Error.Kind == error_kind::CallerGone && !Outcome.Answer)
     co_return false;
@@ -493,9 +519,14 @@
 asio::awaitable<void> gate_session::run() {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
-  while (co_await readRequest())
-    if (!co_await serve())
+  while (co_await readRequest()) {
+    const bool Keep = co_await serve();
+    // An idle connection holds no body.
+    Request = whole_request();
+    Held.resize(0);
+    if (!Keep)
       break;
+  }
   Socket.shutdown(tcp::socket::shutdown_both, Ignored);
 }
 
--- a/packages/traffic/src/pool_p.h
+++ b/packages/traffic/src/pool_p.h
@@ -15,13 +15,17 @@
 
 namespace magnoliaspread {
 
+/// Bytes read ahead on a connection: a head and the framing of a body. More
+/// is no HTTP, such as a chunk's extension without end.
+inline constexpr std::size_t MaxBufferedBytes = 128u << 10;
+
 struct upstream {
   upstream(connection_id Id, tcp::socket Connected)
       : Id(Id), Socket(std::move(Connected)) {}
 
   connection_id Id;
   tcp::socket Socket;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxBufferedBytes};
   /// Carried a request before, so it may have gone silent since.
   bool Reused = false;
 };
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -85,9 +85,16 @@
   co_return Failure;
 }
 
+/// Reads the body in pieces, so that its memory is counted while it grows: a
+/// target may send bytes without end.
 asio::awaitable<error_code> exchange::readRest(answer_parser &Parser) {
-  auto [Failure, Count] =
-      co_await http::async_read(Up.Socket, Up.Buffer, Parser, Awaited);
+  error_code Failure;
+  while (!Failure && !Parser.is_done()) {
+    std::tie(Failure, std::ignore) =
+        co_await http::async_read_some(Up.Socket, Up.Buffer, Parser, Awaited);
+    if (!Result.Held->resize(Parser.get().body().capacity()))
+      co_return http::make_error_code(http::error::body_limit);
+  }
   co_return Failure;
 }
 
@@ -152,6 +159,7 @@
     if (!HeadCame)
       co_return false;
     Dog.expireAt(Call.Deadline);
+    Result.Held.emplace(*Call.Memory);
     Result.Head = Dialect.judge(Parser.get(), Call.Id);
     if (!Result.Head.Misdirected)
       Result.Leaving = Result.Leaving || Result.Head.Leaving;
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -2,6 +2,7 @@
 #ifndef MAGNOLIASPREAD_TARGET_CALL_P_H
 #define MAGNOLIASPREAD_TARGET_CALL_P_H
 
+#include "held_p.h"
 #include "net_p.h"
 #include "pool_p.h"
 
@@ -9,6 +10,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace magnoliaspread {
@@ -27,6 +29,8 @@
   std::function<bool()> MayLeave;
   /// Ends when the caller closes its connection.
   bool EndsWithCaller = false;
+  /// Counts the answer's body. An answer that doesn't fit is broken off.
+  memory_account *Memory = nullptr;
 };
 
 /// The caller's side of a call.
@@ -56,6 +60,8 @@
 struct call_result {
   call_end End = call_end::Broken;
   whole_answer Answer;
+  /// Of the answer's body.
+  std::optional<held_bytes> Held;
   answer_head Head;
   /// The target said that it leaves, in the answer or in an interim one.
   bool Leaving = false;
--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <stdexcept>
+#include <string_view>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -115,6 +116,16 @@
   return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t process::peakBytes() const {
+  constexpr std::size_t Kilobyte = 1024;
+  constexpr std::string_view Field = "VmHWM:";
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/status");
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.starts_with(Field))
+      return std::stoul(Line.substr(Field.size())) * Kilobyte;
+  return 0;
+}
+
 /// The socket stays bound as long as this program runs: the system gives the
 /// port to no outgoing connection then, while a server that sets SO_REUSEADDR
 /// can listen on it, also again after a restart.
--- a/tests/e2e/process.h
+++ b/tests/e2e/process.h
@@ -32,6 +32,8 @@
   bool running() const { return Pid > 0; }
   /// Resident memory in bytes.
   std::size_t residentBytes() const;
+  /// The most that it has been, in bytes.
+  std::size_t peakBytes() const;
 
 private:
   pid_t Pid = -1;
