--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -37,8 +37,11 @@
   /// The configuration is read when its proof is older. A few reads fit into
   /// the time for which keys are served without proof (RULES, CONFIG: 5 s).
   std::chrono::milliseconds RoutesLimit{2600};
-  /// Any peer is asked for a proof when it is older than this.
-  std::chrono::milliseconds AnyPeerAfter{3000};
+  /// Any peer is asked for a proof when it is older than this, so that one
+  /// whose region's reader is cut off need not read.
+  std::chrono::milliseconds AnyPeerAfter{2200};
+  /// Evacuations known only as of longer ago are read (RULES, EVAC: 5 s).
+  std::chrono::milliseconds EvacuationsLimit{3000};
   /// Any peer is asked when the targets are known only as of longer ago: the
   /// region's reader learns nothing, as its own pause of 0.77 s, AskPeriod and
   /// the ways stay under it. Peers know the targets as of up to this time, and
@@ -79,10 +82,16 @@
   void targetChanged(std::uint64_t Revision, target_change Change);
   /// Changes up to \p Revision aren't known one by one.
   void forgetChanges(std::uint64_t Revision);
-  void setEvacuated(std::set<std::string> DataCentres);
+  /// These data centres were evacuated at \p AsOf.
+  void setEvacuated(std::set<std::string> DataCentres, boot_time AsOf);
 
   bool targetsDue(boot_time Now) const;
+  /// Whether targets known as of \p AsOf need not be read yet.
+  bool isCurrent(boot_time AsOf, boot_time Now) const {
+    return Now - AsOf < Settings.TargetsLimit;
+  }
   bool routesDue(boot_time Now) const;
+  bool evacuationsDue(boot_time Now) const;
   view_source askDue(boot_time Now);
   /// Incarnation of the peer whose parts are being taken.
   std::uint64_t partsFrom() const { return PartsFrom; }
@@ -110,7 +119,9 @@
     /// To be applied to the registry; with several parts they come with the
     /// last one.
     std::vector<target_change> Changes;
-    /// Set when the reply is as new as what is known here.
+    /// The reply is no older than what is known here of the targets.
+    bool Usable = false;
+    /// Set when it is newer than what is known here of them.
     std::optional<std::set<std::string>> Evacuated;
   };
   taken take(const view_reply &Reply, std::uint64_t From);
@@ -145,6 +156,9 @@
   std::uint64_t Revision = 0;
   boot_time TargetsAsOf;
   std::set<std::string> Evacuated;
+  /// None before it has been read, here or by a peer. Until then nothing is
+  /// told: an empty list would bring evacuated targets back elsewhere.
+  std::optional<boot_time> EvacuatedAsOf;
   std::deque<target_change> Log;
   /// Every change after this revision is in Log.
   std::uint64_t LogSince = 0;
--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -70,6 +70,11 @@
   /// In the order of their handles, which stay while a start lasts.
   std::vector<registered_target> targets() const;
 
+  /// The entries as the platform has them, for an instance that starts: their
+  /// cold times are those of now, and entries that are missing since the
+  /// platform's return are left out.
+  std::vector<target_record> records(steady_time Now) const;
+
   /// Rises with each change of targets().
   std::uint64_t revision() const { return Revision; }
 
--- a/packages/coordination/include/magnoliaspread/viewmsg.h
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -38,7 +38,7 @@
   /// How long ago, when the reply was sent, Version was the newest. The reply
   /// was sent after AskedAt, so Version was the newest at AskedAt - Age.
   std::chrono::milliseconds Age{0};
-  /// The same for the targets and the evacuated data centres at Revision.
+  /// The same for the targets at Revision; 0 is that nothing can be told.
   std::uint64_t Revision = 0;
   std::chrono::milliseconds TargetsAge{0};
   /// What has changed since the revision in the question, but for the first
@@ -52,6 +52,8 @@
   /// The sender doesn't know what has changed since that revision.
   bool Partial = false;
   std::vector<std::string> Evacuated;
+  /// The same for Evacuated.
+  std::chrono::milliseconds EvacuatedAge{0};
 
   bool operator==(const view_reply &) const = default;
 };
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -100,12 +100,18 @@
   Log.clear();
 }
 
-void platform_view::setEvacuated(std::set<std::string> DataCentres) {
+void platform_view::setEvacuated(std::set<std::string> DataCentres,
+                                 boot_time AsOf) {
   Evacuated = std::move(DataCentres);
+  EvacuatedAsOf = AsOf;
+}
+
+bool platform_view::evacuationsDue(boot_time Now) const {
+  return !EvacuatedAsOf || Now - *EvacuatedAsOf >= Settings.EvacuationsLimit;
 }
 
 bool platform_view::targetsDue(boot_time Now) const {
-  return Now - TargetsAsOf >= Settings.TargetsLimit;
+  return !isCurrent(TargetsAsOf, Now);
 }
 
 bool platform_view::routesDue(boot_time Now) const {
@@ -175,12 +181,14 @@
   Reply.AskedAt = Ask.AskedAt;
   Reply.Version = Version;
   Reply.Age = ageOf(RoutesAsOf, Now);
-  Reply.Revision = Revision;
+  Reply.Revision = EvacuatedAsOf ? Revision : 0;
   Reply.TargetsAge = ageOf(TargetsAsOf, Now);
   Reply.Evacuated.assign(Evacuated.begin(), Evacuated.end());
+  if (EvacuatedAsOf)
+    Reply.EvacuatedAge = ageOf(*EvacuatedAsOf, Now);
   Reply.Partial = Ask.Revision < LogSince;
   Reply.Skip = Ask.Skip;
-  if (Reply.Partial)
+  if (Reply.Partial || !EvacuatedAsOf)
     return Reply;
   std::size_t Bytes = 0;
   for (const std::string &Name : Reply.Evacuated)
@@ -239,12 +247,16 @@
   Taken.FetchRoutes = Reply.Version > Version;
   if (Reply.Version != 0 && Reply.Version == Version)
     RoutesAsOf = std::max(RoutesAsOf, Reply.AskedAt - Reply.Age);
+  const boot_time EvacuatedAt = Reply.AskedAt - Reply.EvacuatedAge;
+  if (Reply.Revision != 0 && (!EvacuatedAsOf || EvacuatedAt > *EvacuatedAsOf)) {
+    setEvacuated({Reply.Evacuated.begin(), Reply.Evacuated.end()}, EvacuatedAt);
+    Taken.Evacuated = Evacuated;
+  }
   const boot_time AsOf = Reply.AskedAt - Reply.TargetsAge;
   // Targets that were never read here can't be completed by changes.
   if (Revision == 0 || Reply.Revision < Revision || AsOf < TargetsAsOf)
     return Taken;
-  Evacuated = {Reply.Evacuated.begin(), Reply.Evacuated.end()};
-  Taken.Evacuated = Evacuated;
+  Taken.Usable = true;
   const bool Expected = isExpected(Reply, From);
   if (Reply.More || (Reply.Skip != 0 && !Expected)) {
     if (Expected)
--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -161,6 +161,20 @@
     drop(Name);
 }
 
+std::vector<target_record> target_registry::records(steady_time Now) const {
+  using std::chrono::milliseconds;
+  std::vector<target_record> Records;
+  for (const entry &Entry : Entries) {
+    if (!Entry.Used || Entry.DropAt)
+      continue;
+    Records.push_back(Entry.Record);
+    Records.back().ColdLeft =
+        std::max(milliseconds(0),
+                 std::chrono::ceil<milliseconds>(Entry.ColdUntil - Now));
+  }
+  return Records;
+}
+
 std::vector<registered_target> target_registry::targets() const {
   std::vector<registered_target> Targets;
   for (std::size_t I = 0; I < Entries.size(); ++I) {
--- a/packages/coordination/tests/platformview.cpp
+++ b/packages/coordination/tests/platformview.cpp
@@ -20,12 +20,47 @@
   return Change;
 }
 
+/// One that has read that no data centre is evacuated.
 platform_view viewOf(const std::string &Name) {
-  return platform_view(view_settings{}, Name);
+  platform_view View(view_settings{}, Name);
+  View.setEvacuated({}, Start);
+  return View;
 }
 
 } // namespace
 
+STORY(platform_view_before_evacuations_are_known) {
+  platform_view Knows = viewOf("a");
+  Knows.setEvacuated({"dc-1"}, Start);
+  Knows.targetsRead(5, Start);
+  platform_view Starts(view_settings{}, "b");
+  Starts.targetsRead(6, Start);
+  section("an instance brings no evacuated data centre back elsewhere", [&] {
+    const auto Taken =
+        Knows.take(Starts.answer({Start, 5, 0}, Start + 10ms), Other);
+    CPPUNIT_ASSERT(!Taken.Evacuated);
+    CPPUNIT_ASSERT(!Taken.Current);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Knows.revision());
+  });
+  section("it tells what it knows once a peer has told which they are", [&] {
+    Starts.take(Knows.answer({Start + 1s, 6, 0}, Start + 1s), Mate);
+    CPPUNIT_ASSERT(!Starts.evacuationsDue(Start + 1s));
+    Starts.targetsRead(6, Start + 1s);
+    Starts.setEvacuated({"dc-1", "dc-2"}, Start + 1s);
+    const auto Taken =
+        Knows.take(Starts.answer({Start + 2s, 5, 0}, Start + 2s), Other);
+    CPPUNIT_ASSERT(Taken.Current);
+    CPPUNIT_ASSERT(Taken.Evacuated->contains("dc-2"));
+  });
+  section("what it was told is as old as it was there", [&] {
+    platform_view Third(view_settings{}, "c");
+    const auto Told = Starts.answer({Start + 3s, 0, 0}, Start + 3s);
+    Third.take(Told, Mate);
+    CPPUNIT_ASSERT(!Third.evacuationsDue(Start + 3900ms));
+    CPPUNIT_ASSERT(Third.evacuationsDue(Start + 4s));
+  });
+}
+
 STORY(platform_view_readers) {
   section("exactly one of the region's instances reads", [&] {
     const std::vector<std::string> Names{"a", "b", "c", "d"};
@@ -107,7 +142,7 @@
   section("changes since the question's revision are taken over", [&] {
     Reader.targetChanged(101, changeOf("x"));
     Reader.targetsRead(101, Start + 1s);
-    Reader.setEvacuated({"dc"});
+    Reader.setEvacuated({"dc"}, Start + 1s);
     const auto Taken = AskAt(Start + 1s);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Taken.Changes.size());
     CPPUNIT_ASSERT(Taken.Evacuated->contains("dc"));
@@ -122,7 +157,6 @@
     CPPUNIT_ASSERT(Taken.ReadTargets || Taken.Changes.size() == 1);
   });
   section("those that nobody has noted have to be read", [&] {
-    Reader.setEvacuated({"dc", "other"});
     Reader.forgetChanges(110);
     Reader.targetsRead(110, Start + 3s);
     const auto Taken = AskAt(Start + 3s);
@@ -130,6 +164,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(101), Asker.revision());
   });
   section("evacuated data centres are taken over all the same", [&] {
+    Reader.setEvacuated({"dc", "other"}, Start + 4s);
     const auto Taken = AskAt(Start + 4s);
     CPPUNIT_ASSERT(Taken.ReadTargets);
     CPPUNIT_ASSERT(Taken.Evacuated && Taken.Evacuated->contains("other"));
@@ -157,7 +192,7 @@
     for (std::size_t I = 0; I < Count; ++I)
       Reader.targetChanged(150, changeOf("target" + std::to_string(I)));
     Reader.targetsRead(150, Start + 1s);
-    Reader.setEvacuated({"dc"});
+    Reader.setEvacuated({"dc"}, Start + 1s);
   }
 
   view_reply reply(boot_time Now) {
--- a/packages/daemon/src/configsys.cpp
+++ b/packages/daemon/src/configsys.cpp
@@ -3,6 +3,7 @@
 #include "peerfetch_p.h"
 
 #include <magnoliaspread/log.h>
+#include <magnoliaspread/traffic.h>
 
 #include <charconv>
 
@@ -81,7 +82,7 @@
 }
 
 void config_system::fetch(const config_fetch &Fetch) {
-  fetchFromPeer(Context, Clock, Secret, Fetch.From,
+  fetchFromPeer(Context, Clock, Secret, Fetch.From, ConfigPath,
                 [this, Peer = Fetch.Peer](const result<std::string> &Answer) {
                   if (failed(Answer) ||
                       !take(valueOf(Answer), config_source::Peer))
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -10,35 +10,26 @@
 
 namespace {
 
-/// A drain or an evacuation has to be known in 2.5 s (RULES, DRAIN), so a poll
-/// may be late once.
-constexpr milliseconds PollPeriod{700};
-/// The whole list repairs what changes have left out.
-constexpr milliseconds ListPeriod{8000};
-/// Less than half of the time for which keys are served without proof
-/// (RULES, CONFIG: 5 s), so that a read may be lost.
-constexpr milliseconds RoutesPeriod{1800};
-constexpr milliseconds EvacuationsPeriod{4000};
-/// What is known as of less ago is not read again by an instance that learns
-/// from its region's reader: twice its pause between two questions.
-constexpr milliseconds FreshTime{1000};
 /// Pause after a read that failed.
 constexpr milliseconds RetryPause{300};
 /// Pause after there was no configuration: operators write the first one
 /// before there are callers.
 constexpr milliseconds AbsentPause{1000};
+/// The same for an instance that learns of it from its region's reader: a few
+/// of the reader's pauses.
+constexpr milliseconds ToldAbsentPause{4000};
 
 } // namespace
 
-platform_follower::platform_follower(object_store &Store,
-                                     const fleet_platform &Platform,
-                                     const clock &Clock,
-                                     target_registry &Registry,
-                                     platform_view &View, std::uint64_t Seed,
-                                     routes_handler OnRoutes)
+platform_follower::platform_follower(
+    object_store &Store, const fleet_platform &Platform, const clock &Clock,
+    target_registry &Registry, platform_view &View,
+    const follower_settings &Settings, std::uint64_t Seed,
+    routes_handler OnRoutes)
     : Store(Store), Platform(Platform), Clock(Clock), Registry(Registry),
-      View(View), OnRoutes(std::move(OnRoutes)), Random(Seed),
-      NextPoll(Clock.now()), NextList(Clock.now()), NextRoutes(Clock.now()),
+      View(View), Settings(Settings), OnRoutes(std::move(OnRoutes)),
+      Random(Seed), StartedAt(Clock.now()), NextPoll(Clock.now()),
+      NextList(Clock.now()), NextRoutes(Clock.now()),
       NextEvacuations(Clock.now()) {}
 
 /// Spreads the instances' reads over time.
@@ -56,7 +47,9 @@
 void platform_follower::tick() {
   const steady_time Now = Clock.now();
   Registry.tick(Now);
-  const bool Reads = View.isReader();
+  if (TargetsAt == NoObject && !MayRead)
+    return;
+  const bool Reads = View.isReader() && Now - StartedAt >= Settings.SettleTime;
   if (!PollingTargets && Now >= NextPoll &&
       (Reads || TargetsAt == NoObject || MissedChanges ||
        View.targetsDue(Clock.boot())))
@@ -65,25 +58,52 @@
   // the list's revision.
   if (TargetsAt == NoObject && !HaveRoutes)
     return;
-  const bool RoutesFresh = Clock.boot() - View.routesProvedAt() < FreshTime;
   if (!ReadingRoutes && Now >= NextRoutes &&
-      (Reads || !HaveRoutes || (RoutesAt < Newest && !RoutesFresh) ||
-       View.routesDue(Clock.boot())))
+      (Reads || !HaveRoutes || View.routesDue(Clock.boot())))
     readRoutes();
-  const bool EvacuationsFresh = Now - EvacuationsAsOf < FreshTime;
   if (!ReadingEvacuations && Now >= NextEvacuations &&
-      (Reads || !HaveEvacuations ||
-       (EvacuationsAt < Newest && !EvacuationsFresh)))
+      (Reads || View.evacuationsDue(Clock.boot())))
     readEvacuations();
 }
 
-/// Something has changed: the other objects are read at once.
+view_reply platform_follower::snapshot(boot_time AskedAt) const {
+  view_reply Snapshot =
+      View.answer({AskedAt, View.revision(), 0}, Clock.boot());
+  Snapshot.Changes.clear();
+  for (target_record &Record : Registry.records(Clock.now()))
+    Snapshot.Changes.push_back({std::move(Record), false, Snapshot.Revision});
+  return Snapshot;
+}
+
+bool platform_follower::takeSnapshot(const view_reply &Snapshot) {
+  const boot_time AsOf = Snapshot.AskedAt - Snapshot.TargetsAge;
+  if (TargetsAt != NoObject || Snapshot.Revision == NoObject ||
+      !View.isCurrent(AsOf, Clock.boot()))
+    return false;
+  const steady_time Now = Clock.now();
+  std::vector<target_record> Records;
+  for (const target_change &Row : Snapshot.Changes)
+    Records.push_back(Row.Record);
+  Registry.platformAnswered(Now);
+  Registry.replaceAll(Records, Now);
+  TargetsAt = Snapshot.Revision;
+  View.forgetChanges(TargetsAt);
+  View.targetsRead(TargetsAt, AsOf);
+  std::set<std::string> Evacuated(Snapshot.Evacuated.begin(),
+                                  Snapshot.Evacuated.end());
+  View.setEvacuated(Evacuated, Snapshot.AskedAt - Snapshot.EvacuatedAge);
+  Registry.setEvacuated(std::move(Evacuated), Now);
+  Newest = TargetsAt;
+  NextList = Now + jittered(Settings.ListPeriod);
+  Told = true;
+  NextRoutes = Now + jittered(Snapshot.Version == 0 ? ToldAbsentPause
+                                                    : Settings.RoutesPeriod);
+  NextEvacuations = Now + jittered(Settings.EvacuationsPeriod);
+  return true;
+}
+
 void platform_follower::noteRevision(object_version Revision) {
   Newest = std::max(Newest, Revision);
-  if (RoutesAt < Newest)
-    NextRoutes = Clock.now();
-  if (EvacuationsAt < Newest)
-    NextEvacuations = Clock.now();
 }
 
 void platform_follower::take(const platform_view::taken &Taken) {
@@ -93,25 +113,21 @@
   MissedChanges = MissedChanges || Taken.ReadTargets;
   if (Taken.ReadTargets)
     NextPoll = std::min(NextPoll, Now);
+  if (Taken.Usable)
+    Registry.platformAnswered(Now);
   for (const target_change &Change : Taken.Changes)
     if (Change.Removed)
       Registry.remove(Change.Record.Name, Now);
     else
       Registry.put(Change.Record, Now);
-  if (!Taken.Evacuated)
-    return;
-  Registry.platformAnswered(Now);
-  Registry.setEvacuated(*Taken.Evacuated, Now);
+  if (Taken.Evacuated)
+    Registry.setEvacuated(*Taken.Evacuated, Now);
   if (!Taken.Current)
     return;
   TargetsAt = View.revision();
-  HaveEvacuations = true;
-  EvacuationsAsOf = Now;
-  // The peer has seen them; a read here would tell nothing new.
   Newest = std::max(Newest, TargetsAt);
-  RoutesAt = EvacuationsAt = Newest;
   // The reader lists everything for its region.
-  NextList = Now + jittered(ListPeriod);
+  NextList = Now + jittered(Settings.ListPeriod);
 }
 
 /// Logs the loss and the return of the platform, once each.
@@ -132,7 +148,7 @@
   PollingTargets = true;
   MissedChanges = false;
   const steady_time Now = Clock.now();
-  NextPoll = Now + jittered(PollPeriod);
+  NextPoll = Now + jittered(Settings.PollPeriod);
   if (TargetsAt == NoObject || Now >= NextList)
     listTargets();
   else
@@ -198,7 +214,7 @@
         View.targetChanged(TargetsAt, std::move(Change));
     View.targetsRead(TargetsAt, AsOf);
     noteRevision(TargetsAt);
-    NextList = Clock.now() + jittered(ListPeriod);
+    NextList = Clock.now() + jittered(Settings.ListPeriod);
   });
 }
 
@@ -240,49 +256,42 @@
 void platform_follower::readRoutes() {
   ReadingRoutes = true;
   const boot_time AsOf = Clock.boot();
-  const object_version Seen = Newest;
-  NextRoutes = Clock.now() + jittered(RoutesPeriod);
-  Store.get({Platform.routesObject()},
-            [this, AsOf, Seen](const result<stored_object> &Object) {
-              ReadingRoutes = false;
-              const bool Unanswered =
-                  failed(Object) &&
-                  errorOf(Object).Kind != error_kind::NotFound;
-              noteEnd("routes", Unanswered ? &errorOf(Object) : nullptr);
-              if (failed(Object)) {
-                NextRoutes = Clock.now() +
-                             jittered(Unanswered ? RetryPause : AbsentPause);
-                RoutesAt = Newest;
-                return;
-              }
-              HaveRoutes = true;
-              RoutesAt = std::max(Seen, valueOf(Object).Version);
-              OnRoutes({valueOf(Object).Version, valueOf(Object).Value}, AsOf);
-            });
+  NextRoutes = Clock.now() + jittered(Settings.RoutesPeriod);
+  Store.get(
+      {Platform.routesObject()},
+      [this, AsOf](const result<stored_object> &Object) {
+        ReadingRoutes = false;
+        const bool Unanswered =
+            failed(Object) && errorOf(Object).Kind != error_kind::NotFound;
+        noteEnd("routes", Unanswered ? &errorOf(Object) : nullptr);
+        if (failed(Object)) {
+          const milliseconds Absent =
+              Told && !View.isReader() ? ToldAbsentPause : AbsentPause;
+          NextRoutes = Clock.now() + jittered(Unanswered ? RetryPause : Absent);
+          return;
+        }
+        HaveRoutes = true;
+        OnRoutes({valueOf(Object).Version, valueOf(Object).Value}, AsOf);
+      });
 }
 
 void platform_follower::readEvacuations() {
   ReadingEvacuations = true;
-  const object_version Seen = Newest;
-  const steady_time AsOf = Clock.now();
-  NextEvacuations = Clock.now() + jittered(EvacuationsPeriod);
+  const boot_time AsOf = Clock.boot();
+  NextEvacuations = Clock.now() + jittered(Settings.EvacuationsPeriod);
   Store.list({Platform.evacuationsPrefix()},
-             [this, Seen, AsOf](const result<object_list> &List) {
+             [this, AsOf](const result<object_list> &List) {
                ReadingEvacuations = false;
                noteEnd("evacuations", failed(List) ? &errorOf(List) : nullptr);
                if (failed(List)) {
                  NextEvacuations = Clock.now() + jittered(RetryPause);
-                 EvacuationsAt = Newest;
                  return;
                }
                std::set<std::string> Names;
                for (const stored_object &Object : valueOf(List).Objects)
                  Names.insert(
                      Object.Name.substr(Platform.evacuationsPrefix().size()));
-               HaveEvacuations = true;
-               EvacuationsAsOf = AsOf;
-               EvacuationsAt = std::max(Seen, valueOf(List).Revision);
-               View.setEvacuated(Names);
+               View.setEvacuated(Names, AsOf);
                Registry.setEvacuated(std::move(Names), Clock.now());
              });
 }
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -22,6 +22,22 @@
   std::string Json;
 };
 
+struct follower_settings {
+  /// Pause between two reads of what has changed of the targets. A drain has
+  /// to be known in 2.5 s (RULES, DRAIN), so one read may be lost.
+  std::chrono::milliseconds PollPeriod{700};
+  /// The whole list repairs what changes have left out.
+  std::chrono::milliseconds ListPeriod{8000};
+  /// Pause between two reads of the configuration. With a peer's pause
+  /// between two questions it has to be in force in 2.5 s (RULES, CONFIG).
+  std::chrono::milliseconds RoutesPeriod{1100};
+  /// The same for evacuations, which have 5 s (RULES, EVAC).
+  std::chrono::milliseconds EvacuationsPeriod{2000};
+  /// An instance doesn't read for its region before it can know its mates:
+  /// several rounds of heartbeats.
+  std::chrono::milliseconds SettleTime{1000};
+};
+
 class platform_follower {
 public:
   using routes_handler =
@@ -29,15 +45,27 @@
 
   platform_follower(object_store &Store, const fleet_platform &Platform,
                     const clock &Clock, target_registry &Registry,
-                    platform_view &View, std::uint64_t Seed,
-                    routes_handler OnRoutes);
+                    platform_view &View, const follower_settings &Settings,
+                    std::uint64_t Seed, routes_handler OnRoutes);
 
   /// Starts the reads that are due.
   void tick();
 
+  /// Lets the first reads begin: no peer has told what it knows.
+  void readAtStart() { MayRead = true; }
+
   /// Reads everything at the next tick.
   void refresh();
 
+  bool knowsTargets() const { return TargetsAt != NoObject; }
+  /// What is known here, for an instance that starts.
+  view_reply snapshot(boot_time AskedAt) const;
+  /// Takes over a peer's snapshot, in place of the first reads. False when it
+  /// is too old or something is known already.
+  bool takeSnapshot(const view_reply &Snapshot);
+  /// A peer has told the configuration.
+  void routesTold() { HaveRoutes = true; }
+
   /// Takes over what a peer has read.
   void take(const platform_view::taken &Taken);
 
@@ -59,18 +87,18 @@
   const clock &Clock;
   target_registry &Registry;
   platform_view &View;
+  follower_settings Settings;
   routes_handler OnRoutes;
   std::mt19937_64 Random;
+  steady_time StartedAt;
+  bool MayRead = false;
+  /// The targets were told by a peer at the start.
+  bool Told = false;
   /// Targets are known as of this revision; NoObject before the first list.
   object_version TargetsAt = NoObject;
   /// Of the platform, as last seen.
   object_version Newest = NoObject;
-  object_version RoutesAt = NoObject;
-  object_version EvacuationsAt = NoObject;
   bool HaveRoutes = false;
-  bool HaveEvacuations = false;
-  /// Evacuations were read no earlier, here or by a peer's report.
-  steady_time EvacuationsAsOf;
   bool PollingTargets = false;
   /// A peer knew of more changes than it could send.
   bool MissedChanges = false;
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -14,6 +14,7 @@
 #include <magnoliaspread/limiter.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
+#include <magnoliaspread/startsource.h>
 #include <magnoliaspread/traffic.h>
 
 #include <algorithm>
@@ -97,6 +98,54 @@
   return Gate;
 }
 
+milliseconds partOf(milliseconds Bound, double Part) {
+  return duration_cast<milliseconds>(duration<double>(Bound) * Part);
+}
+
+/// Parts of the time in which a drain has to be known: a read of the region's
+/// reader, a question to it and their ways stay under half of it, so that one
+/// of them may be lost.
+constexpr double PollPart = 0.28;
+constexpr double AskPart = 0.2;
+constexpr double SettlePart = 0.5;
+constexpr double AnyPeerPart = 0.56;
+constexpr double ReadPart = 0.64;
+/// Part of the time in which a configuration or an evacuation is in force.
+constexpr double RoutesPart = 0.44;
+constexpr double EvacuationsPart = 0.4;
+constexpr double EvacuationsReadPart = 0.6;
+/// With the pause between two questions the proof of a configuration stays
+/// younger than view_settings::RoutesLimit.
+constexpr milliseconds LongestRoutesPeriod{1400};
+
+view_settings viewSettings(const gateway_settings &Gateway) {
+  view_settings View;
+  View.AskPeriod = partOf(Gateway.DrainBound, AskPart);
+  View.TargetsLimit = partOf(Gateway.DrainBound, ReadPart);
+  View.AnyPeerForTargets = partOf(Gateway.DrainBound, AnyPeerPart);
+  View.EvacuationsLimit = partOf(Gateway.EvacuationBound, EvacuationsReadPart);
+  return View;
+}
+
+follower_settings followerSettings(const gateway_settings &Gateway) {
+  follower_settings Follower;
+  Follower.PollPeriod = partOf(Gateway.DrainBound, PollPart);
+  Follower.RoutesPeriod =
+      std::min(LongestRoutesPeriod, partOf(Gateway.ConfigBound, RoutesPart));
+  Follower.EvacuationsPeriod = partOf(Gateway.EvacuationBound, EvacuationsPart);
+  Follower.SettleTime = partOf(Gateway.DrainBound, SettlePart);
+  return Follower;
+}
+
+start_settings startSettings(const instance_settings &Settings) {
+  const std::vector<std::string> &Seeds = Settings.Gateway->Seeds;
+  start_settings Start;
+  Start.IsSeed = std::find(Seeds.begin(), Seeds.end(),
+                           Settings.Internal.Address) != Seeds.end();
+  Start.FirstStart = Settings.Gateway->FirstStart;
+  return Start;
+}
+
 /// Requests a second; 0 is unknown.
 std::uint32_t capacityOf(const gateway_settings &Settings) {
   double Capacity = Settings.CpuShare * RequestsPerCore;
@@ -146,9 +195,16 @@
   std::vector<std::string> directory() const;
   admin_answer directoryPage(std::string_view Target) const;
   admin_answer readyPage(std::string_view Target) const;
-  admin_answer routesPage(const admin_port::request &Request) const;
+  admin_answer peerPage(const admin_port::request &Request) const;
   void askPeers();
-  void fetchRoutes(const member_row &Peer);
+  /// The configuration that \p Peer has in force was the newest at \p AsOf.
+  void fetchRoutes(const endpoint_address &Peer, boot_time AsOf);
+  void learnAtStart(steady_time Now);
+  std::vector<endpoint_address> startPeers() const;
+  void askForSnapshot(const endpoint_address &Peer);
+  void takeSnapshot(const endpoint_address &Peer, boot_time AskedAt,
+                    const result<std::string> &Fetched);
+  admin_answer snapshotPage() const;
   void tellObjects(steady_time Now);
   std::vector<endpoint_address> newsReceivers() const;
   void beginDrain();
@@ -170,6 +226,7 @@
   target_registry Registry;
   platform_view View;
   platform_follower Follower;
+  start_source Start;
   cold_shares ColdShares;
   gate Gate;
   admin_port Admin;
@@ -232,11 +289,13 @@
               randomNumber(), [](std::uint64_t) {}),
       Limiter(limiterSettings(Settings, Identity), Clock.now()),
       Registry(registrySettings(*Settings.Gateway)),
-      View(view_settings{}, Settings.Name),
-      Follower(Store, Platform, Clock, Registry, View, randomNumber(),
+      View(viewSettings(*Settings.Gateway), Settings.Name),
+      Follower(Store, Platform, Clock, Registry, View,
+               followerSettings(*Settings.Gateway), randomNumber(),
                [this](const routes_object &Object, boot_time AsOf) {
                  takeRoutes(Object, AsOf);
                }),
+      Start(startSettings(Settings), randomNumber(), Clock.now()),
       Gate(Context, GateSettings, Clock, Platform.dialect(), Limiter, Metrics,
            randomNumber()),
       Admin(Context, {{"/metrics",
@@ -254,7 +313,7 @@
             }),
       Internal(Context,
                [this](const admin_port::request &Request) {
-                 return routesPage(Request);
+                 return peerPage(Request);
                }),
       Timer(Context), Signals(Context, SIGTERM, SIGINT, SIGHUP),
       StartedAt(Clock.now()) {
@@ -326,30 +385,114 @@
     sendTo(Members.members().find(Name), Ask);
 }
 
-void gateway::fetchRoutes(const member_row &Peer) {
+void gateway::fetchRoutes(const endpoint_address &Peer, boot_time AsOf) {
   if (Fetching)
     return;
   Fetching = true;
   fetchFromPeer(
-      Context, Clock, Secret, Peer.Identity.Internal,
-      [this, From = Peer.Identity.Name](const result<std::string> &Fetched) {
+      Context, Clock, Secret, Peer, ConfigPath,
+      [this, From = textOf(Peer), AsOf](const result<std::string> &Fetched) {
         Fetching = false;
         logEvent(log_level::Info, "routes_fetched",
                  {{"peer", From},
                   {"detail", failed(Fetched) ? errorOf(Fetched).Detail
                                              : std::string("ok")}});
-        // The next question proves how current they are.
-        if (!failed(Fetched))
-          takeRoutes({NoObject, valueOf(Fetched)}, boot_time());
+        if (failed(Fetched))
+          return;
+        takeRoutes({NoObject, valueOf(Fetched)}, AsOf);
+        if (InForce != nullptr)
+          Follower.routesTold();
       });
 }
 
-admin_answer gateway::routesPage(const admin_port::request &Request) const {
-  if (Request.target() != ConfigPath)
+/// Until the targets are known: asks peers, or reads the platform.
+void gateway::learnAtStart(steady_time Now) {
+  if (Follower.knowsTargets())
+    return Start.told();
+  const std::vector<endpoint_address> From = startPeers();
+  switch (Start.next(From.size(), Now)) {
+  case start_action::Wait:
+    return;
+  case start_action::Read:
+    logEvent(log_level::Info, "start_reads_platform", {{"peers", From.size()}});
+    return Follower.readAtStart();
+  case start_action::AskPeer:
+    return askForSnapshot(From[std::uniform_int_distribution<std::size_t>(
+        0, From.size() - 1)(Random)]);
+  }
+}
+
+/// Instances of the region by the platform's list and by their heartbeats, and
+/// those that the settings name.
+std::vector<endpoint_address> gateway::startPeers() const {
+  std::vector<endpoint_address> Near;
+  for (const seed_address &Row : Members.listed())
+    if (const auto Region = Settings.Gateway->Regions.find(Row.DataCentre);
+        Region != Settings.Gateway->Regions.end() &&
+        Region->second == Settings.Region)
+      Near.push_back(Row.Internal);
+  for (const member_row &Row : Peers)
+    if (Row.Identity.Region == Settings.Region)
+      Near.push_back(Row.Identity.Internal);
+  for (const std::string &Host : Settings.Gateway->Seeds)
+    if (Host != Settings.Internal.Address)
+      Near.push_back({Host, Settings.Internal.Port});
+  return Near;
+}
+
+void gateway::askForSnapshot(const endpoint_address &Peer) {
+  fetchFromPeer(
+      Context, Clock, Secret, Peer, SnapshotPath,
+      [this, Peer, AskedAt = Clock.boot()](const result<std::string> &Fetched) {
+        takeSnapshot(Peer, AskedAt, Fetched);
+      });
+}
+
+/// A snapshot that can't be read or is too old is dropped; another peer is
+/// asked.
+void gateway::takeSnapshot(const endpoint_address &Peer, boot_time AskedAt,
+                           const result<std::string> &Fetched) {
+  Start.notTold();
+  if (failed(Fetched) || Follower.knowsTargets())
+    return;
+  result<view_reply> Read = decodeSnapshot(valueOf(Fetched));
+  const std::string Detail =
+      failed(Read) ? errorOf(Read).Detail : std::string("too old");
+  if (!failed(Read))
+    // How old it is counts from this instance's own question.
+    valueOf(Read).AskedAt = AskedAt;
+  if (failed(Read) || !Follower.takeSnapshot(valueOf(Read)))
+    return logEvent(log_level::Warning, "snapshot_dropped",
+                    {{"peer", textOf(Peer)}, {"detail", Detail}});
+  const view_reply &Snapshot = valueOf(Read);
+  logEvent(log_level::Info, "snapshot_taken",
+           {{"peer", textOf(Peer)},
+            {"targets", Snapshot.Changes.size()},
+            {"revision", Snapshot.Revision},
+            {"age_ms", Snapshot.TargetsAge.count()}});
+  if (Snapshot.Version != 0 && InForce == nullptr)
+    fetchRoutes(Peer, AskedAt - Snapshot.Age);
+}
+
+admin_answer gateway::snapshotPage() const {
+  if (!Follower.knowsTargets() || DrainingSince)
+    return {503, "application/json", "{\"error\":\"not_ready\"}"};
+  result<std::string> Text = encodeSnapshot(Follower.snapshot(Clock.boot()));
+  if (failed(Text))
+    return {500, "application/json", "{\"error\":\"unreadable\"}"};
+  return {200, "application/octet-stream", std::move(valueOf(Text))};
+}
+
+admin_answer gateway::peerPage(const admin_port::request &Request) const {
+  const std::string_view Path = Request.target();
+  if (Path != ConfigPath && Path != SnapshotPath)
     return {404, "application/json", "{\"error\":\"not_found\"}"};
-  const status Verified = verifyFetch(Request.base(), Secret, Clock.wall());
+  const status Verified =
+      verifyFetch(Request.base(), Path, Secret, Clock.wall());
   if (failed(Verified))
     return {403, "application/json", "{\"error\":\"peer_rejected\"}"};
+  if (Path == SnapshotPath)
+    return snapshotPage();
   if (InForce == nullptr)
     return {404, "application/json", "{\"error\":\"not_found\"}"};
   return {200, "application/json", Source.Json};
@@ -493,7 +636,8 @@
   Gate.setProved(View.routesProvedAt());
   const auto Row = Members.members().findIncarnation(Sender);
   if (Taken.FetchRoutes && Row)
-    fetchRoutes(*Row);
+    // The next question proves how current they are.
+    fetchRoutes(Row->Identity.Internal, boot_time());
   if (Taken.AskOn)
     sendTo(Row, View.ask(Clock.boot(), Sender));
 }
@@ -594,6 +738,7 @@
   Members.tick();
   if (Now >= NextPeers)
     updatePeers(Now);
+  learnAtStart(Now);
   Follower.tick();
   askPeers();
   publishTargets(Now);
--- a/packages/daemon/src/membersys.cpp
+++ b/packages/daemon/src/membersys.cpp
@@ -19,6 +19,13 @@
 constexpr const char *InstancePrefix = "instances/";
 constexpr milliseconds ListPeriod{60000};
 constexpr milliseconds ListRetry{2000};
+/// At the fleet's first start the list is read when all have registered:
+/// instances start within 0.3 s of each other (DEPLOY), and slow ones take
+/// half a second to get there.
+constexpr milliseconds FirstListAfter{1000};
+/// Least pause between two lists that are read because of new instances, which
+/// come in groups.
+constexpr milliseconds ListPause{1500};
 constexpr milliseconds RegisterRetry{2000};
 constexpr milliseconds ProbePeriod{500};
 constexpr milliseconds ProbeTimeout{1000};
@@ -73,8 +80,11 @@
                              std::uint64_t Seed, death_handler Died)
     : Context(Context), Store(Store), Port(Port), Clock(Clock),
       Settings(Settings), Members(Identity, Seed, Clock.now()),
-      Died(std::move(Died)), NextList(Clock.now() + ListRetry),
-      NextRegister(Clock.now()), NextProbe(Clock.now()) {
+      Died(std::move(Died)), NextList(Clock.now()), NextRegister(Clock.now()),
+      NextProbe(Clock.now()),
+      FirstStart(Settings.Gateway && Settings.Gateway->FirstStart) {
+  if (FirstStart)
+    NextList = Clock.now() + FirstListAfter;
   seed();
 }
 
@@ -111,7 +121,9 @@
   send(Members.tick(Now));
   for (const std::uint64_t Ended : Members.takeEnded())
     Died(Ended);
-  if (!Registered && !Registering && Now >= NextRegister)
+  // The list shows whether there is anything to register.
+  const bool Known = FirstStart || Leaving || Registrations.has_value();
+  if (Known && !Registered && !Registering && Now >= NextRegister)
     registerSelf();
   if (!Listing && Now >= NextList)
     listInstances();
@@ -121,16 +133,37 @@
 
 void member_system::registerSelf() {
   Registering = true;
-  Store.put(
-      {instanceObjectName(Settings.Name), recordOf(Settings, Leaving), {}},
-      [this](const result<put_answer> &Answer) {
-        Registering = false;
-        Registered = !failed(Answer);
-        NextRegister = Clock.now() + RegisterRetry;
-        // Whoever registered before is in a list that is read from now on.
-        if (Registered)
-          NextList = Clock.now();
-      });
+  put_request Request{
+      instanceObjectName(Settings.Name), recordOf(Settings, Leaving), {}};
+  if (!ObjectExists)
+    Request.IfVersion = NoObject;
+  Store.put(std::move(Request), [this](const result<put_answer> &Answer) {
+    Registering = false;
+    const bool Conflict =
+        failed(Answer) && errorOf(Answer).Kind == error_kind::VersionConflict;
+    Registered = !failed(Answer);
+    NextRegister = Clock.now() + (Conflict ? milliseconds(0) : RegisterRetry);
+    // Two instances that register at the same time: one of them sees the
+    // other in a list that is read from now on.
+    if (Registered && !ObjectExists && !FirstStart)
+      NextList = Clock.now();
+    ObjectExists = ObjectExists || Registered || Conflict;
+  });
+}
+
+bool member_system::isRegisteredAsIs(const object_list &List) const {
+  const std::string Name = instanceObjectName(Settings.Name);
+  const json::value Record = json::parse(recordOf(Settings, Leaving));
+  const auto Own = std::find_if(
+      List.Objects.begin(), List.Objects.end(),
+      [&](const stored_object &Object) { return Object.Name == Name; });
+  boost::system::error_code Failure;
+  return Own != List.Objects.end() &&
+         json::parse(Own->Value, Failure) == Record && !Failure;
+}
+
+void member_system::listSoon() {
+  NextList = std::min(NextList, std::max(Clock.now(), ListedAt + ListPause));
 }
 
 void member_system::listInstances() {
@@ -140,10 +173,14 @@
     NextList = Clock.now() + (failed(Answer) ? ListRetry : ListPeriod);
     if (failed(Answer))
       return;
+    ListedAt = Clock.now();
     Listed.clear();
     Registrations.emplace();
+    Registered = Registered || isRegisteredAsIs(valueOf(Answer));
     for (const stored_object &Object : valueOf(Answer).Objects)
-      if (Object.Name != instanceObjectName(Settings.Name)) {
+      if (Object.Name == instanceObjectName(Settings.Name)) {
+        ObjectExists = true;
+      } else {
         const std::size_t Before = Listed.size();
         addSeed(Object.Value, Listed);
         if (Listed.size() > Before)
--- a/packages/daemon/src/membersys_p.h
+++ b/packages/daemon/src/membersys_p.h
@@ -53,8 +53,11 @@
     return Registrations;
   }
 
-  /// Lists the instances again soon.
-  void listSoon() { NextList = std::min(NextList, Clock.now()); }
+  /// Lists the instances again soon, as more are alive than the list names.
+  void listSoon();
+
+  /// The registered instances' addresses, without this one's.
+  const std::vector<seed_address> &listed() const { return Listed; }
 
   membership &members() { return Members; }
   const membership &members() const { return Members; }
@@ -64,6 +67,7 @@
   void seed();
   void listInstances();
   void registerSelf();
+  bool isRegisteredAsIs(const object_list &List) const;
   void probeSilent();
   void probe(const member_identity &Mate);
 
@@ -77,7 +81,10 @@
   std::vector<seed_address> Listed;
   std::vector<seed_address> Hosts;
   std::optional<std::vector<registered_instance>> Registrations;
+  /// The platform holds an object of this instance's name.
+  bool ObjectExists = false;
   std::set<std::uint64_t> Probing;
+  steady_time ListedAt;
   steady_time NextList;
   steady_time NextRegister;
   steady_time NextProbe;
@@ -85,6 +92,8 @@
   bool Registering = false;
   bool Listing = false;
   bool Leaving = false;
+  /// No instance has registered before this start of the fleet.
+  bool FirstStart = false;
 };
 
 /// Name of the platform object in which an instance tells its addresses.
--- a/packages/daemon/src/peerfetch.cpp
+++ b/packages/daemon/src/peerfetch.cpp
@@ -29,19 +29,20 @@
 constexpr std::uint64_t MaxTableBytes = 4u << 20;
 
 /// What is signed of a fetch.
-forwarded_head fetchHead(milliseconds SentAt) {
+forwarded_head fetchHead(std::string_view Path, milliseconds SentAt) {
   forwarded_head Head;
   Head.Method = "GET";
-  Head.Target = ConfigPath;
+  Head.Target = Path;
   Head.SentAtMs = SentAt.count();
   return Head;
 }
 
 http::request<http::empty_body> fetchRequest(const clock &Clock,
-                                             const fleet_secret &Secret) {
-  const forwarded_head Head =
-      fetchHead(duration_cast<milliseconds>(Clock.wall().time_since_epoch()));
-  http::request<http::empty_body> Request(http::verb::get, ConfigPath, 11);
+                                             const fleet_secret &Secret,
+                                             std::string_view Path) {
+  const forwarded_head Head = fetchHead(
+      Path, duration_cast<milliseconds>(Clock.wall().time_since_epoch()));
+  http::request<http::empty_body> Request(http::verb::get, Path, 11);
   Request.set(http::field::host, "peer");
   Request.set("X-Deadline-Ms", "0");
   Request.set(SentField, std::to_string(Head.SentAtMs));
@@ -85,20 +86,21 @@
 
 } // namespace
 
-status verifyFetch(const http::request_header<> &Head,
+status verifyFetch(const http::request_header<> &Head, std::string_view Path,
                    const fleet_secret &Secret, wall_time Now) {
   const std::string_view Text = Head[SentField];
   std::int64_t SentAt = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), SentAt);
-  return verifyForwarded(Secret, fetchHead(milliseconds(SentAt)),
+  return verifyForwarded(Secret, fetchHead(Path, milliseconds(SentAt)),
                          Head[SignatureField], Now);
 }
 
 void fetchFromPeer(asio::io_context &Context, const clock &Clock,
                    const fleet_secret &Secret, const endpoint_address &Peer,
+                   std::string_view Path,
                    std::function<void(result<std::string>)> Done) {
   asio::co_spawn(
-      Context, fetch(Context, fetchRequest(Clock, Secret), Peer),
+      Context, fetch(Context, fetchRequest(Clock, Secret, Path), Peer),
       [Done = std::move(Done)](const std::exception_ptr &Thrown,
                                result<std::string> Fetched) {
         if (Thrown)
--- a/packages/daemon/src/peerfetch_p.h
+++ b/packages/daemon/src/peerfetch_p.h
@@ -1,4 +1,4 @@
-/// Fetches the configuration from a peer instance over its internal port.
+/// Fetches from a peer instance over its internal port.
 #ifndef MAGNOLIASPREAD_PEERFETCH_P_H
 #define MAGNOLIASPREAD_PEERFETCH_P_H
 
@@ -11,17 +11,24 @@
 #include <boost/beast/http/message.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace magnoliaspread {
 
-/// Whether \p Head is that of a peer's fetch: PeerRejected if not.
+/// What the peer has read of the platform's objects, but for the
+/// configuration.
+inline constexpr const char *SnapshotPath = "/-/snapshot";
+
+/// Whether \p Head is that of a peer's fetch of \p Path: PeerRejected if not.
 status verifyFetch(const boost::beast::http::request_header<> &Head,
-                   const fleet_secret &Secret, wall_time Now);
+                   std::string_view Path, const fleet_secret &Secret,
+                   wall_time Now);
 
-/// Calls \p Done on the context's thread with the table's JSON text, or with
-/// PeerUnreachable or PeerRejected.
+/// Calls \p Done on the context's thread with the body of the peer's answer,
+/// or with PeerUnreachable or PeerRejected.
 void fetchFromPeer(boost::asio::io_context &Context, const clock &Clock,
                    const fleet_secret &Secret, const endpoint_address &Peer,
+                   std::string_view Path,
                    std::function<void(result<std::string>)> Done);
 
 } // namespace magnoliaspread
--- a/packages/daemon/tests/follower.cpp
+++ b/packages/daemon/tests/follower.cpp
@@ -2,6 +2,7 @@
 /// cut off from the platform, messages are lost, and many targets change.
 #include "follower_p.h"
 
+#include <magnoliaspread/startsource.h>
 #include <magnoliaspread/story.h>
 
 #include <algorithm>
@@ -187,17 +188,23 @@
   platform_counters Counters;
 };
 
+enum class first_reads : std::uint8_t { AtOnce, WhenTold };
+
 /// One instance's part of the gateway.
 struct instance {
   instance(schedule &Schedule, const platform_state &State,
            const fleet_platform &Platform, std::string Name,
-           std::uint64_t Number)
+           std::uint64_t Number, first_reads Reads = first_reads::AtOnce)
       : Name(std::move(Name)), Store(Schedule, State),
         Registry(registry_settings()), View(view_settings(), this->Name),
-        Follower(Store, Platform, Schedule.Clock, Registry, View, Number,
+        Follower(Store, Platform, Schedule.Clock, Registry, View,
+                 follower_settings(), Number,
                  [this](const routes_object &Object, boot_time AsOf) {
                    View.routesProved(Object.Version, AsOf);
-                 }) {}
+                 }) {
+    if (Reads == first_reads::AtOnce)
+      Follower.readAtStart();
+  }
 
   bool believesOpen(const std::string &Target) const {
     for (const registered_target &Row : Registry.targets())
@@ -412,3 +419,224 @@
       expectNoneLate({Seed, 60, 0.05, {Seed % Instances}});
   });
 }
+
+namespace {
+
+/// A whole fleet that starts at once, and what it costs the platform.
+struct fleet_start {
+  std::uint64_t Seed = 1;
+  std::size_t PerRegion = 65;
+  /// Seeds that are down: the settings' addresses are stale.
+  std::size_t SeedsDown = 0;
+  bool FirstStart = true;
+  /// Part of the questions to peers that get no answer.
+  double Loss = 0;
+};
+
+constexpr std::size_t SeedInstances = 3;
+/// A snapshot's way over a link that many share.
+constexpr milliseconds SnapshotDelay{60};
+/// An answer that doesn't come is given up after this long (FetchTimeout).
+constexpr milliseconds LostAfter{2000};
+
+class starting_fleet {
+public:
+  explicit starting_fleet(const fleet_start &Start)
+      : Given(Start), Random(Start.Seed) {
+    for (int I = 0; I < 600; ++I)
+      State.put("t" + std::to_string(I), I < 20 ? "draining" : "open");
+    const std::size_t Count = Start.PerRegion * Regions;
+    for (std::size_t I = 0; I < Count; ++I) {
+      start_settings Settings;
+      Settings.IsSeed = I % Start.PerRegion == 0;
+      Settings.FirstStart = Start.FirstStart;
+      Rows.push_back({std::make_unique<instance>(Schedule, State, Platform,
+                                                 "i" + std::to_string(I), I,
+                                                 first_reads::WhenTold),
+                      start_source(Settings, Random(), Schedule.Clock.now()),
+                      isDown(I)});
+    }
+    for (std::size_t I = 0; I < Count; ++I)
+      Rows[I].Instance->View.setMates(matesOf(I));
+  }
+
+  void run(milliseconds Time) {
+    for (milliseconds Passed{0}; Passed < Time; Passed += Step) {
+      Schedule.step();
+      if (Schedule.Clock.now() < NextTick)
+        continue;
+      NextTick = Schedule.Clock.now() + TickPeriod;
+      for (std::size_t I = 0; I < Rows.size(); ++I)
+        if (!Rows[I].Down)
+          tick(I);
+    }
+  }
+
+  /// Instances that know every target as the platform has it.
+  std::size_t informed() const {
+    return static_cast<std::size_t>(
+        std::count_if(Rows.begin(), Rows.end(), [](const row &Row) {
+          return !Row.Down && Row.Instance->Registry.targets().size() == 600 &&
+                 !Row.Instance->believesOpen("t7") &&
+                 Row.Instance->believesOpen("t100");
+        }));
+  }
+  std::size_t running() const {
+    return static_cast<std::size_t>(std::count_if(
+        Rows.begin(), Rows.end(), [](const row &Row) { return !Row.Down; }));
+  }
+  std::uint64_t calls() const {
+    std::uint64_t Sum = 0;
+    for (const row &Row : Rows)
+      Sum += Row.Instance->Store.Calls;
+    return Sum;
+  }
+
+private:
+  struct row {
+    std::unique_ptr<instance> Instance;
+    start_source Start;
+    bool Down = false;
+  };
+
+  std::vector<std::string> matesOf(std::size_t I) const {
+    const std::size_t First = I / Given.PerRegion * Given.PerRegion;
+    std::vector<std::string> Mates;
+    for (std::size_t J = First; J < First + Given.PerRegion; ++J)
+      if (J != I && !Rows[J].Down)
+        Mates.push_back(Rows[J].Instance->Name);
+    return Mates;
+  }
+
+  bool isDown(std::size_t I) const {
+    return I % Given.PerRegion == 0 && I / Given.PerRegion < Given.SeedsDown;
+  }
+
+  void tick(std::size_t I) {
+    row &Row = Rows[I];
+    if (Row.Instance->Follower.knowsTargets()) {
+      Row.Start.told();
+    } else {
+      const start_action Action =
+          Row.Start.next(Rows.size() - 1, Schedule.Clock.now());
+      if (Action == start_action::Read)
+        Row.Instance->Follower.readAtStart();
+      if (Action == start_action::AskPeer)
+        ask(I, peerOf(I));
+    }
+    Row.Instance->Follower.tick();
+  }
+
+  /// One of the region's instances, or a seed.
+  std::size_t peerOf(std::size_t I) {
+    const std::size_t Region = I / Given.PerRegion;
+    const std::size_t Draw = Random() % (Given.PerRegion + SeedInstances);
+    return Draw < SeedInstances
+               ? Draw * Given.PerRegion
+               : Region * Given.PerRegion + Draw - SeedInstances;
+  }
+
+  void ask(std::size_t I, std::size_t Peer) {
+    const boot_time AskedAt = Schedule.Clock.boot();
+    const bool Lost = Rows[Peer].Down || std::uniform_real_distribution<double>(
+                                             0, 1)(Random) < Given.Loss;
+    if (Lost)
+      return Schedule.after(LostAfter, [this, I] { Rows[I].Start.notTold(); });
+    Schedule.after(SnapshotDelay, [this, I, Peer, AskedAt] {
+      Rows[I].Start.notTold();
+      platform_follower &From = Rows[Peer].Instance->Follower;
+      if (Peer != I && From.knowsTargets())
+        Rows[I].Instance->Follower.takeSnapshot(From.snapshot(AskedAt));
+    });
+  }
+
+  fleet_start Given;
+  std::mt19937_64 Random;
+  schedule Schedule;
+  platform_state State;
+  fake_platform Platform;
+  std::vector<row> Rows;
+  steady_time NextTick;
+};
+
+} // namespace
+
+STORY(fleet_learns_from_few_reads_at_its_start) {
+  // A list, its second page, the configuration and the evacuations.
+  constexpr std::uint64_t CallsOfAReader = 4;
+  // The seeds read, and then one instance of each region.
+  constexpr std::uint64_t MostCalls =
+      (SeedInstances + Regions) * CallsOfAReader;
+  // From then on instances that aren't seeds would read.
+  const milliseconds InTime = start_settings().ReadsAfter;
+  section("hundreds of instances at their first start", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      starting_fleet Fleet({Seed, 65, 0, true, 0});
+      Fleet.run(InTime);
+      CPPUNIT_ASSERT_EQUAL(Fleet.running(), Fleet.informed());
+      CPPUNIT_ASSERT(Fleet.calls() <= MostCalls);
+    }
+  });
+  section("at a restart of all", [&] {
+    for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      starting_fleet Fleet({Seed, 65, 0, false, 0});
+      Fleet.run(InTime);
+      CPPUNIT_ASSERT_EQUAL(Fleet.running(), Fleet.informed());
+      CPPUNIT_ASSERT(Fleet.calls() <= MostCalls);
+    }
+  });
+  section("while a fifth of the questions get no answer", [&] {
+    starting_fleet Fleet({6, 65, 0, false, 0.2});
+    Fleet.run(InTime);
+    CPPUNIT_ASSERT_EQUAL(Fleet.running(), Fleet.informed());
+  });
+  section("when no seed lives, a few read in their place", [&] {
+    starting_fleet Fleet({7, 65, SeedInstances, false, 0});
+    Fleet.run(InTime + start_settings().Spread);
+    CPPUNIT_ASSERT_EQUAL(Fleet.running(), Fleet.informed());
+    CPPUNIT_ASSERT(Fleet.calls() <= Fleet.running());
+  });
+}
+
+STORY(snapshots_that_are_of_no_use) {
+  schedule Schedule;
+  platform_state State;
+  State.put("t1", "open");
+  fake_platform Platform;
+  instance From(Schedule, State, Platform, "i1", 1);
+  instance To(Schedule, State, Platform, "i2", 2, first_reads::WhenTold);
+  const auto Pass = [&](milliseconds Time) {
+    for (milliseconds Passed{0}; Passed < Time; Passed += Step)
+      Schedule.step();
+  };
+  const auto Snapshot = [&] {
+    return From.Follower.snapshot(Schedule.Clock.boot());
+  };
+  section("one of an instance that knows nothing is dropped",
+          [&] { CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Snapshot())); });
+  From.Follower.tick();
+  Pass(50ms);
+  section("nor does one count whose evacuations aren't known", [&] {
+    view_reply Early = Snapshot();
+    CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Early));
+    From.Follower.tick();
+    Pass(50ms);
+  });
+  section("one that is older than targets may be is dropped", [&] {
+    const view_reply Early = Snapshot();
+    Pass(2000ms);
+    CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Early));
+    CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Snapshot()));
+    CPPUNIT_ASSERT(To.Registry.targets().empty());
+  });
+  section("a target that has left meanwhile isn't used again", [&] {
+    From.Follower.refresh();
+    State.put("t1", "draining");
+    From.Follower.tick();
+    Pass(50ms);
+    CPPUNIT_ASSERT(To.Follower.takeSnapshot(Snapshot()));
+    CPPUNIT_ASSERT(!To.believesOpen("t1"));
+  });
+  section("one that comes late changes nothing",
+          [&] { CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Snapshot())); });
+}
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -51,6 +51,14 @@
   double RetrySlack = 60;
   /// Pause between two reports of a target to the platform.
   std::chrono::milliseconds TargetHeartbeat{1500};
+  /// A target's drain has to be known everywhere in this time.
+  std::chrono::milliseconds DrainBound{2500};
+  /// A configuration has to be in force everywhere in this time.
+  std::chrono::milliseconds ConfigBound{2500};
+  /// An evacuated data centre gets nothing after this time.
+  std::chrono::milliseconds EvacuationBound{5000};
+  /// The whole fleet starts for the first time; nothing has registered yet.
+  bool FirstStart = false;
   /// The platform kills an instance this long after it told it to end.
   std::chrono::milliseconds Grace{6000};
   /// Cores that this instance may use; 0 is unknown.
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -21,6 +21,8 @@
 constexpr double MinLeaseMs = 500;
 constexpr double MaxLeaseMs = 600000;
 constexpr double MaxCores = 1024;
+/// Shorter bounds than this leave no time for two reads and a question.
+constexpr double MinBoundMs = 1000;
 constexpr double MaxLinkMbps = 1000000;
 
 /// Reads "address:port".
@@ -154,6 +156,15 @@
   Part(numberField("target_heartbeat_ms", presence::Optional, 1,
                    MaxMilliseconds),
        Gateway.TargetHeartbeat);
+  Part(numberField("drain_ms", presence::Optional, MinBoundMs, MaxMilliseconds),
+       Gateway.DrainBound);
+  Part(
+      numberField("config_ms", presence::Optional, MinBoundMs, MaxMilliseconds),
+      Gateway.ConfigBound);
+  Part(numberField("evacuation_ms", presence::Optional, MinBoundMs,
+                   MaxMilliseconds),
+       Gateway.EvacuationBound);
+  Part(choiceField("first_start"), Gateway.FirstStart);
   Part(numberField("grace_ms", presence::Optional, 0, MaxMilliseconds),
        Gateway.Grace);
   Part(numberField("cpu_share", presence::Optional, 0, MaxCores),
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -4295,6 +4295,10 @@
 void ViewReply::__set_follows(const bool val) {
   this->follows = val;
 }
+
+void ViewReply::__set_evacuatedAgeMs(const int64_t val) {
+  this->evacuatedAgeMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -4435,6 +4439,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuatedAgeMs);
+          this->__isset.evacuatedAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4512,6 +4524,10 @@
   xfer += oprot->writeBool(this->follows);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuatedAgeMs", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->evacuatedAgeMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4530,6 +4546,7 @@
   swap(a.skip, b.skip);
   swap(a.more, b.more);
   swap(a.follows, b.follows);
+  swap(a.evacuatedAgeMs, b.evacuatedAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -4545,6 +4562,7 @@
   skip = other126.skip;
   more = other126.more;
   follows = other126.follows;
+  evacuatedAgeMs = other126.evacuatedAgeMs;
   __isset = other126.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other127) {
@@ -4559,6 +4577,7 @@
   skip = other127.skip;
   more = other127.more;
   follows = other127.follows;
+  evacuatedAgeMs = other127.evacuatedAgeMs;
   __isset = other127.__isset;
   return *this;
 }
@@ -4576,6 +4595,7 @@
   out << ", " << "skip=" << to_string(skip);
   out << ", " << "more=" << to_string(more);
   out << ", " << "follows=" << to_string(follows);
+  out << ", " << "evacuatedAgeMs=" << to_string(evacuatedAgeMs);
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1767,7 +1767,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false) {}
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false), evacuatedAgeMs(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
@@ -1779,6 +1779,7 @@
   bool skip :1;
   bool more :1;
   bool follows :1;
+  bool evacuatedAgeMs :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1795,7 +1796,8 @@
               partial(0),
               skip(0),
               more(0),
-              follows(0) {
+              follows(0),
+              evacuatedAgeMs(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1810,6 +1812,7 @@
   int32_t skip;
   bool more;
   bool follows;
+  int64_t evacuatedAgeMs;
 
   _ViewReply__isset __isset;
 
@@ -1835,6 +1838,8 @@
 
   void __set_follows(const bool val);
 
+  void __set_evacuatedAgeMs(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -1859,6 +1864,8 @@
       return false;
     if (!(follows == rhs.follows))
       return false;
+    if (!(evacuatedAgeMs == rhs.evacuatedAgeMs))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -203,6 +203,7 @@
   9: i32 skip
   10: bool more
   11: bool follows
+  12: i64 evacuatedAgeMs
 }
 
 /// Exactly one field is set; it is the kind of the datagram.
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -27,6 +27,8 @@
 
 /// Largest datagram in bytes, frame included; fits any path unfragmented.
 inline constexpr std::size_t MaxDatagramBytes = 1200;
+/// Largest snapshot of a peer, in bytes: MaxTargets of 256 bytes each.
+inline constexpr std::size_t MaxSnapshotBytes = 1u << 20;
 inline constexpr std::size_t FleetKeyBytes = 32;
 inline constexpr std::size_t DatagramHeaderBytes = 19;
 inline constexpr std::size_t DatagramTagBytes = 16;
@@ -81,6 +83,12 @@
                                std::uint64_t Sender);
 result<control_message> decodeBody(std::string_view Body, std::uint64_t Sender);
 
+/// All that an instance has read of the platform's targets and evacuated data
+/// centres, as a reply that no datagram could hold. BadDatagram when \p Text is
+/// cut short, out of range or larger than MaxSnapshotBytes.
+result<std::string> encodeSnapshot(const view_reply &Reply);
+result<view_reply> decodeSnapshot(std::string_view Text);
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -2,6 +2,8 @@
 
 #include "codec_p.h"
 
+#include <magnoliaspread/config.h>
+
 #include <algorithm>
 #include <memory>
 #include <sodium.h>
@@ -101,17 +103,24 @@
   throw malformed_message("unknown kind");
 }
 
-idl::Datagram parseBody(std::string_view Body) {
-  auto Config = std::make_shared<TConfiguration>(
-      static_cast<int>(MaxDatagramBytes), static_cast<int>(MaxDatagramBytes),
-      MaxNesting);
+struct body_limits {
+  std::size_t Bytes = MaxDatagramBytes;
+  std::size_t ListRows = MaxDatagramListRows;
+};
+
+idl::Datagram parseBody(std::string_view Body, const body_limits &Limits) {
+  if (Body.size() > Limits.Bytes)
+    throw malformed_message("too large");
+  auto Config = std::make_shared<TConfiguration>(static_cast<int>(Limits.Bytes),
+                                                 static_cast<int>(Limits.Bytes),
+                                                 MaxNesting);
   auto *Bytes = reinterpret_cast<std::uint8_t *>(
       const_cast<char *>(Body.data())); // read only: OBSERVE
   auto Buffer = std::make_shared<TMemoryBuffer>(
       Bytes, static_cast<std::uint32_t>(Body.size()), TMemoryBuffer::OBSERVE,
       Config);
-  compact_protocol Protocol(Buffer, static_cast<int>(MaxDatagramBytes),
-                            static_cast<int>(MaxDatagramListRows));
+  compact_protocol Protocol(Buffer, static_cast<int>(Limits.Bytes),
+                            static_cast<int>(Limits.ListRows));
   idl::Datagram Parsed;
   Parsed.read(&Protocol);
   if (Buffer->available_read() != 0)
@@ -166,7 +175,22 @@
 result<control_message> decodeBody(std::string_view Body,
                                    std::uint64_t Sender) {
   try {
-    return readBody(parseBody(Body), Sender);
+    return readBody(parseBody(Body, {}), Sender);
+  } catch (const std::exception &Failure) {
+    return badDatagram(Failure.what());
+  }
+}
+
+result<std::string> encodeSnapshot(const view_reply &Reply) {
+  return encodeBody(Reply, 0);
+}
+
+result<view_reply> decodeSnapshot(std::string_view Text) {
+  try {
+    const idl::Datagram Body = parseBody(Text, {MaxSnapshotBytes, MaxTargets});
+    if (!Body.__isset.viewReply)
+      throw malformed_message("not a snapshot");
+    return readViewReply(Body.viewReply);
   } catch (const std::exception &Failure) {
     return badDatagram(Failure.what());
   }
--- a/packages/wire/src/newscodec.cpp
+++ b/packages/wire/src/newscodec.cpp
@@ -91,6 +91,7 @@
   To.follows = Reply.Follows;
   To.partial = Reply.Partial;
   To.evacuated = Reply.Evacuated;
+  To.evacuatedAgeMs = Reply.EvacuatedAge.count();
   Body.__set_viewReply(To);
 }
 
@@ -124,6 +125,7 @@
   Reply.More = From.more;
   Reply.Follows = From.follows;
   Reply.Partial = From.partial;
+  Reply.EvacuatedAge = readAge(From.evacuatedAgeMs);
   for (const std::string &Name : From.evacuated)
     Reply.Evacuated.push_back(readName(Name));
   return Reply;
--- a/packages/wire/tests/sizes.cpp
+++ b/packages/wire/tests/sizes.cpp
@@ -115,7 +115,7 @@
       }
       Reader.routesProved(Big, boot_time{});
       Reader.targetsRead(Big, boot_time{});
-      Reader.setEvacuated({NameOf(1, Length), NameOf(2, Length)});
+      Reader.setEvacuated({NameOf(1, Length), NameOf(2, Length)}, boot_time{});
       const view_reply Reply = Reader.answer({Now, 0, 1}, Now);
       CPPUNIT_ASSERT(Reply.More && !Reply.Changes.empty());
       datagram_codec Codec(fleet_key{}, 1);
