--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -41,7 +41,7 @@
   /// whose region's reader is cut off need not read.
   std::chrono::milliseconds AnyPeerAfter{2200};
   /// Evacuations known only as of longer ago are read (RULES, EVAC: 5 s).
-  std::chrono::milliseconds EvacuationsLimit{3000};
+  std::chrono::milliseconds EvacuationsLimit{3300};
   /// Any peer is asked when the targets are known only as of longer ago: the
   /// region's reader learns nothing, as its own pause of 0.77 s, AskPeriod and
   /// the ways stay under it. Peers know the targets as of up to this time, and
@@ -109,6 +109,9 @@
   struct taken {
     /// The peer has a newer configuration, which has to be fetched from it.
     bool FetchRoutes = false;
+    /// No configuration newer than that one, or than what the peer has by the
+    /// time of the fetch, was in force then.
+    boot_time RoutesAsOf;
     /// The peer doesn't know what has changed since the own revision.
     bool ReadTargets = false;
     /// The targets are known as of the reply's time. Not set by a part, nor by
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -245,8 +245,9 @@
                                          std::uint64_t From) {
   taken Taken;
   Taken.FetchRoutes = Reply.Version > Version;
+  Taken.RoutesAsOf = Reply.AskedAt - Reply.Age;
   if (Reply.Version != 0 && Reply.Version == Version)
-    RoutesAsOf = std::max(RoutesAsOf, Reply.AskedAt - Reply.Age);
+    RoutesAsOf = std::max(RoutesAsOf, Taken.RoutesAsOf);
   const boot_time EvacuatedAt = Reply.AskedAt - Reply.EvacuatedAge;
   if (Reply.Revision != 0 && (!EvacuatedAsOf || EvacuatedAt > *EvacuatedAsOf)) {
     setEvacuated({Reply.Evacuated.begin(), Reply.Evacuated.end()}, EvacuatedAt);
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -32,7 +32,7 @@
   /// between two questions it has to be in force in 2.5 s (RULES, CONFIG).
   std::chrono::milliseconds RoutesPeriod{1100};
   /// The same for evacuations, which have 5 s (RULES, EVAC).
-  std::chrono::milliseconds EvacuationsPeriod{2000};
+  std::chrono::milliseconds EvacuationsPeriod{1700};
   /// An instance doesn't read for its region before it can know its mates:
   /// several rounds of heartbeats.
   std::chrono::milliseconds SettleTime{1000};
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -112,8 +112,8 @@
 constexpr double ReadPart = 0.64;
 /// Part of the time in which a configuration or an evacuation is in force.
 constexpr double RoutesPart = 0.44;
-constexpr double EvacuationsPart = 0.4;
-constexpr double EvacuationsReadPart = 0.6;
+constexpr double EvacuationsPart = 0.34;
+constexpr double EvacuationsReadPart = 0.66;
 /// With the pause between two questions the proof of a configuration stays
 /// younger than view_settings::RoutesLimit.
 constexpr milliseconds LongestRoutesPeriod{1400};
@@ -636,8 +636,7 @@
   Gate.setProved(View.routesProvedAt());
   const auto Row = Members.members().findIncarnation(Sender);
   if (Taken.FetchRoutes && Row)
-    // The next question proves how current they are.
-    fetchRoutes(Row->Identity.Internal, boot_time());
+    fetchRoutes(Row->Identity.Internal, Taken.RoutesAsOf);
   if (Taken.AskOn)
     sendTo(Row, View.ask(Clock.boot(), Sender));
 }
