--- a/packages/steering/tests/coldshare.cpp
+++ b/packages/steering/tests/coldshare.cpp
@@ -135,8 +135,8 @@
       return;
     if (Now < ColdUntil)
       Arrived.push_back(Now);
-    Fleet[I]->Placer.finished(
-        {{0}, 0, 0, target_result::Answered, 1ms, {}, {}}, Now);
+    Fleet[I]->Placer.finished({{0}, 0, 0, target_result::Answered, 1ms, {}, {}},
+                              Now);
   }
 
   std::mt19937_64 Random;
--- a/packages/steering/tests/placer.cpp
+++ b/packages/steering/tests/placer.cpp
@@ -53,8 +53,8 @@
 
 void answer(placer &Placer, target_handle Target, std::uint64_t Object,
             milliseconds Took, steady_time Now) {
-  Placer.finished(
-      {Target, Object, Kind, target_result::Answered, Took, {}, {}}, Now);
+  Placer.finished({Target, Object, Kind, target_result::Answered, Took, {}, {}},
+                  Now);
 }
 
 /// Targets that remember the objects they have handled, driven at a rate by
@@ -260,8 +260,8 @@
     Placer.setTargets(targetsOf(1, 4), Start);
     const target_handle Only{0};
     const auto Fail = [&](steady_time Now) {
-      Placer.finished(
-          {Only, 0, Kind, target_result::Unreachable, 0ms, {}, {}}, Now);
+      Placer.finished({Only, 0, Kind, target_result::Unreachable, 0ms, {}, {}},
+                      Now);
     };
     CPPUNIT_ASSERT(sentTo(Placer.place(requestAt(Start, 1, 0), Start)));
     Fail(Start);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -69,6 +69,9 @@
                                       request_outcome &Outcome);
   whole_request requestFor(const gate_request &Request,
                            target_handle Target) const;
+  target_call callFor(const gate_request &Request, const whole_request &Message,
+                      const request_outcome &Outcome) const;
+  void giveBack(target_handle Target, upstream_ptr Connection);
   bool take(gate_request &Request, target_handle Target, call_result Result,
             std::chrono::nanoseconds Took, request_outcome &Outcome);
   std::optional<target_handle> leaveSilent(const gate_request &Request,
@@ -327,6 +330,31 @@
   return true;
 }
 
+/// A request that was placed isn't sent.
+void gate_session::giveBack(target_handle Target, upstream_ptr Connection) {
+  State.finished({Target, 0, 0, target_result::Abandoned, {}, {}, {}});
+  State.Pool.putBack(State.Targets[Target.Index].Address,
+                     std::move(Connection));
+}
+
+target_call gate_session::callFor(const gate_request &Wanted,
+                                  const whole_request &Message,
+                                  const request_outcome &Outcome) const {
+  target_call Call;
+  Call.Memory = &State.Memory;
+  Call.Request = &Message;
+  Call.Id = Wanted.Id;
+  Call.Deadline = Wanted.Place.Deadline;
+  Call.EndsWithCaller = Wanted.Route->Repeatable;
+  if (Wanted.Route->Repeatable && Outcome.Sends + 1 < Wanted.Route->MaxAttempts)
+    Call.HeadTimeout =
+        std::max(LeastSilence,
+                 duration_cast<milliseconds>(
+                     SilentTimes *
+                     State.Placer.expectedService(Wanted.Place.Kind, false)));
+  return Call;
+}
+
 asio::awaitable<bool> gate_session::attempt(gate_request &Wanted,
                                             target_handle Target,
                                             request_outcome &Outcome) {
@@ -337,34 +365,19 @@
   }
   if (!State.Placer.accepts(Target, State.Clock.now())) {
     // It said so while the connection was made.
-    State.finished({Target, 0, 0, target_result::Abandoned, {}, {}, {}});
-    State.Pool.putBack(State.Targets[Target.Index].Address,
-                       std::move(Connection));
+    giveBack(Target, std::move(Connection));
     Wanted.Place.Tried.push_back(Target);
     co_return true;
   }
   const whole_request Message = requestFor(Wanted, Target);
   held_bytes Copy(State.Memory);
   if (!Copy.resize(Message.body().size())) {
-    State.finished({Target, 0, 0, target_result::Abandoned, {}, {}, {}});
-    State.Pool.putBack(State.Targets[Target.Index].Address,
-                       std::move(Connection));
+    giveBack(Target, std::move(Connection));
     if (!Outcome.MayHaveRun)
       Outcome.Error = {error_kind::QueueFull, "too many bodies are held", {}};
     co_return false;
   }
-  target_call Call;
-  Call.Memory = &State.Memory;
-  Call.Request = &Message;
-  Call.Id = Wanted.Id;
-  Call.Deadline = Wanted.Place.Deadline;
-  Call.EndsWithCaller = Wanted.Route->Repeatable;
-  if (Wanted.Route->Repeatable && Outcome.Sends + 1 < Wanted.Route->MaxAttempts)
-    Call.HeadTimeout =
-        std::max(LeastSilence,
-                 duration_cast<milliseconds>(
-                     SilentTimes *
-                     State.Placer.expectedService(Wanted.Place.Kind, false)));
+  target_call Call = callFor(Wanted, Message, Outcome);
   Call.MayLeave = [&] {
     Outcome.Next = leaveSilent(Wanted, Target, Outcome);
     return Outcome.Next.has_value();
