--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -95,7 +95,8 @@
   Registry.setEvacuated(std::move(Evacuated), Now);
   Newest = TargetsAt;
   NextList = Now + jittered(Settings.ListPeriod);
-  Told = true;
+  // From now on it reads as any other does.
+  Told = MayRead = true;
   NextRoutes = Now + jittered(Snapshot.Version == 0 ? ToldAbsentPause
                                                     : Settings.RoutesPeriod);
   NextEvacuations = Now + jittered(Settings.EvacuationsPeriod);
--- a/packages/daemon/tests/follower.cpp
+++ b/packages/daemon/tests/follower.cpp
@@ -81,6 +81,13 @@
     Log.push_back({Revision, Name});
   }
 
+  /// Changes before now are forgotten.
+  void compact() {
+    Forgotten = ++Revision;
+    Log.clear();
+  }
+  object_version Forgotten = 0;
+
   stored_object object(const std::string &Name) const {
     stored_object Object;
     Object.Name = "targets/" + Name;
@@ -146,6 +153,7 @@
     answer<changes_answer>(std::move(Done), [this, Request] {
       changes_answer Answer;
       Answer.Revision = State.Revision;
+      Answer.HistoryGone = Request.Since < State.Forgotten;
       for (const auto &Row : State.Log)
         if (Row.Revision > Request.Since)
           Answer.Changes.push_back({State.object(Row.Name), false});
@@ -639,4 +647,13 @@
   });
   section("one that comes late changes nothing",
           [&] { CPPUNIT_ASSERT(!To.Follower.takeSnapshot(Snapshot())); });
+  section("an instance that took one reads again when history is gone", [&] {
+    State.compact();
+    State.put("t2", "open");
+    for (int I = 0; I < 80; ++I) {
+      To.Follower.tick();
+      Pass(50ms);
+    }
+    CPPUNIT_ASSERT(To.believesOpen("t2"));
+  });
 }
