--- a/packages/coordination/include/magnoliaspread/startsource.h
+++ b/packages/coordination/include/magnoliaspread/startsource.h
@@ -1,10 +1,10 @@
 /// Where a starting instance learns what the platform holds.
 ///
 /// Load it answers: hundreds of instances that start at the same moment. If
-/// each reads the platform's lists, their number times the number of targets
-/// crosses the platform's door. So an instance asks its peers for what they
-/// have read, and reads for itself only when none can tell in time; those that
-/// the settings name as seeds read first. Pure: time is passed in.
+/// each reads the platform's lists, the platform's work grows with the number
+/// of instances times that of targets. So an instance asks its peers for what
+/// they have read, and reads for itself only when none can tell in time; those
+/// that the settings name as seeds read first. Pure: time is passed in.
 #ifndef MAGNOLIASPREAD_STARTSOURCE_H
 #define MAGNOLIASPREAD_STARTSOURCE_H
 
@@ -42,7 +42,7 @@
 
 enum class start_action : std::uint8_t {
   Wait,
-  /// Ask one peer; told() or notTold() says how it ended.
+  /// Ask one peer; learned() or askEnded() says how it ended.
   AskPeer,
   /// Read the platform.
   Read,
@@ -56,8 +56,10 @@
   /// What to do now. \p Peers is the number of peers that can be asked.
   start_action next(std::size_t Peers, steady_time Now);
 
-  void told() { Done = true; }
-  void notTold();
+  /// The targets are known.
+  void learned() { Done = true; }
+  /// A peer has answered, or could not.
+  void askEnded();
 
 private:
   start_settings Settings;
--- a/packages/coordination/src/startsource.cpp
+++ b/packages/coordination/src/startsource.cpp
@@ -33,7 +33,7 @@
   return start_action::AskPeer;
 }
 
-void start_source::notTold() {
+void start_source::askEnded() {
   if (!Asked.empty())
     Asked.pop_front();
 }
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds AbsentPause{1000};
 /// The same for an instance that learns of it from its region's reader: a few
 /// of the reader's pauses.
-constexpr milliseconds ToldAbsentPause{4000};
+constexpr milliseconds FollowerAbsentPause{4000};
 
 } // namespace
 
@@ -96,8 +96,8 @@
   Newest = TargetsAt;
   NextList = Now + jittered(Settings.ListPeriod);
   // From now on it reads as any other does.
-  Told = MayRead = true;
-  NextRoutes = Now + jittered(Snapshot.Version == 0 ? ToldAbsentPause
+  LearnedFromPeer = MayRead = true;
+  NextRoutes = Now + jittered(Snapshot.Version == 0 ? FollowerAbsentPause
                                                     : Settings.RoutesPeriod);
   NextEvacuations = Now + jittered(Settings.EvacuationsPeriod);
   return true;
@@ -266,8 +266,9 @@
             failed(Object) && errorOf(Object).Kind != error_kind::NotFound;
         noteEnd("routes", Unanswered ? &errorOf(Object) : nullptr);
         if (failed(Object)) {
-          const milliseconds Absent =
-              Told && !View.isReader() ? ToldAbsentPause : AbsentPause;
+          const milliseconds Absent = LearnedFromPeer && !View.isReader()
+                                          ? FollowerAbsentPause
+                                          : AbsentPause;
           NextRoutes = Clock.now() + jittered(Unanswered ? RetryPause : Absent);
           return;
         }
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -64,7 +64,7 @@
   /// is too old or something is known already.
   bool takeSnapshot(const view_reply &Snapshot);
   /// A peer has told the configuration.
-  void routesTold() { HaveRoutes = true; }
+  void routesLearned() { HaveRoutes = true; }
 
   /// Takes over what a peer has read.
   void take(const platform_view::taken &Taken);
@@ -93,7 +93,7 @@
   steady_time StartedAt;
   bool MayRead = false;
   /// The targets were told by a peer at the start.
-  bool Told = false;
+  bool LearnedFromPeer = false;
   /// Targets are known as of this revision; NoObject before the first list.
   object_version TargetsAt = NoObject;
   /// Of the platform, as last seen.
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -290,14 +290,14 @@
           return;
         takeRoutes({NoObject, valueOf(Fetched)}, AsOf);
         if (InForce != nullptr)
-          Follower.routesTold();
+          Follower.routesLearned();
       });
 }
 
 /// Until the targets are known: asks peers, or reads the platform.
 void gateway::learnAtStart(steady_time Now) {
   if (Follower.knowsTargets())
-    return Start.told();
+    return Start.learned();
   const std::vector<endpoint_address> From = startPeers();
   switch (Start.next(From.size(), Now)) {
   case start_action::Wait:
@@ -341,7 +341,7 @@
 /// asked.
 void gateway::takeSnapshot(const endpoint_address &Peer, boot_time AskedAt,
                            const result<std::string> &Fetched) {
-  Start.notTold();
+  Start.askEnded();
   if (failed(Fetched) || Follower.knowsTargets())
     return;
   result<view_reply> Read = decodeSnapshot(valueOf(Fetched));
--- a/packages/daemon/tests/follower.cpp
+++ b/packages/daemon/tests/follower.cpp
@@ -523,7 +523,7 @@
   void tick(std::size_t I) {
     row &Row = Rows[I];
     if (Row.Instance->Follower.knowsTargets()) {
-      Row.Start.told();
+      Row.Start.learned();
     } else {
       const start_action Action =
           Row.Start.next(Rows.size() - 1, Schedule.Clock.now());
@@ -549,9 +549,9 @@
     const bool Lost = Rows[Peer].Down || std::uniform_real_distribution<double>(
                                              0, 1)(Random) < Given.Loss;
     if (Lost)
-      return Schedule.after(LostAfter, [this, I] { Rows[I].Start.notTold(); });
+      return Schedule.after(LostAfter, [this, I] { Rows[I].Start.askEnded(); });
     Schedule.after(SnapshotDelay, [this, I, Peer, AskedAt] {
-      Rows[I].Start.notTold();
+      Rows[I].Start.askEnded();
       platform_follower &From = Rows[Peer].Instance->Follower;
       if (Peer != I && From.knowsTargets())
         Rows[I].Instance->Follower.takeSnapshot(From.snapshot(AskedAt));
