Log what the quarantine of crashing requests goes by

The log had one line for it, at the conviction. Now: attempt_broken with the request's id and fingerprint, target_died with its source, quarantine_learned. No decision changes.

--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -195,10 +195,19 @@
 }
 
 void gate::state::targetDied(target_handle Target) {
-  for (const request_fingerprint Print :
-       Quarantine.targetDied(Target, Clock.now()))
+  const std::size_t Before = Quarantine.suspects();
+  const std::vector<request_fingerprint> Guilty =
+      Quarantine.targetDied(Target, Clock.now());
+  const known_target &Row = Targets[Target.Index];
+  if (Quarantine.suspects() != Before || !Guilty.empty())
+    logEvent(log_level::Info, "target_died",
+             {{"target", Row.Name},
+              {"started_at_ms", Row.StartedAtMs},
+              {"source", "connect"},
+              {"suspects", Quarantine.suspects()}});
+  for (const request_fingerprint Print : Guilty)
     logEvent(log_level::Warning, "request_quarantined",
-             {{"fingerprint", Print}, {"target", Targets[Target.Index].Name}});
+             {{"fingerprint", Print}, {"target", Row.Name}});
 }
 
 bool gate::state::keysProved() const {
@@ -384,7 +393,13 @@
 }
 
 void gate::receive(const quarantine_notice &Notice) {
-  State->Quarantine.merge(Notice, State->Clock.now());
+  const steady_time Now = State->Clock.now();
+  const std::size_t Before = State->Quarantine.quarantined(Now);
+  State->Quarantine.merge(Notice, Now);
+  if (State->Quarantine.quarantined(Now) > Before)
+    logEvent(log_level::Warning, "quarantine_learned",
+             {{"fingerprint", Notice.Fingerprint},
+              {"remaining_ms", Notice.Remaining.count()}});
 }
 
 std::vector<quarantine_notice> gate::notices() {
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -72,6 +72,8 @@
   target_call callFor(const gate_request &Request, const whole_request &Message,
                       const request_outcome &Outcome) const;
   void giveBack(target_handle Target, upstream_ptr Connection);
+  void noteBroken(const gate_request &Request, target_handle Target,
+                  attempt_id Attempt, std::string_view Detail);
   bool take(gate_request &Request, target_handle Target, call_result Result,
             std::chrono::nanoseconds Took, request_outcome &Outcome);
   std::optional<target_handle> leaveSilent(const gate_request &Request,
@@ -355,6 +357,17 @@
   return Call;
 }
 
+/// Keeps the attempt in mind: its target may turn out to have died of it.
+void gate_session::noteBroken(const gate_request &Wanted, target_handle Target,
+                              attempt_id Attempt, std::string_view Detail) {
+  State.Broken.push_back({Attempt, State.Clock.now()});
+  logEvent(log_level::Info, "attempt_broken",
+           {{"request_id", Wanted.Id},
+            {"fingerprint", Wanted.Fingerprint},
+            {"target", State.Targets[Target.Index].Name},
+            {"detail", Detail}});
+}
+
 asio::awaitable<bool> gate_session::attempt(gate_request &Wanted,
                                             target_handle Target,
                                             request_outcome &Outcome) {
@@ -399,7 +412,7 @@
   if (Result.End == call_end::Answered)
     State.Quarantine.succeeded(Attempt, Now);
   else if (Result.End == call_end::Broken)
-    State.Broken.push_back({Attempt, Now});
+    noteBroken(Wanted, Target, Attempt, Result.Detail);
   else
     State.Quarantine.ended(Attempt);
   co_return take(Wanted, Target, std::move(Result), Now - Sent, Outcome);
