--- a/packages/base/include/magnoliaspread/error.h
+++ b/packages/base/include/magnoliaspread/error.h
@@ -28,6 +28,8 @@
   Quarantined,
   Draining,
   TargetUnreachable,
+  /// No process takes connections at its address.
+  TargetDown,
   TargetShed,
   TargetFailed,
   TargetTimeout,
--- a/packages/base/src/error.cpp
+++ b/packages/base/src/error.cpp
@@ -34,6 +34,7 @@
     {Quarantined, "quarantined", 422, NotRun, MuchLater},
     {Draining, "draining", 503, NotRun, Soon},
     {TargetUnreachable, "target_unreachable", 503, NotRun, Later},
+    {TargetDown, "target_down", 503, NotRun, Later},
     {TargetShed, "target_shed", 503, NotRun, Later},
     {TargetFailed, "target_failed", 502, MayHaveRun, Later},
     {TargetTimeout, "target_timeout", 504, MayHaveRun, Later},
--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -1,34 +1,34 @@
 /// Finds requests that kill each target they run on, and refuses them for a
 /// time. A death makes every request that was in flight on the target a
-/// suspect. A suspect that succeeds is cleared; one that comes again is run
-/// alone on a target, which tells it apart from requests that were only there.
-/// Pure: time is passed in.
+/// suspect, and a success clears it. What instances know of a suspect is merged
+/// into one set of crashes, from which each derives the same verdict. Pure:
+/// time is passed in.
 #ifndef MAGNOLIASPREAD_QUARANTINE_H
 #define MAGNOLIASPREAD_QUARANTINE_H
 
 #include <magnoliaspread/clock.h>
-#include <magnoliaspread/error.h>
-#include <magnoliaspread/handle.h>
+#include <magnoliaspread/crashevidence.h>
 #include <magnoliaspread/quarantinemsg.h>
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace magnoliaspread {
 
-/// Bytes of a body that count towards its request's fingerprint.
-inline constexpr std::size_t FingerprintBodyBytes = 4096;
-
 struct fingerprint_parts {
   std::string_view Workspace;
   std::string_view Method;
   /// Path and query.
   std::string_view Path;
-  /// At most its first FingerprintBodyBytes count.
   std::string_view Body;
 };
 
@@ -37,20 +37,31 @@
 request_fingerprint fingerprintOf(const fingerprint_parts &Parts);
 
 struct quarantine_settings {
-  /// Distinct targets that died with the request in flight, one of them with
-  /// no other request.
+  /// Crashes one after the other before a request is refused, if it was alone
+  /// on one of the targets.
   std::uint32_t DeathsWhenAlone = 2;
-  /// The same when it was never alone, but no other request was in flight on
-  /// as many of them.
+  /// The same when it was never alone. A request that another one explains,
+  /// which was in flight on all the same targets, isn't refused.
   std::uint32_t DeathsInCompany = 4;
   /// A suspect that isn't seen on a dying target again is forgotten.
   std::chrono::milliseconds SuspectTime{120000};
-  /// First quarantine; each further one of the same request is twice as long.
+  /// First quarantine; each further crash makes it twice as long.
   std::chrono::milliseconds MinQuarantine{60000};
   std::chrono::milliseconds MaxQuarantine{600000};
+  /// A request whose connection broke is charged with the death of its target
+  /// if that is noticed in this time.
+  std::chrono::milliseconds DoubtTime{10000};
   std::size_t MaxSuspects = 4096;
   /// Targets kept free for suspects at once.
   std::size_t MaxIsolated = 1;
+  /// Of the choice of peers.
+  std::uint64_t Seed = 1;
+};
+
+/// News for some peers, by their places in the caller's list.
+struct quarantine_telling {
+  std::vector<std::size_t> To;
+  quarantine_news News;
 };
 
 enum class placement : std::uint8_t {
@@ -73,83 +84,125 @@
 class quarantine {
 public:
   explicit quarantine(const quarantine_settings &Settings)
-      : Settings(Settings) {}
+      : Settings(Settings), Random(Settings.Seed) {}
 
   /// Where a request may run. Ask at each dispatch, right before started().
   placement_decision place(request_fingerprint Fingerprint, steady_time Now);
 
-  /// An attempt's first byte goes to \p Target. Each target gets requests from
-  /// one instance only, which so knows whether one is alone there.
+  /// An attempt's first byte goes to \p Target.
   void started(attempt_id Attempt, request_fingerprint Fingerprint,
-               target_handle Target);
+               target_start Target, steady_time Now);
 
-  /// The target answered the attempt whole.
+  /// The attempt ran to a good end.
   void succeeded(attempt_id Attempt, steady_time Now);
 
-  /// The attempt ended otherwise, its target still living.
+  /// A request of this fingerprint ran to a good end.
+  void clear(request_fingerprint Fingerprint, steady_time Now);
+
+  /// The attempt ended otherwise, and its target doesn't matter any more.
   void ended(attempt_id Attempt);
 
+  /// The attempt has no answer: its target may turn out to have died. True when
+  /// that is known already.
+  bool lost(attempt_id Attempt, steady_time Now);
+
   /// The target's process died; its attempts end. Returns the fingerprints
   /// that are quarantined by it.
-  std::vector<request_fingerprint> targetDied(target_handle Target,
+  std::vector<request_fingerprint> targetDied(target_start Target,
                                               steady_time Now);
 
-  /// At most \p Limit notices of what this instance has seen itself, to tell
-  /// every peer. Notices of others are not passed on, so that they end.
-  std::vector<quarantine_notice> notices(std::size_t Limit, steady_time Now);
+  /// Whether an attempt was lost on \p Target and its death isn't known.
+  bool isInDoubt(target_start Target) const;
+
+  /// What to tell now to which of \p Peers peers: to all what was seen here,
+  /// and to a few by chance what may cost a target soon, whoever saw it. Call
+  /// every few tens of milliseconds.
+  std::vector<quarantine_telling> tell(std::size_t Peers, steady_time Now);
+
+  /// What was seen here and not told yet, for every peer.
+  quarantine_news takeSeen(steady_time Now);
 
-  /// May come twice or late. Deaths below the threshold make a suspect.
-  void merge(const quarantine_notice &Notice, steady_time Now);
+  /// What an instance that has just started should know.
+  quarantine_news current(steady_time Now) const;
+
+  /// May come twice, late or over others.
+  /// Returns the fingerprints that are quarantined by it.
+  std::vector<request_fingerprint> merge(const quarantine_news &News,
+                                         steady_time Now);
 
   std::size_t suspects() const { return Suspects.size(); }
   std::size_t quarantined(steady_time Now) const;
 
 private:
   struct suspect {
-    /// Distinct targets that died with it in flight here.
-    std::vector<target_handle> DeadTargets;
-    /// One of them ran no other request.
-    bool DiedAlone = false;
-    /// Deaths known otherwise: from peers, or from before a quarantine.
-    std::uint32_t OtherDeaths = 0;
-    /// It succeeded since; kept so that old notices don't accuse it again.
-    bool Cleared = false;
-    std::uint32_t Quarantines = 0;
-    steady_time QuarantinedUntil;
-    /// The same for what this instance decided itself.
-    steady_time OwnUntil;
-    steady_time ForgetAt;
+    crash_evidence Evidence;
+    /// Has crashes, or the success that clears them, that no peer was told of.
+    bool Seen = false;
+    /// Times that it is still passed on.
+    int Tellings = 0;
+    steady_time ToldAt;
   };
 
   struct attempt {
     request_fingerprint Fingerprint = 0;
-    target_handle Target;
+    target_start Target = 0;
+    steady_time SentAt;
+    std::optional<steady_time> LostAt;
+  };
+
+  struct lost_attempt {
+    attempt_id Id = 0;
+    steady_time At;
+  };
+
+  struct success {
+    request_fingerprint Fingerprint = 0;
+    steady_time At;
   };
 
+  /// Rows of the table of successes, by fingerprint.
+  static constexpr std::size_t SuccessRows = 4096;
+
   bool isAccused(request_fingerprint Fingerprint) const;
   bool isIsolated(request_fingerprint Fingerprint) const;
+  bool isExplained(request_fingerprint Fingerprint,
+                   const crash_evidence &Evidence) const;
+  steady_time quarantinedUntil(request_fingerprint Fingerprint,
+                               const crash_evidence &Evidence) const;
+  bool isQuarantined(request_fingerprint Fingerprint, steady_time Now) const;
+  steady_time forgetAt(request_fingerprint Fingerprint,
+                       const crash_evidence &Evidence) const;
   void forgetExpired(steady_time Now);
-  /// Null when the table is full of quarantined rows.
+  /// Null when the table is full of worse suspects.
   suspect *suspectFor(request_fingerprint Fingerprint, steady_time Now);
   void makeRoom(steady_time Now);
-  void accuse(suspect &Suspect, target_handle Target, bool Alone,
-              steady_time Now) const;
-  std::vector<request_fingerprint> endAttemptsOn(target_handle Target);
-  std::size_t
-  mostDeathsBeside(request_fingerprint Fingerprint,
-                   const std::vector<request_fingerprint> &All) const;
-  bool isGuilty(const suspect &Suspect, std::size_t MostBeside) const;
-  void sentence(suspect &Suspect, steady_time Now) const;
-  void clear(request_fingerprint Fingerprint, steady_time Now);
+  void charge(const attempt &Attempt, bool Alone, steady_time Now);
+  void noteDeath(target_start Target, steady_time At);
+  std::vector<request_fingerprint> endAttemptsOn(target_start Target,
+                                                 steady_time Now);
+  void merge(const suspect_report &Report, steady_time Now);
+  void chargeLostOn(target_start Target, steady_time DiedAt, steady_time Now);
+  suspect_report reportOf(request_fingerprint Fingerprint,
+                          const suspect &Suspect, steady_time Now) const;
+  quarantine_news newsOf(std::vector<request_fingerprint> Rows,
+                         steady_time Now) const;
+  std::vector<std::size_t> somePeers(std::size_t Peers, std::size_t Count);
 
   quarantine_settings Settings;
+  std::mt19937_64 Random;
   std::unordered_map<request_fingerprint, suspect> Suspects;
+  std::array<success, SuccessRows> Successes{};
   std::unordered_map<attempt_id, attempt> Attempts;
   std::unordered_map<request_fingerprint, std::size_t> InFlight;
-  /// By Index of the target.
-  std::unordered_map<std::uint16_t, std::vector<attempt_id>> AttemptsByTarget;
+  std::unordered_map<target_start, std::vector<attempt_id>> AttemptsByTarget;
+  /// In the order in which they were lost; some have been charged since.
+  std::deque<lost_attempt> Lost;
+  /// Deaths of the last DoubtTime.
+  std::map<target_start, steady_time> Deaths;
   /// Suspects that run alone on a target now.
   std::vector<request_fingerprint> Isolated;
+  steady_time NextPassOn;
+  steady_time NextRepeat;
 };
 
 } // namespace magnoliaspread
--- a/packages/coordination/src/quarantine.cpp
+++ b/packages/coordination/src/quarantine.cpp
@@ -14,22 +14,14 @@
 constexpr milliseconds TurnTime{100};
 
 /// Keeps the doubling of quarantines from overflowing.
-constexpr std::uint32_t MaxDoublings = 16;
-
-milliseconds leftUntil(steady_time Until, steady_time Now) {
-  return std::chrono::ceil<milliseconds>(Until - Now);
-}
-
-bool contains(const std::vector<target_handle> &Targets, target_handle Target) {
-  return std::find(Targets.begin(), Targets.end(), Target) != Targets.end();
-}
+constexpr std::size_t MaxDoublings = 16;
 
 } // namespace
 
 request_fingerprint fingerprintOf(const fingerprint_parts &Parts) {
   request_fingerprint Hash = 0;
-  for (std::string_view Part : {Parts.Workspace, Parts.Method, Parts.Path,
-                                Parts.Body.substr(0, FingerprintBodyBytes)}) {
+  for (std::string_view Part :
+       {Parts.Workspace, Parts.Method, Parts.Path, Parts.Body}) {
     const std::uint64_t Size = Part.size();
     Hash = XXH64(&Size, sizeof(Size), Hash);
     Hash = XXH64(Part.data(), Part.size(), Hash);
@@ -39,7 +31,7 @@
 
 bool quarantine::isAccused(request_fingerprint Fingerprint) const {
   const auto Found = Suspects.find(Fingerprint);
-  return Found != Suspects.end() && !Found->second.Cleared;
+  return Found != Suspects.end() && !Found->second.Evidence.crashes().empty();
 }
 
 bool quarantine::isIsolated(request_fingerprint Fingerprint) const {
@@ -47,15 +39,54 @@
          Isolated.end();
 }
 
+bool quarantine::isExplained(request_fingerprint Fingerprint,
+                             const crash_evidence &Evidence) const {
+  return std::any_of(Suspects.begin(), Suspects.end(), [&](const auto &Row) {
+    return Row.first != Fingerprint &&
+           Evidence.isExplainedBy(Row.second.Evidence);
+  });
+}
+
+/// The end of the quarantine that the evidence calls for; the clock's epoch
+/// when it calls for none.
+steady_time quarantine::quarantinedUntil(request_fingerprint Fingerprint,
+                                         const crash_evidence &Evidence) const {
+  const std::size_t Needed = Evidence.diedAlone() ? Settings.DeathsWhenAlone
+                                                  : Settings.DeathsInCompany;
+  const std::size_t Rounds = Evidence.rounds();
+  if (Rounds < Needed || isExplained(Fingerprint, Evidence))
+    return {};
+  const std::size_t Doublings = std::min(Rounds - Needed, MaxDoublings);
+  return Evidence.crashes().back().DiedAt +
+         std::min<milliseconds>(Settings.MinQuarantine * (1 << Doublings),
+                                Settings.MaxQuarantine);
+}
+
+bool quarantine::isQuarantined(request_fingerprint Fingerprint,
+                               steady_time Now) const {
+  const auto Found = Suspects.find(Fingerprint);
+  return Found != Suspects.end() &&
+         quarantinedUntil(Fingerprint, Found->second.Evidence) > Now;
+}
+
+steady_time quarantine::forgetAt(request_fingerprint Fingerprint,
+                                 const crash_evidence &Evidence) const {
+  return std::max(Evidence.lastChange(),
+                  quarantinedUntil(Fingerprint, Evidence)) +
+         Settings.SuspectTime;
+}
+
 placement_decision quarantine::place(request_fingerprint Fingerprint,
                                      steady_time Now) {
   const auto Found = Suspects.find(Fingerprint);
-  if (Found == Suspects.end() || Found->second.Cleared)
+  if (Found == Suspects.end() || Found->second.Evidence.crashes().empty())
     return {};
-  const suspect &Suspect = Found->second;
-  if (Suspect.QuarantinedUntil > Now)
-    return {placement::Quarantined, leftUntil(Suspect.QuarantinedUntil, Now)};
-  if (Suspect.ForgetAt <= Now)
+  const crash_evidence &Evidence = Found->second.Evidence;
+  const steady_time Until = quarantinedUntil(Fingerprint, Evidence);
+  if (Until > Now)
+    return {placement::Quarantined,
+            std::chrono::ceil<milliseconds>(Until - Now)};
+  if (forgetAt(Fingerprint, Evidence) <= Now)
     return {};
   // Attempts from before the death will tell soon.
   if (InFlight.contains(Fingerprint) && !isIsolated(Fingerprint))
@@ -66,13 +97,13 @@
 }
 
 void quarantine::started(attempt_id Attempt, request_fingerprint Fingerprint,
-                         target_handle Target) {
+                         target_start Target, steady_time Now) {
   std::size_t &Count = InFlight[Fingerprint];
   if (Count == 0 && isAccused(Fingerprint))
     Isolated.push_back(Fingerprint);
   ++Count;
-  Attempts[Attempt] = {Fingerprint, Target};
-  AttemptsByTarget[Target.Index].push_back(Attempt);
+  Attempts[Attempt] = {Fingerprint, Target, Now, std::nullopt};
+  AttemptsByTarget[Target].push_back(Attempt);
 }
 
 void quarantine::succeeded(attempt_id Attempt, steady_time Now) {
@@ -83,194 +114,177 @@
   ended(Attempt);
 }
 
+void quarantine::clear(request_fingerprint Fingerprint, steady_time Now) {
+  Successes[Fingerprint % SuccessRows] = {Fingerprint, Now};
+  const auto Found = Suspects.find(Fingerprint);
+  if (Found == Suspects.end())
+    return;
+  suspect &Suspect = Found->second;
+  // Others may refuse it by the same crashes soon.
+  constexpr std::size_t RoundsToTell = 2;
+  const bool Matters = Suspect.Evidence.rounds() >= RoundsToTell;
+  if (Suspect.Evidence.succeeded(Now) && Matters)
+    Suspect.Seen = true;
+}
+
 void quarantine::ended(attempt_id Attempt) {
   const auto Found = Attempts.find(Attempt);
   if (Found == Attempts.end())
     return;
   const attempt Ended = Found->second;
   Attempts.erase(Found);
-  if (--InFlight[Ended.Fingerprint] == 0) {
-    InFlight.erase(Ended.Fingerprint);
+  const auto Count = InFlight.find(Ended.Fingerprint);
+  if (--Count->second == 0) {
+    InFlight.erase(Count);
     std::erase(Isolated, Ended.Fingerprint);
   }
-  std::vector<attempt_id> &OnTarget = AttemptsByTarget[Ended.Target.Index];
-  std::erase(OnTarget, Attempt);
-  if (OnTarget.empty())
-    AttemptsByTarget.erase(Ended.Target.Index);
+  const auto OnTarget = AttemptsByTarget.find(Ended.Target);
+  std::erase(OnTarget->second, Attempt);
+  if (OnTarget->second.empty())
+    AttemptsByTarget.erase(OnTarget);
 }
 
-/// A success while quarantined is of an attempt from before, and tells nothing.
-void quarantine::clear(request_fingerprint Fingerprint, steady_time Now) {
-  const auto Found = Suspects.find(Fingerprint);
-  if (Found == Suspects.end() || Found->second.QuarantinedUntil > Now)
-    return;
-  suspect &Suspect = Found->second;
-  if (Suspect.OtherDeaths == 0) {
-    Suspects.erase(Found);
-    return;
-  }
-  Suspect.Cleared = true;
-  Suspect.DeadTargets.clear();
-  Suspect.DiedAlone = false;
+bool quarantine::lost(attempt_id Attempt, steady_time Now) {
+  const auto Found = Attempts.find(Attempt);
+  if (Found == Attempts.end())
+    return false;
+  Found->second.LostAt = Now;
+  Lost.push_back({Attempt, Now});
+  const target_start Target = Found->second.Target;
+  const auto Death = Deaths.find(Target);
+  if (Death == Deaths.end())
+    return false;
+  chargeLostOn(Target, Death->second, Now);
+  return true;
 }
 
-std::vector<request_fingerprint>
-quarantine::endAttemptsOn(target_handle Target) {
-  std::vector<request_fingerprint> Fingerprints;
-  const auto Found = AttemptsByTarget.find(Target.Index);
-  if (Found == AttemptsByTarget.end())
-    return Fingerprints;
-  const std::vector<attempt_id> Ids = Found->second;
-  for (attempt_id Id : Ids) {
-    Fingerprints.push_back(Attempts.at(Id).Fingerprint);
-    ended(Id);
-  }
-  std::sort(Fingerprints.begin(), Fingerprints.end());
-  Fingerprints.erase(std::unique(Fingerprints.begin(), Fingerprints.end()),
-                     Fingerprints.end());
-  return Fingerprints;
+bool quarantine::isInDoubt(target_start Target) const {
+  const auto Found = AttemptsByTarget.find(Target);
+  return Found != AttemptsByTarget.end() &&
+         std::any_of(
+             Found->second.begin(), Found->second.end(),
+             [&](attempt_id Id) { return Attempts.at(Id).LostAt.has_value(); });
 }
 
 void quarantine::forgetExpired(steady_time Now) {
-  std::erase_if(Suspects,
-                [Now](const auto &Row) { return Row.second.ForgetAt <= Now; });
+  std::erase_if(Suspects, [&](const auto &Row) {
+    return forgetAt(Row.first, Row.second.Evidence) <= Now;
+  });
+  std::erase_if(Deaths, [&](const auto &Row) {
+    return Row.second + Settings.DoubtTime <= Now;
+  });
+  while (!Lost.empty() && Lost.front().At + Settings.DoubtTime <= Now) {
+    ended(Lost.front().Id);
+    Lost.pop_front();
+  }
 }
 
+/// Makes room by the row that is farthest from a quarantine.
 void quarantine::makeRoom(steady_time Now) {
   forgetExpired(Now);
   if (Suspects.size() < Settings.MaxSuspects)
     return;
-  auto Oldest = Suspects.end();
-  for (auto Row = Suspects.begin(); Row != Suspects.end(); ++Row) {
-    if (Row->second.QuarantinedUntil > Now)
-      continue;
-    if (Oldest == Suspects.end() ||
-        Row->second.ForgetAt < Oldest->second.ForgetAt)
-      Oldest = Row;
-  }
-  if (Oldest != Suspects.end())
-    Suspects.erase(Oldest);
+  const auto Weight = [](const suspect &Row) {
+    return std::make_pair(Row.Evidence.rounds(), Row.Evidence.lastChange());
+  };
+  const auto Least =
+      std::min_element(Suspects.begin(), Suspects.end(),
+                       [&](const auto &One, const auto &Other) {
+                         return Weight(One.second) < Weight(Other.second);
+                       });
+  if (Least->second.Evidence.rounds() <= 1)
+    Suspects.erase(Least);
 }
 
 quarantine::suspect *quarantine::suspectFor(request_fingerprint Fingerprint,
                                             steady_time Now) {
   const auto Found = Suspects.find(Fingerprint);
   if (Found != Suspects.end()) {
-    if (Found->second.ForgetAt <= Now)
+    if (forgetAt(Fingerprint, Found->second.Evidence) <= Now)
       Found->second = {};
     return &Found->second;
   }
   makeRoom(Now);
   if (Suspects.size() >= Settings.MaxSuspects)
     return nullptr;
-  return &Suspects[Fingerprint];
-}
-
-void quarantine::accuse(suspect &Suspect, target_handle Target, bool Alone,
-                        steady_time Now) const {
-  if (Suspect.Cleared) {
-    Suspect.Cleared = false;
-    Suspect.OtherDeaths = 0;
-  }
-  if (!contains(Suspect.DeadTargets, Target) &&
-      Suspect.DeadTargets.size() < Settings.DeathsInCompany)
-    Suspect.DeadTargets.push_back(Target);
-  Suspect.DiedAlone = Suspect.DiedAlone || Alone;
-  Suspect.ForgetAt = std::max(Suspect.ForgetAt, Now + Settings.SuspectTime);
+  suspect &Suspect = Suspects[Fingerprint];
+  const success &Success = Successes[Fingerprint % SuccessRows];
+  if (Success.Fingerprint == Fingerprint && Success.At != steady_time())
+    Suspect.Evidence.succeeded(Success.At);
+  return &Suspect;
 }
 
-std::size_t quarantine::mostDeathsBeside(
-    request_fingerprint Fingerprint,
-    const std::vector<request_fingerprint> &All) const {
-  std::size_t Most = 0;
-  for (request_fingerprint Other : All) {
-    const auto Found = Suspects.find(Other);
-    if (Other != Fingerprint && Found != Suspects.end())
-      Most = std::max(Most, Found->second.DeadTargets.size());
-  }
-  return Most;
+void quarantine::charge(const attempt &Attempt, bool Alone, steady_time Now) {
+  suspect *Suspect = suspectFor(Attempt.Fingerprint, Now);
+  if (Suspect == nullptr)
+    return;
+  const crash Crash{Attempt.Target, Attempt.SentAt,
+                    Attempt.LostAt.value_or(Now), Alone, true};
+  if (Suspect->Evidence.add(Crash))
+    Suspect->Seen = true;
 }
 
-bool quarantine::isGuilty(const suspect &Suspect,
-                          std::size_t MostBeside) const {
-  const std::size_t Deaths = Suspect.DeadTargets.size();
-  if (Suspect.DiedAlone)
-    return Deaths + Suspect.OtherDeaths >= Settings.DeathsWhenAlone;
-  return Deaths >= Settings.DeathsInCompany && Deaths > MostBeside;
+void quarantine::noteDeath(target_start Target, steady_time At) {
+  const auto [Row, IsNew] = Deaths.emplace(Target, At);
+  if (!IsNew)
+    Row->second = std::min(Row->second, At);
 }
 
-void quarantine::sentence(suspect &Suspect, steady_time Now) const {
-  const std::uint32_t Doublings = std::min(Suspect.Quarantines, MaxDoublings);
-  const milliseconds Time = std::min<milliseconds>(
-      Settings.MinQuarantine * (1 << Doublings), Settings.MaxQuarantine);
-  ++Suspect.Quarantines;
-  Suspect.QuarantinedUntil = std::max(Suspect.QuarantinedUntil, Now + Time);
-  Suspect.OwnUntil = Now + Time;
-  Suspect.ForgetAt = Suspect.QuarantinedUntil + Settings.SuspectTime;
-  // One more death alone after the quarantine is enough for the next.
-  Suspect.DeadTargets.clear();
-  Suspect.DiedAlone = false;
-  Suspect.OtherDeaths = Settings.DeathsWhenAlone - 1;
+std::vector<request_fingerprint> quarantine::targetDied(target_start Target,
+                                                        steady_time Now) {
+  noteDeath(Target, Now);
+  return endAttemptsOn(Target, Now);
 }
 
-std::vector<request_fingerprint> quarantine::targetDied(target_handle Target,
-                                                        steady_time Now) {
-  const std::vector<request_fingerprint> All = endAttemptsOn(Target);
-  for (request_fingerprint Fingerprint : All)
-    if (suspect *Suspect = suspectFor(Fingerprint, Now))
-      accuse(*Suspect, Target, All.size() == 1, Now);
+std::vector<request_fingerprint> quarantine::endAttemptsOn(target_start Target,
+                                                           steady_time Now) {
+  const auto OnTarget = AttemptsByTarget.find(Target);
+  if (OnTarget == AttemptsByTarget.end())
+    return {};
+  const std::vector<attempt_id> Ids = OnTarget->second;
+  std::map<request_fingerprint, bool> Before;
+  std::vector<attempt> Ended;
+  for (const attempt_id Id : Ids) {
+    Ended.push_back(Attempts.at(Id));
+    Before.emplace(Ended.back().Fingerprint,
+                   isQuarantined(Ended.back().Fingerprint, Now));
+    ended(Id);
+  }
+  for (const attempt &Row : Ended)
+    charge(Row, Before.size() == 1, Now);
   std::vector<request_fingerprint> Guilty;
-  for (request_fingerprint Fingerprint : All) {
-    const auto Found = Suspects.find(Fingerprint);
-    if (Found != Suspects.end() && Found->second.QuarantinedUntil <= Now &&
-        isGuilty(Found->second, mostDeathsBeside(Fingerprint, All)))
+  for (const auto &[Fingerprint, Was] : Before)
+    if (!Was && isQuarantined(Fingerprint, Now))
       Guilty.push_back(Fingerprint);
-  }
-  for (request_fingerprint Fingerprint : Guilty)
-    sentence(Suspects.at(Fingerprint), Now);
   return Guilty;
 }
 
-std::vector<quarantine_notice> quarantine::notices(std::size_t Limit,
-                                                   steady_time Now) {
-  forgetExpired(Now);
-  std::vector<quarantine_notice> Notices;
-  for (const auto &[Fingerprint, Suspect] : Suspects)
-    if (Suspect.OwnUntil > Now && Notices.size() < Limit)
-      Notices.push_back({Fingerprint, leftUntil(Suspect.OwnUntil, Now),
-                         Settings.DeathsWhenAlone});
-  for (const auto &[Fingerprint, Suspect] : Suspects)
-    if (Suspect.OwnUntil <= Now && !Suspect.Cleared &&
-        !Suspect.DeadTargets.empty() && Notices.size() < Limit)
-      Notices.push_back({Fingerprint, leftUntil(Suspect.ForgetAt, Now), 1});
-  return Notices;
-}
-
-void quarantine::merge(const quarantine_notice &Notice, steady_time Now) {
-  const milliseconds Left = std::min(Notice.Remaining, Settings.MaxQuarantine);
-  if (Left <= milliseconds(0) || Notice.Deaths == 0)
+/// Attempts that still run on the target will be lost, or will clear it.
+void quarantine::chargeLostOn(target_start Target, steady_time DiedAt,
+                              steady_time Now) {
+  const auto OnTarget = AttemptsByTarget.find(Target);
+  if (OnTarget == AttemptsByTarget.end())
     return;
-  suspect *Suspect = suspectFor(Notice.Fingerprint, Now);
-  if (Suspect == nullptr)
-    return;
-  const bool Convicts = Notice.Deaths >= Settings.DeathsWhenAlone;
-  if (Suspect->Cleared && !Convicts)
-    return;
-  Suspect->Cleared = false;
-  Suspect->OtherDeaths =
-      std::max(Suspect->OtherDeaths,
-               std::min(Notice.Deaths, Settings.DeathsWhenAlone - 1));
-  if (Convicts)
-    Suspect->QuarantinedUntil = std::max(Suspect->QuarantinedUntil, Now + Left);
-  Suspect->ForgetAt = std::max(
-      Suspect->ForgetAt,
-      Convicts ? Suspect->QuarantinedUntil + Settings.SuspectTime : Now + Left);
+  std::vector<attempt> Ended;
+  const std::vector<attempt_id> Ids = OnTarget->second;
+  for (const attempt_id Id : Ids) {
+    attempt Row = Attempts.at(Id);
+    if (!Row.LostAt)
+      continue;
+    Row.LostAt = std::min(*Row.LostAt, DiedAt);
+    ended(Id);
+    // What was sent later found the target dead.
+    if (Row.SentAt <= DiedAt)
+      Ended.push_back(Row);
+  }
+  for (const attempt &Row : Ended)
+    charge(Row, false, Now);
 }
 
 std::size_t quarantine::quarantined(steady_time Now) const {
   return static_cast<std::size_t>(
-      std::count_if(Suspects.begin(), Suspects.end(), [Now](const auto &Row) {
-        return Row.second.QuarantinedUntil > Now;
+      std::count_if(Suspects.begin(), Suspects.end(), [&](const auto &Row) {
+        return quarantinedUntil(Row.first, Row.second.Evidence) > Now;
       }));
 }
 
--- a/packages/coordination/tests/crashfleet.h
+++ b/packages/coordination/tests/crashfleet.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace magnoliaspread {
@@ -21,7 +22,8 @@
   std::uint64_t Seed = 1;
   /// Part of the messages between instances that is lost.
   double Loss = 0;
-  /// The first instance that refuses the request by its own evidence is killed.
+  /// The first instance that refuses the request by its own evidence is killed
+  /// soon after.
   bool KillsFirst = false;
   /// Single targets die every two seconds, and many at once at one moment.
   bool OtherDeaths = false;
@@ -56,10 +58,12 @@
       Clock.advance(Step);
       deliver();
       restartDue();
+      killDue();
       if (Plan.OtherDeaths)
         dieOtherwise();
       progress();
       arrive();
+      greet();
       tell();
     }
     return Outcome;
@@ -71,8 +75,13 @@
   static constexpr milliseconds Step{10};
   static constexpr milliseconds TargetDownTime{3000};
   static constexpr milliseconds InstanceDownTime{2000};
+  /// From its first refusal by own evidence to its end.
+  static constexpr milliseconds KillDelay{100};
+  /// From a start until peers know of it, and until callers come.
+  static constexpr milliseconds JoinTime{500};
+  static constexpr milliseconds StartTime{1000};
   static constexpr milliseconds LargestDelay{60};
-  static constexpr milliseconds TellPeriod{1000};
+  static constexpr milliseconds TellPeriod{50};
   static constexpr milliseconds OtherDeathPeriod{2000};
   /// From the start; a sixth of the targets.
   static constexpr milliseconds ManyDeathsAt{1500};
@@ -85,6 +94,9 @@
     std::unique_ptr<quarantine> Quarantine;
     std::optional<steady_time> DownUntil;
     steady_time NextTell;
+    /// Callers come from then on.
+    steady_time TakesFrom;
+    std::optional<steady_time> KnownAt;
   };
 
   struct target {
@@ -103,7 +115,7 @@
   struct message {
     steady_time At;
     std::size_t To = 0;
-    quarantine_notice Notice;
+    quarantine_news News;
   };
 
   std::size_t below(std::size_t Limit) { return Random() % Limit; }
@@ -115,15 +127,19 @@
     quarantine_settings Settings;
     Settings.DeathsWhenAlone = 3;
     Settings.DeathsInCompany = 3;
+    Settings.Seed = Random();
     Row.Quarantine = std::make_unique<quarantine>(Settings);
     Row.DownUntil.reset();
-    Row.NextTell = Clock.now() + milliseconds(below(1000));
+    Row.NextTell = Clock.now() + milliseconds(below(TellPeriod.count()));
   }
 
   void restartDue() {
     for (instance &Row : Instances)
-      if (Row.DownUntil && *Row.DownUntil <= Clock.now())
+      if (Row.DownUntil && *Row.DownUntil <= Clock.now()) {
         restart(Row);
+        Row.KnownAt = Clock.now() + JoinTime;
+        Row.TakesFrom = Clock.now() + StartTime;
+      }
     for (target &Row : Targets)
       if (Row.DownUntil && *Row.DownUntil <= Clock.now()) {
         Row.DownUntil.reset();
@@ -132,16 +148,23 @@
   }
 
   /// Any that is up; with all down there is no model left.
-  template <class Rows> std::size_t anyUp(const Rows &From) {
+  std::size_t anyTarget() {
+    for (;;)
+      if (const std::size_t I = below(Targets.size()); !Targets[I].DownUntil)
+        return I;
+  }
+
+  std::size_t anyInstance() {
     for (;;)
-      if (const std::size_t I = below(From.size()); !From[I].DownUntil)
+      if (const std::size_t I = below(Instances.size());
+          !Instances[I].DownUntil && Clock.now() >= Instances[I].TakesFrom)
         return I;
   }
 
   void arrive() {
     const auto Since = Clock.now() - Begin;
     if (Since % Plan.CrashEvery < Step)
-      send(Crashing, anyUp(Instances), 1);
+      send(Crashing, anyInstance(), 1);
     // Whole requests a step, the rest by chance.
     const double Rate =
         static_cast<double>(RequestsPerInstance * Instances.size()) *
@@ -150,7 +173,7 @@
     Count += chance(Rate - static_cast<double>(Count));
     Outcome.Arrived += static_cast<int>(Count);
     for (std::size_t I = 0; I < Count; ++I)
-      send(chance(0.1) ? Popular : ++LastRare, anyUp(Instances), 1);
+      send(chance(0.1) ? Popular : ++LastRare, anyInstance(), 1);
   }
 
   void send(request_fingerprint Fingerprint, std::size_t By, int Sends) {
@@ -160,18 +183,19 @@
       Outcome.InnocentsRefused += Fingerprint != Crashing;
       return;
     }
-    const std::size_t To = anyUp(Targets);
+    const std::size_t To = anyTarget();
     const milliseconds Work(Fingerprint == Crashing ? 20 : 200 + below(200));
     Running.emplace(++LastAttempt,
                     running{Fingerprint, By, To, Sends, Clock.now() + Work});
-    Quarantine.started(LastAttempt, Fingerprint, startOf(To));
+    Quarantine.started(LastAttempt, Fingerprint, startOf(To), Clock.now());
     if (Fingerprint == Crashing && ThirdCrash &&
         Clock.now() > *ThirdCrash + CrashNewsTime)
       ++Outcome.LateRuns;
   }
 
-  target_handle startOf(std::size_t Target) const {
-    return handleAt<target_handle>(Target);
+  target_start startOf(std::size_t Target) const {
+    return targetStart(std::to_string(Target),
+                       static_cast<std::int64_t>(Targets[Target].Starts));
   }
 
   void progress() {
@@ -186,7 +210,7 @@
       if (Found->second.Fingerprint == Crashing) {
         if (++Outcome.Crashes == 3)
           ThirdCrash = Clock.now();
-        die(Found->second.Target);
+        die({Found->second.Target});
         continue;
       }
       Instances[Found->second.Instance].Quarantine->succeeded(Id, Clock.now());
@@ -197,37 +221,39 @@
 
   void dieOtherwise() {
     const auto Since = Clock.now() - Begin;
+    std::set<std::size_t> Dying;
     if (Since % OtherDeathPeriod < Step)
-      die(anyUp(Targets));
+      Dying.insert(anyTarget());
     if (Since >= ManyDeathsAt && Since < ManyDeathsAt + Step)
       for (std::size_t I = 0; I < Targets.size() / 6; ++I)
-        die(anyUp(Targets));
+        Dying.insert(anyTarget());
+    die(Dying);
   }
 
   /// Each instance with a request there notices, and repeats it elsewhere.
-  void die(std::size_t Target) {
-    Targets[Target].DownUntil = Clock.now() + TargetDownTime;
+  void die(const std::set<std::size_t> &Dying) {
+    std::map<std::size_t, std::set<std::size_t>> NoticedBy;
     std::vector<running> Lost;
     for (auto Row = Running.begin(); Row != Running.end();) {
-      if (Row->second.Target != Target) {
+      if (!Dying.contains(Row->second.Target)) {
         ++Row;
         continue;
       }
+      NoticedBy[Row->second.Instance].insert(Row->second.Target);
       Lost.push_back(Row->second);
       Row = Running.erase(Row);
     }
-    std::set<std::size_t> By;
-    for (const running &Row : Lost)
-      By.insert(Row.Instance);
-    for (const std::size_t Instance : By) {
-      const auto Guilty = Instances[Instance].Quarantine->targetDied(
-          startOf(Target), Clock.now());
-      if (Plan.KillsFirst && !Guilty.empty() && !Killed)
-        kill(Instance);
-    }
+    for (const auto &[Instance, Noticed] : NoticedBy)
+      for (const std::size_t Target : Noticed) {
+        const auto Guilty = Instances[Instance].Quarantine->targetDied(
+            startOf(Target), Clock.now());
+        if (Plan.KillsFirst && !Guilty.empty() && !ToKill)
+          ToKill = {Instance, Clock.now() + KillDelay};
+      }
+    for (const std::size_t Target : Dying)
+      Targets[Target].DownUntil = Clock.now() + TargetDownTime;
     for (const running &Row : Lost)
-      if (Row.Sends < sendsOf(Row.Fingerprint) &&
-          !Instances[Row.Instance].DownUntil)
+      if (Row.Sends < sendsOf(Row.Fingerprint))
         send(Row.Fingerprint, Row.Instance, Row.Sends + 1);
   }
 
@@ -235,29 +261,47 @@
     return Fingerprint == Crashing ? Plan.CrashSends : MaxSends;
   }
 
-  void kill(std::size_t Instance) {
-    if (Instances.size() == 1)
+  void killDue() {
+    if (!ToKill || Killed || Clock.now() < ToKill->second ||
+        Instances.size() == 1)
       return;
     Killed = true;
-    Instances[Instance].DownUntil = Clock.now() + InstanceDownTime;
+    Instances[ToKill->first].DownUntil = Clock.now() + InstanceDownTime;
     std::erase_if(Running, [&](const auto &Row) {
-      return Row.second.Instance == Instance;
+      return Row.second.Instance == ToKill->first;
     });
   }
 
+  void post(std::size_t To, quarantine_news News) {
+    if (!chance(Plan.Loss))
+      Messages.push_back(
+          {Clock.now() + milliseconds(1 + below(LargestDelay.count())), To,
+           std::move(News)});
+  }
+
+  /// Each peer tells an instance that has started what it should know.
+  void greet() {
+    for (std::size_t To = 0; To < Instances.size(); ++To) {
+      if (!Instances[To].KnownAt || Clock.now() < *Instances[To].KnownAt)
+        continue;
+      Instances[To].KnownAt.reset();
+      for (std::size_t From = 0; From < Instances.size(); ++From)
+        if (From != To && !Instances[From].DownUntil)
+          post(To, Instances[From].Quarantine->current(Clock.now()));
+    }
+  }
+
   void tell() {
     for (std::size_t From = 0; From < Instances.size(); ++From) {
       instance &Row = Instances[From];
       if (Row.DownUntil || Clock.now() < Row.NextTell)
         continue;
       Row.NextTell = Clock.now() + TellPeriod;
-      for (const quarantine_notice &Notice :
-           Row.Quarantine->notices(8, Clock.now()))
-        for (std::size_t To = 0; To < Instances.size(); ++To)
-          if (To != From && !chance(Plan.Loss))
-            Messages.push_back(
-                {Clock.now() + milliseconds(1 + below(LargestDelay.count())),
-                 To, Notice});
+      // The places of the list leave out the instance itself.
+      for (const quarantine_telling &Telling :
+           Row.Quarantine->tell(Instances.size() - 1, Clock.now()))
+        for (const std::size_t To : Telling.To)
+          post(To < From ? To : To + 1, Telling.News);
     }
   }
 
@@ -267,7 +311,7 @@
       if (Row.At > Clock.now())
         Later.push_back(Row);
       else if (!Instances[Row.To].DownUntil)
-        Instances[Row.To].Quarantine->merge(Row.Notice, Clock.now());
+        Instances[Row.To].Quarantine->merge(Row.News, Clock.now());
     }
     Messages = std::move(Later);
   }
@@ -282,6 +326,7 @@
   std::deque<message> Messages;
   attempt_id LastAttempt = 0;
   request_fingerprint LastRare = 1000;
+  std::optional<std::pair<std::size_t, steady_time>> ToKill;
   bool Killed = false;
   std::optional<steady_time> ThirdCrash;
   crash_outcome Outcome;
--- a/packages/coordination/tests/quarantine.cpp
+++ b/packages/coordination/tests/quarantine.cpp
@@ -111,7 +111,7 @@
     const int Ticks = static_cast<int>(1 + below(8));
     Running[++LastAttempt] = {Fingerprint, *Target, Ticks,
                               Where == placement::Alone};
-    Quarantine.started(LastAttempt, Fingerprint, target_handle{*Target});
+    Quarantine.started(LastAttempt, Fingerprint, *Target, Clock.now());
     return true;
   }
 
@@ -150,7 +150,7 @@
       Row = Running.erase(Row);
     }
     const std::vector<request_fingerprint> Guilty =
-        Quarantine.targetDied(target_handle{Target}, Clock.now());
+        Quarantine.targetDied(Target, Clock.now());
     if (!Simple)
       Condemned.insert(Guilty.begin(), Guilty.end());
   }
@@ -168,8 +168,8 @@
 struct quarantine_fixture {
   /// One attempt in flight on a target that then dies.
   bool dies(request_fingerprint Fingerprint, std::uint16_t Target) {
-    Quarantine.started(++LastAttempt, Fingerprint, target_handle{Target});
-    return !Quarantine.targetDied(target_handle{Target}, Clock.now()).empty();
+    Quarantine.started(++LastAttempt, Fingerprint, Target, Clock.now());
+    return !Quarantine.targetDied(Target, Clock.now()).empty();
   }
 
   placement placeOf(request_fingerprint Fingerprint) {
@@ -220,7 +220,7 @@
   });
   section("only so many suspects run alone at once", [&] {
     CPPUNIT_ASSERT(!Fixture.dies(6, 1));
-    Fixture.Quarantine.started(100, 6, target_handle{2});
+    Fixture.Quarantine.started(100, 6, 2, Fixture.Clock.now());
     CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Later);
     CPPUNIT_ASSERT(Fixture.placeOf(6) == placement::Later);
   });
@@ -248,48 +248,151 @@
   section("in the end it is forgotten", [&] {
     Fixture.Clock.advance(120s + 120s);
     CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Any);
-    Fixture.Quarantine.notices(1, Fixture.Clock.now());
+    Fixture.Quarantine.tell(1, Fixture.Clock.now());
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture.Quarantine.suspects());
   });
 }
 
-STORY(quarantine_notices) {
+STORY(quarantine_news_between_instances) {
   quarantine_fixture First;
   quarantine_fixture Second;
-  const auto Tell = [&] {
-    for (const quarantine_notice &Notice :
-         First.Quarantine.notices(10, First.Clock.now()))
-      Second.Quarantine.merge(Notice, Second.Clock.now());
+  const auto Tell = [](quarantine_fixture &From, quarantine_fixture &To) {
+    From.Clock.advance(1s);
+    To.Clock.advance(1s);
+    for (const quarantine_telling &Telling :
+         From.Quarantine.tell(1, From.Clock.now()))
+      To.Quarantine.merge(Telling.News, To.Clock.now());
   };
 
   section("a suspect of one instance runs alone on the next", [&] {
     First.dies(5, 0);
-    Tell();
-    Tell();
+    const quarantine_news News = First.Quarantine.takeSeen(First.Clock.now());
+    Second.Quarantine.merge(News, Second.Clock.now());
+    Second.Quarantine.merge(News, Second.Clock.now());
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0),
                          Second.Quarantine.quarantined(Second.Clock.now()));
   });
-  section("what succeeded there isn't accused again by an old notice", [&] {
-    Second.Quarantine.started(50, 5, target_handle{1});
+  section("a death that both have seen counts once", [&] {
+    CPPUNIT_ASSERT(!Second.dies(5, 0));
+    Tell(Second, First);
+    CPPUNIT_ASSERT(First.placeOf(5) == placement::Alone);
+  });
+  section("what succeeded there isn't accused again by old news", [&] {
+    Second.Quarantine.started(50, 5, 1, Second.Clock.now());
     Second.Quarantine.succeeded(50, Second.Clock.now());
-    Tell();
+    Second.Quarantine.merge(First.Quarantine.current(First.Clock.now()),
+                            Second.Clock.now());
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Any);
   });
-  section("a quarantine reaches the next instance", [&] {
+  section("but by later deaths, and the quarantine reaches the next", [&] {
+    First.Clock.advance(5s);
+    Second.Clock.advance(5s);
     CPPUNIT_ASSERT(First.dies(5, 1));
-    Tell();
+    Tell(First, Second);
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
+    First.dies(5, 2);
+    Tell(First, Second);
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Quarantined);
   });
-  section("and isn't passed on or kept alive by it", [&] {
-    CPPUNIT_ASSERT(Second.Quarantine.notices(10, Second.Clock.now()).empty());
-    Second.Clock.advance(60s);
+  section("which tells it on, though the first is gone", [&] {
+    quarantine_fixture Third;
+    Tell(Second, Third);
+    CPPUNIT_ASSERT(Third.placeOf(5) == placement::Quarantined);
+  });
+  section("it ends everywhere when it would without being told on", [&] {
+    quarantine_fixture Third;
+    for (int Seconds = 0; Seconds < 62; ++Seconds) {
+      Tell(Second, Third);
+      Tell(Third, Second);
+    }
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
+    CPPUNIT_ASSERT(Third.placeOf(5) == placement::Alone);
+  });
+  section("and is forgotten, though both go on telling", [&] {
+    quarantine_fixture Third;
+    for (int Seconds = 0; Seconds < 70; ++Seconds) {
+      Tell(Second, Third);
+      Tell(Third, Second);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Second.Quarantine.suspects());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Third.Quarantine.suspects());
   });
-  section("the table of suspects is bounded", [&] {
+}
+
+STORY(quarantine_table_is_bounded) {
+  quarantine_fixture Fixture;
+  section("suspects of one death make room for each other", [&] {
     for (std::uint64_t I = 0; I < 5000; ++I)
-      Second.Quarantine.merge({1000 + I, 1000ms, 2}, Second.Clock.now());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(4096), Second.Quarantine.suspects());
+      Fixture.Quarantine.merge(
+          {{{1000 + I, std::nullopt, 1, {{I, 20ms, 10ms, false}}}}},
+          Fixture.Clock.now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4096), Fixture.Quarantine.suspects());
+  });
+  section("one that may soon be refused stays", [&] {
+    Fixture.Clock.advance(5s);
+    Fixture.dies(5, 10001);
+    CPPUNIT_ASSERT(Fixture.dies(5, 10002));
+    Fixture.Clock.advance(5s);
+    for (std::uint64_t I = 0; I < 5000; ++I)
+      Fixture.Quarantine.merge(
+          {{{10000 + I, std::nullopt, 1, {{I, 20ms, 10ms, false}}}}},
+          Fixture.Clock.now());
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Quarantined);
+  });
+}
+
+STORY(innocents_of_a_common_failure) {
+  quarantine_settings Settings;
+  Settings.DeathsWhenAlone = 3;
+  Settings.DeathsInCompany = 3;
+  section("many targets that die at one moment are one death", [&] {
+    quarantine Quarantine(Settings);
+    fake_clock Clock;
+    for (attempt_id Id = 1; Id <= 8; ++Id) {
+      Quarantine.started(Id, 5, Id, Clock.now());
+      Clock.advance(10ms);
+    }
+    for (target_start Target = 1; Target <= 8; ++Target)
+      CPPUNIT_ASSERT(Quarantine.targetDied(Target, Clock.now()).empty());
+  });
+  section("one that died beside the guilty each time is let through", [&] {
+    quarantine Quarantine(Settings);
+    fake_clock Clock;
+    attempt_id Last = 0;
+    const auto Die = [&](target_start Target, bool Beside) {
+      Quarantine.started(++Last, 5, Target, Clock.now());
+      if (Beside)
+        Quarantine.started(++Last, 6, Target, Clock.now());
+      Clock.advance(1s);
+      return Quarantine.targetDied(Target, Clock.now());
+    };
+    Die(1, false);
+    Die(2, true);
+    Die(3, true);
+    const std::vector<request_fingerprint> Guilty = Die(4, true);
+    CPPUNIT_ASSERT(Guilty.empty());
+    CPPUNIT_ASSERT(Quarantine.place(5, Clock.now()).Placement ==
+                   placement::Quarantined);
+    CPPUNIT_ASSERT(Quarantine.place(6, Clock.now()).Placement !=
+                   placement::Quarantined);
+  });
+  section("a success clears it everywhere", [&] {
+    quarantine Here(Settings);
+    quarantine There(Settings);
+    fake_clock Clock;
+    for (target_start Target = 1; Target <= 3; ++Target) {
+      Here.started(Target, 5, Target, Clock.now());
+      Clock.advance(1s);
+      Here.targetDied(Target, Clock.now());
+    }
+    There.merge(Here.takeSeen(Clock.now()), Clock.now());
+    CPPUNIT_ASSERT(There.place(5, Clock.now()).Placement ==
+                   placement::Quarantined);
+    Clock.advance(100ms);
+    There.clear(5, Clock.now());
+    Here.merge(There.takeSeen(Clock.now()), Clock.now());
+    CPPUNIT_ASSERT(Here.place(5, Clock.now()).Placement == placement::Any);
   });
 }
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -240,8 +240,8 @@
   const auto Row = Members.members().findIncarnation(Sender);
   if (!Row)
     return;
-  if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
-    return Traffic.deliver(*Notice);
+  if (const auto *News = std::get_if<quarantine_news>(&Message))
+    return Traffic.deliver(*News);
   if (const auto *Credit = std::get_if<credit_message>(&Message))
     return Traffic.deliver({Row->Identity.Name, *Credit});
 }
@@ -252,10 +252,13 @@
     if (Peer)
       Datagrams.send({Peer->Identity.Internal}, Row.Message);
   }
-  for (const quarantine_notice &Notice : Frame.Notices)
-    Datagrams.send(everyPeer(), Notice);
+  if (!Frame.Crashes.Suspects.empty()) {
+    Datagrams.send(everyPeer(), Frame.Crashes);
+    // The other threads here are peers too.
+    Traffic.deliver(Frame.Crashes);
+  }
   Frame.Credits.clear();
-  Frame.Notices.clear();
+  Frame.Crashes.Suspects.clear();
   Frames[Frame.Thread] = std::move(Frame);
 }
 
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -109,6 +109,8 @@
   void takeSnapshot(const endpoint_address &Peer, boot_time AskedAt,
                     const result<std::string> &Fetched);
   admin_answer snapshotPage() const;
+  void tellCrashes();
+  void greet(const std::vector<endpoint_address> &Started);
   void tellObjects(steady_time Now);
   std::vector<endpoint_address> newsReceivers() const;
   void beginDrain();
@@ -154,6 +156,8 @@
   /// Live instances of all data centres, without this one.
   std::vector<member_row> Peers;
   std::size_t PeersSeen = 0;
+  /// Incarnations of Peers.
+  std::set<std::uint64_t> PeersKnown;
   load_summary Load;
   std::uint64_t RequestsSeen = 0;
   std::size_t Regions = 1;
@@ -456,8 +460,16 @@
       if (Row.Identity.Name != Settings.Name)
         Peers.push_back(Row);
   std::set<std::string> Names;
-  for (const member_row &Row : Peers)
+  std::set<std::uint64_t> Incarnations;
+  std::vector<endpoint_address> Started;
+  for (const member_row &Row : Peers) {
     Names.insert(Row.Identity.Name);
+    Incarnations.insert(Row.Identity.Incarnation);
+    if (!PeersKnown.contains(Row.Identity.Incarnation))
+      Started.push_back(Row.Identity.Internal);
+  }
+  PeersKnown = std::move(Incarnations);
+  greet(Started);
   if (Names.size() != PeersSeen) {
     PeersSeen = Names.size();
     logEvent(log_level::Info, "peers_changed", {{"alive", PeersSeen}});
@@ -515,8 +527,8 @@
   }
   if (const auto *Reply = std::get_if<view_reply>(&Message))
     return takeView(Datagram.Sender, *Reply);
-  if (const auto *Notice = std::get_if<quarantine_notice>(&Message))
-    Gate.receive(*Notice);
+  if (const auto *Crashes = std::get_if<quarantine_news>(&Message))
+    Gate.receive(*Crashes);
 }
 
 void gateway::takeView(std::uint64_t Sender, const view_reply &Reply) {
@@ -636,9 +648,7 @@
     Gate.acceptCallers();
   }
   Gate.tick();
-  for (const quarantine_notice &Notice : Gate.notices())
-    for (const member_row &Row : Peers)
-      Datagrams.send({Row.Identity.Internal}, Notice);
+  tellCrashes();
   tellObjects(Now);
   if (Now >= NextMeasure)
     measure(Now);
@@ -654,6 +664,22 @@
   });
 }
 
+void gateway::tellCrashes() {
+  for (const quarantine_telling &Telling : Gate.tellCrashes(Peers.size())) {
+    std::vector<endpoint_address> To;
+    for (const std::size_t Peer : Telling.To)
+      To.push_back(Peers[Peer].Identity.Internal);
+    Datagrams.send(To, Telling.News);
+  }
+}
+
+/// Instances that have started know of no request to refuse.
+void gateway::greet(const std::vector<endpoint_address> &Started) {
+  const quarantine_news News = Gate.currentCrashes();
+  if (!Started.empty() && !News.Suspects.empty())
+    Datagrams.send(Started, News);
+}
+
 /// Objects belong to the callers of one region, so its instances share where
 /// they are warm.
 void gateway::tellObjects(steady_time Now) {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -8,7 +8,7 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
-#include <magnoliaspread/quarantinemsg.h>
+#include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/routes.h>
 #include <magnoliaspread/tokensource.h>
@@ -92,10 +92,12 @@
   /// Closes the public port, and connections that carry no request.
   void stopAccepting();
 
-  /// Takes in a notice of a peer.
-  void receive(const quarantine_notice &Notice);
-  /// Notices for every peer, at most once a second.
-  std::vector<quarantine_notice> notices();
+  /// Takes in what a peer knows of requests that crash targets.
+  void receive(const quarantine_news &News);
+  /// The same from here, for which of \p Peers peers.
+  std::vector<quarantine_telling> tellCrashes(std::size_t Peers);
+  /// The same for a peer that has just started.
+  quarantine_news currentCrashes() const;
 
   /// Takes in where objects are warm by a peer of the region.
   void receive(const object_news &News);
--- a/packages/traffic/include/magnoliaspread/traffic.h
+++ b/packages/traffic/include/magnoliaspread/traffic.h
@@ -40,7 +40,7 @@
 
   /// Hands a peer's message to the threads.
   void deliver(const peer_credit_message &Message);
-  void deliver(const quarantine_notice &Notice);
+  void deliver(const quarantine_news &News);
 
   /// Closes the public port; connections that are open go on. The internal
   /// port stays open, since peers take its refusal for the process's death.
--- a/packages/traffic/include/magnoliaspread/view.h
+++ b/packages/traffic/include/magnoliaspread/view.h
@@ -70,7 +70,7 @@
   /// To be sent to peers.
   std::vector<peer_credit_message> Credits;
   /// To be sent to every instance.
-  std::vector<quarantine_notice> Notices;
+  quarantine_news Crashes;
 };
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/dispatch_p.h
+++ b/packages/traffic/src/dispatch_p.h
@@ -74,7 +74,7 @@
 
   /// Takes in a message of a peer.
   virtual void receive(const peer_credit_message &Message) = 0;
-  virtual void receive(const quarantine_notice &Notice) = 0;
+  virtual void receive(const quarantine_news &News) = 0;
 
   /// Gives the place back.
   virtual void finished(const dispatch_place &Place,
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -15,14 +15,13 @@
 
 /// Pause between two looks at the requests that wait, while any do.
 constexpr milliseconds PollPeriod{15};
-/// A target whose connection broke and that can't be reached in this time has
-/// died.
-constexpr milliseconds DeathWindow{2500};
-constexpr milliseconds NoticePeriod{1000};
-constexpr std::size_t NoticesAtOnce = 8;
 /// Targets that die of a request before it is quarantined (RULES, BUDGET: from
 /// the third crash on).
 constexpr std::uint32_t DeathsToQuarantine = 3;
+/// A request that has killed three targets stays refused for as long as its
+/// callers are likely to repeat it.
+constexpr milliseconds FirstQuarantine = std::chrono::minutes(10);
+constexpr milliseconds LongestQuarantine = std::chrono::hours(1);
 
 silence_settings silence() {
   silence_settings Silence;
@@ -32,10 +31,14 @@
   return Silence;
 }
 
-quarantine_settings quarantineSettings() {
+quarantine_settings quarantineSettings(std::uint64_t Seed) {
   quarantine_settings Quarantine;
   Quarantine.DeathsWhenAlone = DeathsToQuarantine;
   Quarantine.DeathsInCompany = DeathsToQuarantine;
+  Quarantine.MinQuarantine = FirstQuarantine;
+  Quarantine.MaxQuarantine = LongestQuarantine;
+  Quarantine.SuspectTime = FirstQuarantine;
+  Quarantine.Seed = Seed;
   return Quarantine;
 }
 
@@ -58,7 +61,7 @@
                    std::uint64_t Seed)
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
-      Pool(Context, Clock, silence()), Quarantine(quarantineSettings()),
+      Pool(Context, Clock, silence()), Quarantine(quarantineSettings(Seed)),
       RegionNumbers(numberRegions(Settings.Regions)), NextId(Seed),
       Memory(Settings.MaxHeldBytes), Acceptor(Context), PollTimer(Context) {}
 
@@ -194,20 +197,26 @@
   return Route.HomeRegions.empty() ? Other : Homes & Other;
 }
 
-void gate::state::targetDied(target_handle Target) {
-  const std::size_t Before = Quarantine.suspects();
-  const std::vector<request_fingerprint> Guilty =
-      Quarantine.targetDied(Target, Clock.now());
-  const known_target &Row = Targets[Target.Index];
-  if (Quarantine.suspects() != Before || !Guilty.empty())
-    logEvent(log_level::Info, "target_died",
-             {{"target", Row.Name},
-              {"started_at_ms", Row.StartedAtMs},
-              {"source", "connect"},
-              {"suspects", Quarantine.suspects()}});
+void gate::state::targetDied(const known_target &Target,
+                             std::string_view Source) {
+  if (!Quarantine.isInDoubt(Target.Start)) {
+    Quarantine.targetDied(Target.Start, Clock.now());
+    return;
+  }
+  logDeath(Target, Source, Quarantine.targetDied(Target.Start, Clock.now()));
+}
+
+void gate::state::logDeath(
+    const known_target &Target, std::string_view Source,
+    const std::vector<request_fingerprint> &Guilty) const {
+  logEvent(log_level::Info, "target_died",
+           {{"target", Target.Name},
+            {"started_at_ms", Target.StartedAtMs},
+            {"source", Source},
+            {"suspects", Quarantine.suspects()}});
   for (const request_fingerprint Print : Guilty)
     logEvent(log_level::Warning, "request_quarantined",
-             {{"fingerprint", Print}, {"target", Row.Name}});
+             {{"fingerprint", Print}, {"target", Target.Name}});
 }
 
 bool gate::state::keysProved() const {
@@ -328,7 +337,8 @@
     const std::size_t Index = Row.Target.Handle.Index;
     if (Index >= State->Targets.size())
       State->Targets.resize(Index + 1);
-    State->Targets[Index] = {Record.Name, Record.Address, Record.StartedAtMs};
+    State->Targets[Index] = {Record.Name, Record.Address, Record.StartedAtMs,
+                             targetStart(Record.Name, Record.StartedAtMs)};
     if (!Row.Target.Open)
       State->Pool.dropIdle(Record.Address);
     placer_target Target;
@@ -375,15 +385,7 @@
 
 void gate::setLeaving() { State->Leaving = true; }
 
-void gate::tick() {
-  const steady_time Now = State->Clock.now();
-  State->Tokens.tick();
-  while (!State->Broken.empty() &&
-         Now - State->Broken.front().Since >= DeathWindow) {
-    State->Quarantine.ended(State->Broken.front().Id);
-    State->Broken.pop_front();
-  }
-}
+void gate::tick() { State->Tokens.tick(); }
 
 void gate::stopAccepting() {
   error_code Ignored;
@@ -392,22 +394,21 @@
     Socket->cancel(Ignored);
 }
 
-void gate::receive(const quarantine_notice &Notice) {
+void gate::receive(const quarantine_news &News) {
   const steady_time Now = State->Clock.now();
-  const std::size_t Before = State->Quarantine.quarantined(Now);
-  State->Quarantine.merge(Notice, Now);
-  if (State->Quarantine.quarantined(Now) > Before)
+  for (const request_fingerprint Print : State->Quarantine.merge(News, Now))
     logEvent(log_level::Warning, "quarantine_learned",
-             {{"fingerprint", Notice.Fingerprint},
-              {"remaining_ms", Notice.Remaining.count()}});
+             {{"fingerprint", Print},
+              {"refuse_ms",
+               State->Quarantine.place(Print, Now).RetryAfter.count()}});
 }
 
-std::vector<quarantine_notice> gate::notices() {
-  const steady_time Now = State->Clock.now();
-  if (Now < State->NextNotices)
-    return {};
-  State->NextNotices = Now + NoticePeriod;
-  return State->Quarantine.notices(NoticesAtOnce, Now);
+std::vector<quarantine_telling> gate::tellCrashes(std::size_t Peers) {
+  return State->Quarantine.tell(Peers, State->Clock.now());
+}
+
+quarantine_news gate::currentCrashes() const {
+  return State->Quarantine.current(State->Clock.now());
 }
 
 void gate::receive(const object_news &News) {
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -15,9 +15,9 @@
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/shift.h>
 
-#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace magnoliaspread {
@@ -35,17 +35,18 @@
   request_fingerprint Fingerprint = 0;
 };
 
-/// An attempt whose connection broke; its target may turn out to have died.
-struct broken_attempt {
-  attempt_id Id = 0;
-  steady_time Since;
-};
-
 struct gate::state {
   state(asio::io_context &Context, const gate_settings &Settings,
         const clock &Clock, const gate_dialect &Dialect, token_source &Tokens,
         instance_metrics &Metrics, std::uint64_t Seed);
 
+  struct known_target {
+    std::string Name;
+    endpoint_address Address;
+    std::int64_t StartedAtMs = 0;
+    target_start Start = 0;
+  };
+
   asio::awaitable<void> pollWaiting();
 
   /// Checks route, key and homes; nothing is sent or counted yet.
@@ -54,8 +55,10 @@
   asio::awaitable<result<target_handle>> place(const place_request &Request);
   void wakePlaced();
   void finished(const target_end &End);
-  /// No connection to a target: it may have died of what it ran.
-  void targetDied(target_handle Target);
+  /// The target's process is gone; it may have died of what it ran.
+  void targetDied(const known_target &Target, std::string_view Source);
+  void logDeath(const known_target &Target, std::string_view Source,
+                const std::vector<request_fingerprint> &Guilty) const;
   /// The target has said that it leaves; no effect when that is known.
   void targetLeaves(target_handle Target, const std::string &RequestId);
   bool takeRetry(const std::string &Service);
@@ -71,12 +74,6 @@
     std::optional<placement_verdict> Verdict;
   };
 
-  struct known_target {
-    std::string Name;
-    endpoint_address Address;
-    std::int64_t StartedAtMs = 0;
-  };
-
   struct retry_account {
     double Tokens = 0;
   };
@@ -102,14 +99,12 @@
   name_map<retry_account> Retries;
   /// Draws by route, to follow the weights of its parts.
   name_map<even_draw> Draws;
-  std::deque<broken_attempt> Broken;
   std::map<std::uint64_t, tcp::socket *> IdleCallers;
   std::uint64_t NextId = 0;
   std::size_t InFlight = 0;
   std::uint64_t Requests = 0;
   std::size_t Connections = 0;
   memory_account Memory;
-  steady_time NextNotices;
   tcp::acceptor Acceptor;
   asio::steady_timer PollTimer;
   bool Polling = false;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -72,8 +72,10 @@
   target_call callFor(const gate_request &Request, const whole_request &Message,
                       const request_outcome &Outcome) const;
   void giveBack(target_handle Target, upstream_ptr Connection);
-  void noteBroken(const gate_request &Request, target_handle Target,
-                  attempt_id Attempt, std::string_view Detail);
+  void endAttempt(const gate_request &Request, target_handle Target,
+                  attempt_id Attempt, const call_result &Result);
+  bool refuseQuarantined(const gate_request &Request,
+                         request_outcome &Outcome) const;
   bool take(gate_request &Request, target_handle Target, call_result Result,
             std::chrono::nanoseconds Took, request_outcome &Outcome);
   std::optional<target_handle> leaveSilent(const gate_request &Request,
@@ -231,7 +233,8 @@
   if (!Outcome.MayHaveRun)
     Outcome.Error = errorOf(Fresh);
   State.finished({Target, 0, 0, target_result::Unreachable, {}, {}, {}});
-  State.targetDied(Target);
+  if (errorOf(Fresh).Kind == error_kind::TargetDown)
+    State.targetDied(State.Targets[Target.Index], "connection refused");
   co_return nullptr;
 }
 
@@ -357,15 +360,47 @@
   return Call;
 }
 
-/// Keeps the attempt in mind: its target may turn out to have died of it.
-void gate_session::noteBroken(const gate_request &Wanted, target_handle Target,
-                              attempt_id Attempt, std::string_view Detail) {
-  State.Broken.push_back({Attempt, State.Clock.now()});
-  logEvent(log_level::Info, "attempt_broken",
+/// Tells the quarantine how an attempt ended. One without an answer may have
+/// killed its target.
+void gate_session::endAttempt(const gate_request &Wanted, target_handle Target,
+                              attempt_id Attempt, const call_result &Result) {
+  switch (Result.End) {
+  case call_end::Answered:
+    State.Quarantine.ended(Attempt);
+    // An error may come from a target that refuses all work.
+    if (http::to_status_class(Result.Answer.result()) !=
+        http::status_class::server_error)
+      State.Quarantine.clear(Wanted.Fingerprint, State.Clock.now());
+    return;
+  case call_end::Misdirected:
+  case call_end::NotRun:
+  case call_end::CallerGone:
+    return State.Quarantine.ended(Attempt);
+  case call_end::Broken:
+  case call_end::Silent:
+  case call_end::DeadlinePassed:
+    break;
+  }
+  logEvent(log_level::Info, "attempt_lost",
            {{"request_id", Wanted.Id},
             {"fingerprint", Wanted.Fingerprint},
             {"target", State.Targets[Target.Index].Name},
-            {"detail", Detail}});
+            {"detail", Result.Detail}});
+  State.Quarantine.lost(Attempt, State.Clock.now());
+}
+
+/// Not sent on: it was refused while it waited, or since its last attempt.
+bool gate_session::refuseQuarantined(const gate_request &Wanted,
+                                     request_outcome &Outcome) const {
+  const placement_decision Decision =
+      State.Quarantine.place(Wanted.Fingerprint, State.Clock.now());
+  if (Decision.Placement != placement::Quarantined)
+    return false;
+  if (!Outcome.MayHaveRun)
+    Outcome.Error = {error_kind::Quarantined,
+                     "targets died while this request ran",
+                     Decision.RetryAfter};
+  return true;
 }
 
 asio::awaitable<bool> gate_session::attempt(gate_request &Wanted,
@@ -382,6 +417,10 @@
     Wanted.Place.Tried.push_back(Target);
     co_return true;
   }
+  if (refuseQuarantined(Wanted, Outcome)) {
+    giveBack(Target, std::move(Connection));
+    co_return false;
+  }
   const whole_request Message = requestFor(Wanted, Target);
   held_bytes Copy(State.Memory);
   if (!Copy.resize(Message.body().size())) {
@@ -396,7 +435,9 @@
     return Outcome.Next.has_value();
   };
   const attempt_id Attempt = ++State.NextId;
-  State.Quarantine.started(Attempt, Wanted.Fingerprint, Target);
+  State.Quarantine.started(Attempt, Wanted.Fingerprint,
+                           State.Targets[Target.Index].Start,
+                           State.Clock.now());
   ++Outcome.Sends;
   Outcome.Target = State.Targets[Target.Index].Name;
   const endpoint_address Address = State.Targets[Target.Index].Address;
@@ -409,12 +450,7 @@
   else
     State.Pool.drop(Address, std::move(Connection),
                     Result.End == call_end::Silent);
-  if (Result.End == call_end::Answered)
-    State.Quarantine.succeeded(Attempt, Now);
-  else if (Result.End == call_end::Broken)
-    noteBroken(Wanted, Target, Attempt, Result.Detail);
-  else
-    State.Quarantine.ended(Attempt);
+  endAttempt(Wanted, Target, Attempt, Result);
   co_return take(Wanted, Target, std::move(Result), Now - Sent, Outcome);
 }
 
@@ -446,15 +482,8 @@
 
 asio::awaitable<request_outcome> gate_session::steer(gate_request &Wanted) {
   request_outcome Outcome;
-  const steady_time Now = State.Clock.now();
-  const placement_decision Decision =
-      State.Quarantine.place(Wanted.Fingerprint, Now);
-  if (Decision.Placement == placement::Quarantined) {
-    Outcome.Error = {error_kind::Quarantined,
-                     "targets died while this request ran",
-                     Decision.RetryAfter};
+  if (refuseQuarantined(Wanted, Outcome))
     co_return Outcome;
-  }
   const bool Limited =
       Wanted.Workspace != nullptr && Wanted.Workspace->Rate > 0;
   if (Limited) {
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -63,10 +63,12 @@
     std::tie(Failure) = co_await Socket.async_connect(
         tcp::endpoint(Address, Peer.Port), Awaited);
   }
+  const bool Refused = Failure == asio::error::connection_refused;
   if (!Failure)
     Socket.set_option(tcp::no_delay(true), Failure);
   if (Failure)
-    co_return error{error_kind::TargetUnreachable,
+    co_return error{Refused ? error_kind::TargetDown
+                            : error_kind::TargetUnreachable,
                     keyFor(Peer) + ": " + Failure.message(),
                     {}};
   const connection_id Id = ++LastId;
--- a/packages/traffic/src/pool_p.h
+++ b/packages/traffic/src/pool_p.h
@@ -42,7 +42,8 @@
   /// that may not be repeated gets only one that has just proved itself.
   upstream_ptr takeIdle(const endpoint_address &Peer, bool Repeatable);
 
-  /// Opens a connection; fails with TargetUnreachable.
+  /// Opens a connection; fails with TargetUnreachable, or with
+  /// TargetDown where the connection is refused.
   asio::awaitable<result<upstream_ptr>> connect(endpoint_address Peer,
                                                 steady_time Deadline);
 
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds ReusedAnswerTimeout{2000};
 /// Longest body of an answer that is kept for repeats.
 constexpr std::size_t MaxKeptAnswerBytes = 4096;
+/// Bytes of a body that count towards its request's fingerprint.
+constexpr std::size_t FingerprintBodyBytes = 4096;
 
 class session {
 public:
@@ -424,7 +426,8 @@
           : std::string();
   const auto &Head = Parser->get();
   co_return fingerprintOf(
-      {Workspace, Head.method_string(), Head.target(), Caller.held()});
+      {Workspace, Head.method_string(), Head.target(),
+       Caller.held().substr(0, FingerprintBodyBytes)});
 }
 
 asio::awaitable<relay_outcome>
--- a/packages/traffic/src/steerer.cpp
+++ b/packages/traffic/src/steerer.cpp
@@ -36,7 +36,6 @@
 /// Tries to find a target that is not kept for a suspect.
 constexpr unsigned MaxPicks = 8;
 constexpr milliseconds NoticePeriod{1000};
-constexpr std::size_t NoticesAtOnce = 8;
 
 error quarantined(const placement_decision &Decision) {
   return {error_kind::Quarantined, "targets died while this request ran",
@@ -241,7 +240,8 @@
                                       dispatch_place Place) {
   if (Place.Kind == upstream_kind::Target) {
     Place.Attempt = ++NextAttempt;
-    Quarantine.started(Place.Attempt, Request.Fingerprint, Place.Target);
+    Quarantine.started(Place.Attempt, Request.Fingerprint,
+                       targetStart(Place.Name, 0), Clock.now());
   }
   return Place;
 }
@@ -456,7 +456,7 @@
   Frame.Credits = std::exchange(Outgoing, {});
   if (Now >= NextNotices) {
     NextNotices = Now + NoticePeriod;
-    Frame.Notices = Quarantine.notices(NoticesAtOnce, Now);
+    Frame.Crashes = Quarantine.takeSeen(Now);
   }
 }
 
@@ -497,13 +497,13 @@
   if (!Outcome.Died || !Outcome.Sent)
     return Quarantine.ended(Place.Attempt);
   for (const request_fingerprint Found :
-       Quarantine.targetDied(Place.Target, Now))
+       Quarantine.targetDied(targetStart(Place.Name, 0), Now))
     logEvent(log_level::Warning, "request_quarantined",
              {{"fingerprint", Found}, {"target", Place.Name}});
 }
 
-void steerer::receive(const quarantine_notice &Notice) {
-  Quarantine.merge(Notice, Clock.now());
+void steerer::receive(const quarantine_news &News) {
+  Quarantine.merge(News, Clock.now());
 }
 
 void steerer::finished(const dispatch_place &Place,
--- a/packages/traffic/src/steerer_p.h
+++ b/packages/traffic/src/steerer_p.h
@@ -34,7 +34,7 @@
   void tick() override;
   void fillFrame(traffic_frame &Frame) override;
   void receive(const peer_credit_message &Message) override;
-  void receive(const quarantine_notice &Notice) override;
+  void receive(const quarantine_news &News) override;
   void finished(const dispatch_place &Place,
                 const relay_outcome &Outcome) override;
 
--- a/packages/traffic/src/traffic.cpp
+++ b/packages/traffic/src/traffic.cpp
@@ -175,10 +175,10 @@
     });
 }
 
-void traffic_threads::deliver(const quarantine_notice &Notice) {
+void traffic_threads::deliver(const quarantine_news &News) {
   for (const auto &Thread : State->Threads)
-    asio::post(Thread->Context, [Thread = Thread.get(), Notice] {
-      Thread->Dispatcher.receive(Notice);
+    asio::post(Thread->Context, [Thread = Thread.get(), News] {
+      Thread->Dispatcher.receive(News);
     });
 }
 
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -2972,29 +2972,186 @@
 }
 
 
-QuarantineNotice::~QuarantineNotice() noexcept {
+CrashReport::~CrashReport() noexcept {
 }
 
 
-void QuarantineNotice::__set_fingerprint(const int64_t val) {
+void CrashReport::__set_target(const int64_t val) {
+  this->target = val;
+}
+
+void CrashReport::__set_sentAgoMs(const int64_t val) {
+  this->sentAgoMs = val;
+}
+
+void CrashReport::__set_diedAgoMs(const int64_t val) {
+  this->diedAgoMs = val;
+}
+
+void CrashReport::__set_alone(const bool val) {
+  this->alone = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentAgoMs);
+          this->__isset.sentAgoMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->diedAgoMs);
+          this->__isset.diedAgoMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alone);
+          this->__isset.alone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sentAgoMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sentAgoMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("diedAgoMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->diedAgoMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alone", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->alone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.sentAgoMs, b.sentAgoMs);
+  swap(a.diedAgoMs, b.diedAgoMs);
+  swap(a.alone, b.alone);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other86) noexcept {
+  target = other86.target;
+  sentAgoMs = other86.sentAgoMs;
+  diedAgoMs = other86.diedAgoMs;
+  alone = other86.alone;
+  __isset = other86.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other87) noexcept {
+  target = other87.target;
+  sentAgoMs = other87.sentAgoMs;
+  diedAgoMs = other87.diedAgoMs;
+  alone = other87.alone;
+  __isset = other87.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "target=" << to_string(target);
+  out << ", " << "sentAgoMs=" << to_string(sentAgoMs);
+  out << ", " << "diedAgoMs=" << to_string(diedAgoMs);
+  out << ", " << "alone=" << to_string(alone);
+  out << ")";
+}
+
+
+SuspectReport::~SuspectReport() noexcept {
+}
+
+
+void SuspectReport::__set_fingerprint(const int64_t val) {
   this->fingerprint = val;
 }
 
-void QuarantineNotice::__set_remainingMs(const int64_t val) {
-  this->remainingMs = val;
+void SuspectReport::__set_succeededAgoMs(const int64_t val) {
+  this->succeededAgoMs = val;
+__isset.succeededAgoMs = true;
 }
 
-void QuarantineNotice::__set_deaths(const int32_t val) {
-  this->deaths = val;
+void SuspectReport::__set_rounds(const int32_t val) {
+  this->rounds = val;
 }
-std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj)
+
+void SuspectReport::__set_crashes(const std::vector<CrashReport> & val) {
+  this->crashes = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t QuarantineNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SuspectReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3025,16 +3182,36 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->remainingMs);
-          this->__isset.remainingMs = true;
+          xfer += iprot->readI64(this->succeededAgoMs);
+          this->__isset.succeededAgoMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->deaths);
-          this->__isset.deaths = true;
+          xfer += iprot->readI32(this->rounds);
+          this->__isset.rounds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->crashes.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->crashes[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3051,21 +3228,34 @@
   return xfer;
 }
 
-uint32_t QuarantineNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SuspectReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuarantineNotice");
+  xfer += oprot->writeStructBegin("SuspectReport");
 
   xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->remainingMs);
+  if (this->__isset.succeededAgoMs) {
+    xfer += oprot->writeFieldBegin("succeededAgoMs", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->succeededAgoMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("rounds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->rounds);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->deaths);
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashReport> ::const_iterator _iter93;
+    for (_iter93 = this->crashes.begin(); _iter93 != this->crashes.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3073,33 +3263,149 @@
   return xfer;
 }
 
-void swap(QuarantineNotice &a, QuarantineNotice &b) {
+void swap(SuspectReport &a, SuspectReport &b) {
   using ::std::swap;
   swap(a.fingerprint, b.fingerprint);
-  swap(a.remainingMs, b.remainingMs);
-  swap(a.deaths, b.deaths);
+  swap(a.succeededAgoMs, b.succeededAgoMs);
+  swap(a.rounds, b.rounds);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineNotice::QuarantineNotice(const QuarantineNotice& other86) noexcept {
-  fingerprint = other86.fingerprint;
-  remainingMs = other86.remainingMs;
-  deaths = other86.deaths;
-  __isset = other86.__isset;
+SuspectReport::SuspectReport(const SuspectReport& other94) {
+  fingerprint = other94.fingerprint;
+  succeededAgoMs = other94.succeededAgoMs;
+  rounds = other94.rounds;
+  crashes = other94.crashes;
+  __isset = other94.__isset;
 }
-QuarantineNotice& QuarantineNotice::operator=(const QuarantineNotice& other87) noexcept {
-  fingerprint = other87.fingerprint;
-  remainingMs = other87.remainingMs;
-  deaths = other87.deaths;
-  __isset = other87.__isset;
+SuspectReport& SuspectReport::operator=(const SuspectReport& other95) {
+  fingerprint = other95.fingerprint;
+  succeededAgoMs = other95.succeededAgoMs;
+  rounds = other95.rounds;
+  crashes = other95.crashes;
+  __isset = other95.__isset;
   return *this;
 }
-void QuarantineNotice::printTo(std::ostream& out) const {
+void SuspectReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "QuarantineNotice(";
+  out << "SuspectReport(";
   out << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "remainingMs=" << to_string(remainingMs);
-  out << ", " << "deaths=" << to_string(deaths);
+  out << ", " << "succeededAgoMs="; (__isset.succeededAgoMs ? (out << to_string(succeededAgoMs)) : (out << "<null>"));
+  out << ", " << "rounds=" << to_string(rounds);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ")";
+}
+
+
+QuarantineNews::~QuarantineNews() noexcept {
+}
+
+
+void QuarantineNews::__set_suspects(const std::vector<SuspectReport> & val) {
+  this->suspects = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->suspects.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
+            {
+              xfer += this->suspects[_i100].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineNews");
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<SuspectReport> ::const_iterator _iter101;
+    for (_iter101 = this->suspects.begin(); _iter101 != this->suspects.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineNews &a, QuarantineNews &b) {
+  using ::std::swap;
+  swap(a.suspects, b.suspects);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineNews::QuarantineNews(const QuarantineNews& other102) {
+  suspects = other102.suspects;
+  __isset = other102.__isset;
+}
+QuarantineNews& QuarantineNews::operator=(const QuarantineNews& other103) {
+  suspects = other103.suspects;
+  __isset = other103.__isset;
+  return *this;
+}
+void QuarantineNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineNews(";
+  out << "suspects=" << to_string(suspects);
   out << ")";
 }
 
@@ -3213,17 +3519,17 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditAsk::CreditAsk(const CreditAsk& other88) noexcept {
-  serviceId = other88.serviceId;
-  wanted = other88.wanted;
-  sequence = other88.sequence;
-  __isset = other88.__isset;
+CreditAsk::CreditAsk(const CreditAsk& other104) noexcept {
+  serviceId = other104.serviceId;
+  wanted = other104.wanted;
+  sequence = other104.sequence;
+  __isset = other104.__isset;
 }
-CreditAsk& CreditAsk::operator=(const CreditAsk& other89) noexcept {
-  serviceId = other89.serviceId;
-  wanted = other89.wanted;
-  sequence = other89.sequence;
-  __isset = other89.__isset;
+CreditAsk& CreditAsk::operator=(const CreditAsk& other105) noexcept {
+  serviceId = other105.serviceId;
+  wanted = other105.wanted;
+  sequence = other105.sequence;
+  __isset = other105.__isset;
   return *this;
 }
 void CreditAsk::printTo(std::ostream& out) const {
@@ -3379,21 +3685,21 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditGrant::CreditGrant(const CreditGrant& other90) noexcept {
-  serviceId = other90.serviceId;
-  count = other90.count;
-  id = other90.id;
-  sequence = other90.sequence;
-  lifetimeMs = other90.lifetimeMs;
-  __isset = other90.__isset;
-}
-CreditGrant& CreditGrant::operator=(const CreditGrant& other91) noexcept {
-  serviceId = other91.serviceId;
-  count = other91.count;
-  id = other91.id;
-  sequence = other91.sequence;
-  lifetimeMs = other91.lifetimeMs;
-  __isset = other91.__isset;
+CreditGrant::CreditGrant(const CreditGrant& other106) noexcept {
+  serviceId = other106.serviceId;
+  count = other106.count;
+  id = other106.id;
+  sequence = other106.sequence;
+  lifetimeMs = other106.lifetimeMs;
+  __isset = other106.__isset;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other107) noexcept {
+  serviceId = other107.serviceId;
+  count = other107.count;
+  id = other107.id;
+  sequence = other107.sequence;
+  lifetimeMs = other107.lifetimeMs;
+  __isset = other107.__isset;
   return *this;
 }
 void CreditGrant::printTo(std::ostream& out) const {
@@ -3517,17 +3823,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectRow::ObjectRow(const ObjectRow& other92) noexcept {
-  object = other92.object;
-  target = other92.target;
-  warm = other92.warm;
-  __isset = other92.__isset;
+ObjectRow::ObjectRow(const ObjectRow& other108) noexcept {
+  object = other108.object;
+  target = other108.target;
+  warm = other108.warm;
+  __isset = other108.__isset;
 }
-ObjectRow& ObjectRow::operator=(const ObjectRow& other93) noexcept {
-  object = other93.object;
-  target = other93.target;
-  warm = other93.warm;
-  __isset = other93.__isset;
+ObjectRow& ObjectRow::operator=(const ObjectRow& other109) noexcept {
+  object = other109.object;
+  target = other109.target;
+  warm = other109.warm;
+  __isset = other109.__isset;
   return *this;
 }
 void ObjectRow::printTo(std::ostream& out) const {
@@ -3632,15 +3938,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadRow::LoadRow(const LoadRow& other94) noexcept {
-  target = other94.target;
-  busy = other94.busy;
-  __isset = other94.__isset;
+LoadRow::LoadRow(const LoadRow& other110) noexcept {
+  target = other110.target;
+  busy = other110.busy;
+  __isset = other110.__isset;
 }
-LoadRow& LoadRow::operator=(const LoadRow& other95) noexcept {
-  target = other95.target;
-  busy = other95.busy;
-  __isset = other95.__isset;
+LoadRow& LoadRow::operator=(const LoadRow& other111) noexcept {
+  target = other111.target;
+  busy = other111.busy;
+  __isset = other111.__isset;
   return *this;
 }
 void LoadRow::printTo(std::ostream& out) const {
@@ -3695,14 +4001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->rows.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->rows.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->rows[_i100].read(iprot);
+              xfer += this->rows[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3715,14 +4021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->loads.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->loads.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->loads[_i105].read(iprot);
+              xfer += this->loads[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3751,10 +4057,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ObjectRow> ::const_iterator _iter106;
-    for (_iter106 = this->rows.begin(); _iter106 != this->rows.end(); ++_iter106)
+    std::vector<ObjectRow> ::const_iterator _iter122;
+    for (_iter122 = this->rows.begin(); _iter122 != this->rows.end(); ++_iter122)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3763,10 +4069,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadRow> ::const_iterator _iter107;
-    for (_iter107 = this->loads.begin(); _iter107 != this->loads.end(); ++_iter107)
+    std::vector<LoadRow> ::const_iterator _iter123;
+    for (_iter123 = this->loads.begin(); _iter123 != this->loads.end(); ++_iter123)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3784,15 +4090,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectNews::ObjectNews(const ObjectNews& other108) {
-  rows = other108.rows;
-  loads = other108.loads;
-  __isset = other108.__isset;
+ObjectNews::ObjectNews(const ObjectNews& other124) {
+  rows = other124.rows;
+  loads = other124.loads;
+  __isset = other124.__isset;
 }
-ObjectNews& ObjectNews::operator=(const ObjectNews& other109) {
-  rows = other109.rows;
-  loads = other109.loads;
-  __isset = other109.__isset;
+ObjectNews& ObjectNews::operator=(const ObjectNews& other125) {
+  rows = other125.rows;
+  loads = other125.loads;
+  __isset = other125.__isset;
   return *this;
 }
 void ObjectNews::printTo(std::ostream& out) const {
@@ -3913,17 +4219,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewAsk::ViewAsk(const ViewAsk& other110) noexcept {
-  askedAtNs = other110.askedAtNs;
-  revision = other110.revision;
-  skip = other110.skip;
-  __isset = other110.__isset;
+ViewAsk::ViewAsk(const ViewAsk& other126) noexcept {
+  askedAtNs = other126.askedAtNs;
+  revision = other126.revision;
+  skip = other126.skip;
+  __isset = other126.__isset;
 }
-ViewAsk& ViewAsk::operator=(const ViewAsk& other111) noexcept {
-  askedAtNs = other111.askedAtNs;
-  revision = other111.revision;
-  skip = other111.skip;
-  __isset = other111.__isset;
+ViewAsk& ViewAsk::operator=(const ViewAsk& other127) noexcept {
+  askedAtNs = other127.askedAtNs;
+  revision = other127.revision;
+  skip = other127.skip;
+  __isset = other127.__isset;
   return *this;
 }
 void ViewAsk::printTo(std::ostream& out) const {
@@ -4198,35 +4504,35 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetChange::TargetChange(const TargetChange& other112) {
-  name = other112.name;
-  address = other112.address;
-  port = other112.port;
-  serviceName = other112.serviceName;
-  dataCentre = other112.dataCentre;
-  slots = other112.slots;
-  draining = other112.draining;
-  coldLeftMs = other112.coldLeftMs;
-  sequence = other112.sequence;
-  startedAtMs = other112.startedAtMs;
-  removed = other112.removed;
-  revision = other112.revision;
-  __isset = other112.__isset;
-}
-TargetChange& TargetChange::operator=(const TargetChange& other113) {
-  name = other113.name;
-  address = other113.address;
-  port = other113.port;
-  serviceName = other113.serviceName;
-  dataCentre = other113.dataCentre;
-  slots = other113.slots;
-  draining = other113.draining;
-  coldLeftMs = other113.coldLeftMs;
-  sequence = other113.sequence;
-  startedAtMs = other113.startedAtMs;
-  removed = other113.removed;
-  revision = other113.revision;
-  __isset = other113.__isset;
+TargetChange::TargetChange(const TargetChange& other128) {
+  name = other128.name;
+  address = other128.address;
+  port = other128.port;
+  serviceName = other128.serviceName;
+  dataCentre = other128.dataCentre;
+  slots = other128.slots;
+  draining = other128.draining;
+  coldLeftMs = other128.coldLeftMs;
+  sequence = other128.sequence;
+  startedAtMs = other128.startedAtMs;
+  removed = other128.removed;
+  revision = other128.revision;
+  __isset = other128.__isset;
+}
+TargetChange& TargetChange::operator=(const TargetChange& other129) {
+  name = other129.name;
+  address = other129.address;
+  port = other129.port;
+  serviceName = other129.serviceName;
+  dataCentre = other129.dataCentre;
+  slots = other129.slots;
+  draining = other129.draining;
+  coldLeftMs = other129.coldLeftMs;
+  sequence = other129.sequence;
+  startedAtMs = other129.startedAtMs;
+  removed = other129.removed;
+  revision = other129.revision;
+  __isset = other129.__isset;
   return *this;
 }
 void TargetChange::printTo(std::ostream& out) const {
@@ -4371,14 +4677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->changes.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->changes.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->changes[_i118].read(iprot);
+              xfer += this->changes[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4399,14 +4705,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuated.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->evacuated.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->evacuated.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readString(this->evacuated[_i123]);
+              xfer += iprot->readString(this->evacuated[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4487,10 +4793,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<TargetChange> ::const_iterator _iter124;
-    for (_iter124 = this->changes.begin(); _iter124 != this->changes.end(); ++_iter124)
+    std::vector<TargetChange> ::const_iterator _iter140;
+    for (_iter140 = this->changes.begin(); _iter140 != this->changes.end(); ++_iter140)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4503,10 +4809,10 @@
   xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
-    std::vector<std::string> ::const_iterator _iter125;
-    for (_iter125 = this->evacuated.begin(); _iter125 != this->evacuated.end(); ++_iter125)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->evacuated.begin(); _iter141 != this->evacuated.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter125));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4550,35 +4856,35 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other126) {
-  askedAtNs = other126.askedAtNs;
-  version = other126.version;
-  ageMs = other126.ageMs;
-  revision = other126.revision;
-  targetsAgeMs = other126.targetsAgeMs;
-  changes = other126.changes;
-  partial = other126.partial;
-  evacuated = other126.evacuated;
-  skip = other126.skip;
-  more = other126.more;
-  follows = other126.follows;
-  evacuatedAgeMs = other126.evacuatedAgeMs;
-  __isset = other126.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other127) {
-  askedAtNs = other127.askedAtNs;
-  version = other127.version;
-  ageMs = other127.ageMs;
-  revision = other127.revision;
-  targetsAgeMs = other127.targetsAgeMs;
-  changes = other127.changes;
-  partial = other127.partial;
-  evacuated = other127.evacuated;
-  skip = other127.skip;
-  more = other127.more;
-  follows = other127.follows;
-  evacuatedAgeMs = other127.evacuatedAgeMs;
-  __isset = other127.__isset;
+ViewReply::ViewReply(const ViewReply& other142) {
+  askedAtNs = other142.askedAtNs;
+  version = other142.version;
+  ageMs = other142.ageMs;
+  revision = other142.revision;
+  targetsAgeMs = other142.targetsAgeMs;
+  changes = other142.changes;
+  partial = other142.partial;
+  evacuated = other142.evacuated;
+  skip = other142.skip;
+  more = other142.more;
+  follows = other142.follows;
+  evacuatedAgeMs = other142.evacuatedAgeMs;
+  __isset = other142.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other143) {
+  askedAtNs = other143.askedAtNs;
+  version = other143.version;
+  ageMs = other143.ageMs;
+  revision = other143.revision;
+  targetsAgeMs = other143.targetsAgeMs;
+  changes = other143.changes;
+  partial = other143.partial;
+  evacuated = other143.evacuated;
+  skip = other143.skip;
+  more = other143.more;
+  follows = other143.follows;
+  evacuatedAgeMs = other143.evacuatedAgeMs;
+  __isset = other143.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -4644,11 +4950,6 @@
 __isset.promiseReply = true;
 }
 
-void Datagram::__set_quarantine(const QuarantineNotice& val) {
-  this->quarantine = val;
-__isset.quarantine = true;
-}
-
 void Datagram::__set_creditAsk(const CreditAsk& val) {
   this->creditAsk = val;
 __isset.creditAsk = true;
@@ -4673,6 +4974,11 @@
   this->viewReply = val;
 __isset.viewReply = true;
 }
+
+void Datagram::__set_quarantine(const QuarantineNews& val) {
+  this->quarantine = val;
+__isset.quarantine = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -4765,14 +5071,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->quarantine.read(iprot);
-          this->__isset.quarantine = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->creditAsk.read(iprot);
@@ -4813,6 +5111,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quarantine.read(iprot);
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4870,11 +5176,6 @@
     xfer += this->promiseReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.quarantine) {
-    xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->quarantine.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.creditAsk) {
     xfer += oprot->writeFieldBegin("creditAsk", ::apache::thrift::protocol::T_STRUCT, 10);
     xfer += this->creditAsk.write(oprot);
@@ -4900,6 +5201,11 @@
     xfer += this->viewReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quarantine) {
+    xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->quarantine.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4915,48 +5221,48 @@
   swap(a.tokenGrant, b.tokenGrant);
   swap(a.promiseRequest, b.promiseRequest);
   swap(a.promiseReply, b.promiseReply);
-  swap(a.quarantine, b.quarantine);
   swap(a.creditAsk, b.creditAsk);
   swap(a.creditGrant, b.creditGrant);
   swap(a.objectNews, b.objectNews);
   swap(a.viewAsk, b.viewAsk);
   swap(a.viewReply, b.viewReply);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other128) {
-  heartbeat = other128.heartbeat;
-  summary = other128.summary;
-  rows = other128.rows;
-  rowsRequest = other128.rowsRequest;
-  tokenAsk = other128.tokenAsk;
-  tokenGrant = other128.tokenGrant;
-  promiseRequest = other128.promiseRequest;
-  promiseReply = other128.promiseReply;
-  quarantine = other128.quarantine;
-  creditAsk = other128.creditAsk;
-  creditGrant = other128.creditGrant;
-  objectNews = other128.objectNews;
-  viewAsk = other128.viewAsk;
-  viewReply = other128.viewReply;
-  __isset = other128.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other129) {
-  heartbeat = other129.heartbeat;
-  summary = other129.summary;
-  rows = other129.rows;
-  rowsRequest = other129.rowsRequest;
-  tokenAsk = other129.tokenAsk;
-  tokenGrant = other129.tokenGrant;
-  promiseRequest = other129.promiseRequest;
-  promiseReply = other129.promiseReply;
-  quarantine = other129.quarantine;
-  creditAsk = other129.creditAsk;
-  creditGrant = other129.creditGrant;
-  objectNews = other129.objectNews;
-  viewAsk = other129.viewAsk;
-  viewReply = other129.viewReply;
-  __isset = other129.__isset;
+Datagram::Datagram(const Datagram& other144) {
+  heartbeat = other144.heartbeat;
+  summary = other144.summary;
+  rows = other144.rows;
+  rowsRequest = other144.rowsRequest;
+  tokenAsk = other144.tokenAsk;
+  tokenGrant = other144.tokenGrant;
+  promiseRequest = other144.promiseRequest;
+  promiseReply = other144.promiseReply;
+  creditAsk = other144.creditAsk;
+  creditGrant = other144.creditGrant;
+  objectNews = other144.objectNews;
+  viewAsk = other144.viewAsk;
+  viewReply = other144.viewReply;
+  quarantine = other144.quarantine;
+  __isset = other144.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other145) {
+  heartbeat = other145.heartbeat;
+  summary = other145.summary;
+  rows = other145.rows;
+  rowsRequest = other145.rowsRequest;
+  tokenAsk = other145.tokenAsk;
+  tokenGrant = other145.tokenGrant;
+  promiseRequest = other145.promiseRequest;
+  promiseReply = other145.promiseReply;
+  creditAsk = other145.creditAsk;
+  creditGrant = other145.creditGrant;
+  objectNews = other145.objectNews;
+  viewAsk = other145.viewAsk;
+  viewReply = other145.viewReply;
+  quarantine = other145.quarantine;
+  __isset = other145.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -4970,12 +5276,12 @@
   out << ", " << "tokenGrant="; (__isset.tokenGrant ? (out << to_string(tokenGrant)) : (out << "<null>"));
   out << ", " << "promiseRequest="; (__isset.promiseRequest ? (out << to_string(promiseRequest)) : (out << "<null>"));
   out << ", " << "promiseReply="; (__isset.promiseReply ? (out << to_string(promiseReply)) : (out << "<null>"));
-  out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
   out << ", " << "creditAsk="; (__isset.creditAsk ? (out << to_string(creditAsk)) : (out << "<null>"));
   out << ", " << "creditGrant="; (__isset.creditGrant ? (out << to_string(creditGrant)) : (out << "<null>"));
   out << ", " << "objectNews="; (__isset.objectNews ? (out << to_string(objectNews)) : (out << "<null>"));
   out << ", " << "viewAsk="; (__isset.viewAsk ? (out << to_string(viewAsk)) : (out << "<null>"));
   out << ", " << "viewReply="; (__isset.viewReply ? (out << to_string(viewReply)) : (out << "<null>"));
+  out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -59,7 +59,11 @@
 
 class PromiseReply;
 
-class QuarantineNotice;
+class CrashReport;
+
+class SuspectReport;
+
+class QuarantineNews;
 
 class CreditAsk;
 
@@ -1249,52 +1253,124 @@
 
 std::ostream& operator<<(std::ostream& out, const PromiseReply& obj);
 
-typedef struct _QuarantineNotice__isset {
-  _QuarantineNotice__isset() : fingerprint(false), remainingMs(false), deaths(false) {}
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : target(false), sentAgoMs(false), diedAgoMs(false), alone(false) {}
+  bool target :1;
+  bool sentAgoMs :1;
+  bool diedAgoMs :1;
+  bool alone :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&) noexcept;
+  CrashReport& operator=(const CrashReport&) noexcept;
+  CrashReport() noexcept
+              : target(0),
+                sentAgoMs(0),
+                diedAgoMs(0),
+                alone(0) {
+  }
+
+  virtual ~CrashReport() noexcept;
+  int64_t target;
+  int64_t sentAgoMs;
+  int64_t diedAgoMs;
+  bool alone;
+
+  _CrashReport__isset __isset;
+
+  void __set_target(const int64_t val);
+
+  void __set_sentAgoMs(const int64_t val);
+
+  void __set_diedAgoMs(const int64_t val);
+
+  void __set_alone(const bool val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(sentAgoMs == rhs.sentAgoMs))
+      return false;
+    if (!(diedAgoMs == rhs.diedAgoMs))
+      return false;
+    if (!(alone == rhs.alone))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _SuspectReport__isset {
+  _SuspectReport__isset() : fingerprint(false), succeededAgoMs(false), rounds(false), crashes(false) {}
   bool fingerprint :1;
-  bool remainingMs :1;
-  bool deaths :1;
-} _QuarantineNotice__isset;
+  bool succeededAgoMs :1;
+  bool rounds :1;
+  bool crashes :1;
+} _SuspectReport__isset;
 
-class QuarantineNotice : public virtual ::apache::thrift::TBase {
+class SuspectReport : public virtual ::apache::thrift::TBase {
  public:
 
-  QuarantineNotice(const QuarantineNotice&) noexcept;
-  QuarantineNotice& operator=(const QuarantineNotice&) noexcept;
-  QuarantineNotice() noexcept
-                   : fingerprint(0),
-                     remainingMs(0),
-                     deaths(0) {
+  SuspectReport(const SuspectReport&);
+  SuspectReport& operator=(const SuspectReport&);
+  SuspectReport() noexcept
+                : fingerprint(0),
+                  succeededAgoMs(0),
+                  rounds(0) {
   }
 
-  virtual ~QuarantineNotice() noexcept;
+  virtual ~SuspectReport() noexcept;
   int64_t fingerprint;
-  int64_t remainingMs;
-  int32_t deaths;
+  int64_t succeededAgoMs;
+  int32_t rounds;
+  std::vector<CrashReport>  crashes;
 
-  _QuarantineNotice__isset __isset;
+  _SuspectReport__isset __isset;
 
   void __set_fingerprint(const int64_t val);
 
-  void __set_remainingMs(const int64_t val);
+  void __set_succeededAgoMs(const int64_t val);
 
-  void __set_deaths(const int32_t val);
+  void __set_rounds(const int32_t val);
 
-  bool operator == (const QuarantineNotice & rhs) const
+  void __set_crashes(const std::vector<CrashReport> & val);
+
+  bool operator == (const SuspectReport & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
       return false;
-    if (!(remainingMs == rhs.remainingMs))
+    if (__isset.succeededAgoMs != rhs.__isset.succeededAgoMs)
+      return false;
+    else if (__isset.succeededAgoMs && !(succeededAgoMs == rhs.succeededAgoMs))
       return false;
-    if (!(deaths == rhs.deaths))
+    if (!(rounds == rhs.rounds))
+      return false;
+    if (!(crashes == rhs.crashes))
       return false;
     return true;
   }
-  bool operator != (const QuarantineNotice &rhs) const {
+  bool operator != (const SuspectReport &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const QuarantineNotice & ) const;
+  bool operator < (const SuspectReport & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1302,9 +1378,51 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(QuarantineNotice &a, QuarantineNotice &b);
+void swap(SuspectReport &a, SuspectReport &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectReport& obj);
+
+typedef struct _QuarantineNews__isset {
+  _QuarantineNews__isset() : suspects(false) {}
+  bool suspects :1;
+} _QuarantineNews__isset;
+
+class QuarantineNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineNews(const QuarantineNews&);
+  QuarantineNews& operator=(const QuarantineNews&);
+  QuarantineNews() noexcept {
+  }
+
+  virtual ~QuarantineNews() noexcept;
+  std::vector<SuspectReport>  suspects;
 
-std::ostream& operator<<(std::ostream& out, const QuarantineNotice& obj);
+  _QuarantineNews__isset __isset;
+
+  void __set_suspects(const std::vector<SuspectReport> & val);
+
+  bool operator == (const QuarantineNews & rhs) const
+  {
+    if (!(suspects == rhs.suspects))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineNews &a, QuarantineNews &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineNews& obj);
 
 typedef struct _CreditAsk__isset {
   _CreditAsk__isset() : serviceId(false), wanted(false), sequence(false) {}
@@ -1885,7 +2003,7 @@
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), quarantine(false), creditAsk(false), creditGrant(false), objectNews(false), viewAsk(false), viewReply(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), creditAsk(false), creditGrant(false), objectNews(false), viewAsk(false), viewReply(false), quarantine(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -1894,12 +2012,12 @@
   bool tokenGrant :1;
   bool promiseRequest :1;
   bool promiseReply :1;
-  bool quarantine :1;
   bool creditAsk :1;
   bool creditGrant :1;
   bool objectNews :1;
   bool viewAsk :1;
   bool viewReply :1;
+  bool quarantine :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -1919,12 +2037,12 @@
   TokenGrant tokenGrant;
   PromiseRequest promiseRequest;
   PromiseReply promiseReply;
-  QuarantineNotice quarantine;
   CreditAsk creditAsk;
   CreditGrant creditGrant;
   ObjectNews objectNews;
   ViewAsk viewAsk;
   ViewReply viewReply;
+  QuarantineNews quarantine;
 
   _Datagram__isset __isset;
 
@@ -1944,8 +2062,6 @@
 
   void __set_promiseReply(const PromiseReply& val);
 
-  void __set_quarantine(const QuarantineNotice& val);
-
   void __set_creditAsk(const CreditAsk& val);
 
   void __set_creditGrant(const CreditGrant& val);
@@ -1956,6 +2072,8 @@
 
   void __set_viewReply(const ViewReply& val);
 
+  void __set_quarantine(const QuarantineNews& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1990,10 +2108,6 @@
       return false;
     else if (__isset.promiseReply && !(promiseReply == rhs.promiseReply))
       return false;
-    if (__isset.quarantine != rhs.__isset.quarantine)
-      return false;
-    else if (__isset.quarantine && !(quarantine == rhs.quarantine))
-      return false;
     if (__isset.creditAsk != rhs.__isset.creditAsk)
       return false;
     else if (__isset.creditAsk && !(creditAsk == rhs.creditAsk))
@@ -2014,6 +2128,10 @@
       return false;
     else if (__isset.viewReply && !(viewReply == rhs.viewReply))
       return false;
+    if (__isset.quarantine != rhs.__isset.quarantine)
+      return false;
+    else if (__isset.quarantine && !(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -132,10 +132,23 @@
   3: list<i32> indexes
 }
 
-struct QuarantineNotice {
+/// A target that died with the request in flight on it.
+struct CrashReport {
+  1: i64 target
+  2: i64 sentAgoMs
+  3: i64 diedAgoMs
+  4: bool alone
+}
+
+struct SuspectReport {
   1: i64 fingerprint
-  2: i64 remainingMs
-  3: i32 deaths
+  2: optional i64 succeededAgoMs
+  3: i32 rounds
+  4: list<CrashReport> crashes
+}
+
+struct QuarantineNews {
+  1: list<SuspectReport> suspects
 }
 
 struct CreditAsk {
@@ -216,10 +229,11 @@
   6: optional TokenGrant tokenGrant
   7: optional PromiseRequest promiseRequest
   8: optional PromiseReply promiseReply
-  9: optional QuarantineNotice quarantine
+  // 9 was a notice of a quarantine.
   10: optional CreditAsk creditAsk
   11: optional CreditGrant creditGrant
   12: optional ObjectNews objectNews
   13: optional ViewAsk viewAsk
   14: optional ViewReply viewReply
+  15: optional QuarantineNews quarantine
 }
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -24,7 +24,7 @@
 void writeMember(const member_message &Message, std::uint64_t Sender,
                  idl::Datagram &Body);
 void writeQuota(const quota_message &Message, idl::Datagram &Body);
-void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body);
+void writeQuarantine(const quarantine_news &News, idl::Datagram &Body);
 void writeCredit(const credit_message &Message, idl::Datagram &Body);
 void writeNews(const object_news &News, idl::Datagram &Body);
 void writeView(const view_ask &Ask, idl::Datagram &Body);
@@ -41,7 +41,7 @@
 token_grant readTokenGrant(const idl::TokenGrant &From);
 promise_request readPromiseRequest(const idl::PromiseRequest &From);
 promise_reply readPromiseReply(const idl::PromiseReply &From);
-quarantine_notice readQuarantine(const idl::QuarantineNotice &From);
+quarantine_news readQuarantine(const idl::QuarantineNews &From);
 credit_ask_message readCreditAsk(const idl::CreditAsk &From);
 credit_grant_message readCreditGrant(const idl::CreditGrant &From);
 object_news readNews(const idl::ObjectNews &From);
--- a/packages/wire/src/membercodec.cpp
+++ b/packages/wire/src/membercodec.cpp
@@ -219,21 +219,4 @@
   return {read(From.sender), readName(From.dataCentre)};
 }
 
-void writeQuarantine(const quarantine_notice &Notice, idl::Datagram &Body) {
-  idl::QuarantineNotice To;
-  To.fingerprint = static_cast<std::int64_t>(Notice.Fingerprint);
-  To.remainingMs = Notice.Remaining.count();
-  To.deaths = static_cast<std::int32_t>(Notice.Deaths);
-  Body.__set_quarantine(To);
-}
-
-quarantine_notice readQuarantine(const idl::QuarantineNotice &From) {
-  quarantine_notice To;
-  To.Fingerprint = static_cast<std::uint64_t>(From.fingerprint);
-  To.Remaining =
-      std::chrono::milliseconds(readNumber<std::uint32_t>(From.remainingMs));
-  To.Deaths = readNumber<std::uint32_t>(From.deaths);
-  return To;
-}
-
 } // namespace magnoliaspread
--- a/packages/wire/tests/sizes.cpp
+++ b/packages/wire/tests/sizes.cpp
@@ -4,6 +4,7 @@
 #include <magnoliaspread/limiter.h>
 #include <magnoliaspread/member.h>
 #include <magnoliaspread/platformview.h>
+#include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/story.h>
 
 #include <memory>
@@ -163,3 +164,29 @@
   }
   CPPUNIT_ASSERT(Asked > Limits / 3);
 }
+
+STORY(quarantine_datagrams) {
+  // Many requests that died with several targets each, at the largest ages.
+  quarantine_settings Settings;
+  quarantine Quarantine(Settings);
+  steady_time Now{1h};
+  attempt_id Last = 0;
+  constexpr request_fingerprint Requests = 100;
+  for (request_fingerprint Request = 0; Request < Requests; ++Request)
+    for (std::uint64_t Target = 0; Target <= Request % 8; ++Target) {
+      const target_start Start = ~(Request * 8 + Target);
+      Quarantine.started(++Last, ~Request, Start, Now);
+      Now += 10ms;
+      Quarantine.targetDied(Start, Now);
+    }
+  datagram_codec Codec(fleet_key{}, 1);
+  std::size_t Told = 0;
+  for (Now += 100s; Told < Requests; Now += 50ms) {
+    const quarantine_news News = Quarantine.takeSeen(Now);
+    CPPUNIT_ASSERT(!News.Suspects.empty());
+    Told += News.Suspects.size();
+    const auto Datagram = Codec.encode(News);
+    CPPUNIT_ASSERT_MESSAGE(failed(Datagram) ? errorOf(Datagram).Detail : "",
+                           !failed(Datagram));
+  }
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -35,6 +35,11 @@
 constexpr double QuotaOver = 1.1;
 constexpr std::size_t QuotaSlack = 20;
 constexpr int CalmRequests = 60;
+/// RULES, BUDGET: crashes before a request is stopped, and its retries later
+/// than Stability after them.
+constexpr std::size_t CrashesAllowed = 3;
+constexpr std::ptrdiff_t LateCrashesAllowed = 3;
+
 soak_time now() { return std::chrono::steady_clock::now(); }
 
 /// The most of \p Times in any QuotaWindow.
@@ -90,6 +95,7 @@
   void checkAnswers();
   void checkRuns();
   void checkQuota();
+  void checkCrashes();
   void endAll();
   std::size_t serveSome();
   std::map<std::string, std::vector<target_run>> runsById() const;
@@ -98,6 +104,9 @@
   std::mt19937_64 Random;
   milliseconds Length;
   soak_time StartedAt = now();
+  bool Crashing = false;
+  /// The faults are over and excuse nothing any more.
+  std::optional<soak_time> CalmSince;
   std::multimap<soak_time, action> Due;
   std::vector<std::string> Broken;
 };
@@ -192,7 +201,7 @@
 /// Several kinds at a time, of any length, and on top of each other.
 void soak::addFault() {
   soak_instance &Instance = World.Instances[draw(World.Instances.size())];
-  switch (draw(11)) {
+  switch (draw(12)) {
   case 0:
     return killOne(Instance);
   case 1:
@@ -216,6 +225,12 @@
   case 9:
     note("configure");
     return World.configure(draw(2) == 0);
+  case 10:
+    if (Crashing)
+      return;
+    Crashing = true;
+    note("a request that crashes its targets comes");
+    return World.startCrashes();
   default:
     return evacuate();
   }
@@ -317,6 +332,32 @@
     broken("over the rate of small: " + std::to_string(Most) + " in 5 s");
 }
 
+/// A request under which CrashesAllowed targets died reaches few others later.
+void soak::checkCrashes() {
+  const auto Runs = runsById();
+  std::map<bool, std::vector<soak_time>> Crashes;
+  for (const sent_request &Request : World.sent())
+    if (const auto Found = Runs.find(Request.Id);
+        Request.Crashes && Found != Runs.end())
+      for (const target_run &Run : Found->second)
+        Crashes[Request.Repeatable].push_back(Run.At);
+  for (auto &[Repeatable, Times] : Crashes) {
+    std::sort(Times.begin(), Times.end());
+    note(std::string(Repeatable ? "a repeatable" : "a") +
+         " request crashed targets " + std::to_string(Times.size()) + " times");
+    if (Times.size() <= CrashesAllowed)
+      continue;
+    const soak_time Since =
+        std::max(*CalmSince, Times[CrashesAllowed - 1] + Stability);
+    const auto Late =
+        std::count_if(Times.begin(), Times.end(),
+                      [&](soak_time Time) { return Time > Since; });
+    if (Late > LateCrashesAllowed)
+      broken("a crashing request reached targets " + std::to_string(Late) +
+             " times after the third crash");
+  }
+}
+
 void soak::calmDown() {
   note("calm");
   // What was begun comes to its end.
@@ -335,6 +376,9 @@
   if (!World.waitAllReady(Stability + Stability))
     broken("not all instances are ready again");
   std::this_thread::sleep_for(Stability);
+  CalmSince = now();
+  if (Crashing)
+    std::this_thread::sleep_for(Stability);
 }
 
 /// Requests that are answered with success, of CalmRequests.
@@ -414,6 +458,7 @@
   checkAnswers();
   checkRuns();
   checkQuota();
+  checkCrashes();
   std::size_t Served = 0;
   const auto Sent = World.sent();
   for (const sent_request &Request : Sent)
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -19,11 +19,14 @@
 constexpr milliseconds CallerDeadline{1500};
 /// Requests a second; more than the callers send.
 constexpr int ClubRate = 1000;
+constexpr int Objects = 40;
 /// Requests a second that a cold target bears.
 constexpr double ColdRate = 30;
 /// A caller still takes an answer that comes this long after its deadline.
 constexpr milliseconds CallerPatience{2500};
 constexpr milliseconds Work{15};
+constexpr milliseconds DownTime{700};
+constexpr milliseconds CrashPause{250};
 constexpr int InstancesPerDataCentre = 2;
 constexpr int TargetsPerDataCentre = 3;
 constexpr const char *Secret =
@@ -53,9 +56,14 @@
       Target.Target = std::make_unique<target_standin>(
           "i-" + std::to_string(Targets.size()));
       Target.Target->setWork(Work);
+      Target.Target->setDownTime(DownTime);
       Target.Link = std::make_unique<fault_proxy>(Target.Target->port());
       putTarget(Target, "ready");
     }
+  }
+  for (const soak_target &Target : Targets)
+    Target.Target->onReturn([this, &Target] { putTarget(Target, "ready"); });
+  for (const auto &[DataCentre, Region] : Regions) {
     for (int I = 0; I < InstancesPerDataCentre; ++I) {
       soak_instance &Instance = Instances.emplace_back();
       Instance.Name = DataCentre + "-" + std::to_string(I + 1);
@@ -153,8 +161,10 @@
 }
 
 sent_request soak_world::send(const soak_instance &Instance,
-                              const std::string &Key, bool Repeatable) {
+                              const std::string &Key, bool Repeatable,
+                              bool Crashes) {
   sent_request Request;
+  Request.Crashes = Crashes;
   Request.Id = "id-" + std::to_string(++NextId);
   Request.Key = Key;
   Request.Repeatable = Repeatable;
@@ -162,10 +172,12 @@
   const http_answer Answer = call(
       Instance.Public,
       {.Method = Repeatable ? "GET" : "POST",
-       .Target = Repeatable ? "/read/1" : "/pay/1",
+       .Target = (Repeatable ? "/read" : "/pay") +
+                 std::string(Crashes ? CrashPath : "/1"),
        .Fields = {{"Host", "a.example"},
                   {"Attempt-Id", Request.Id},
-                  {"Affinity-Key", std::to_string(NextId % 40)},
+                  {"Affinity-Key",
+                   std::to_string(Crashes ? 0 : NextId % Objects)},
                   {"Request-Deadline", std::to_string(CallerDeadline.count())},
                   {"Key", Key}},
        .Body = Repeatable ? "" : "sum=3",
@@ -195,6 +207,19 @@
   }
 }
 
+void soak_world::crashLoop() {
+  std::mt19937 Random(0);
+  while (Calling) {
+    send(Instances[Random() % Instances.size()], "key-club", Random() % 4 == 0,
+         true);
+    std::this_thread::sleep_for(CrashPause);
+  }
+}
+
+void soak_world::startCrashes() {
+  Callers.emplace_back([this] { crashLoop(); });
+}
+
 void soak_world::startCallers() {
   Calling = true;
   for (unsigned I = 0; I < CallerThreads; ++I)
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -26,6 +26,8 @@
   std::string Id;
   std::string Key;
   bool Repeatable = true;
+  /// Crashes each target that runs it.
+  bool Crashes = false;
   soak_time SentAt;
   unsigned Status = 0;
   std::string Signature;
@@ -73,11 +75,14 @@
   void configure(bool WithoutKey);
   void putTarget(const soak_target &Target, const std::string &State);
 
+  /// From now on a request that crashes its targets comes again and again, at
+  /// any instance, until the callers stop.
+  void startCrashes();
   void startCallers();
   void stopCallers();
   /// One request through the instance, noted like those of the callers.
   sent_request send(const soak_instance &Instance, const std::string &Key,
-                    bool Repeatable);
+                    bool Repeatable, bool Crashes = false);
   std::vector<sent_request> sent() const;
 
   store_standin Store;
@@ -88,6 +93,7 @@
 
 private:
   void callerLoop(unsigned Number);
+  void crashLoop();
   std::string settingsOf(const soak_instance &Instance) const;
 
   std::string Folder;
