--- a/packages/coordination/include/magnoliaspread/crashevidence.h
+++ b/packages/coordination/include/magnoliaspread/crashevidence.h
@@ -21,6 +21,10 @@
 
 target_start targetStart(std::string_view Name, std::int64_t StartedAtMs);
 
+/// The start after \p Died of a target that serves again, as long as its own
+/// name isn't known.
+target_start startAfter(target_start Died);
+
 /// A target that died with the request in flight on it.
 struct crash {
   target_start Target = 0;
--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -51,6 +51,9 @@
   /// A request whose connection broke is charged with the death of its target
   /// if that is noticed in this time.
   std::chrono::milliseconds DoubtTime{10000};
+  /// Targets are named by their starts: what one runs after its death, it runs
+  /// on a later start, which may die again.
+  bool TargetsRestart = false;
   std::size_t MaxSuspects = 4096;
   /// Targets kept free for suspects at once.
   std::size_t MaxIsolated = 1;
@@ -111,6 +114,10 @@
   std::vector<request_fingerprint> targetDied(target_start Target,
                                               steady_time Now);
 
+  /// \p Died is over and its target serves as \p Started. The same return.
+  std::vector<request_fingerprint>
+  startedAgain(target_start Died, target_start Started, steady_time Now);
+
   /// Whether an attempt was lost on \p Target and its death isn't known.
   bool isInDoubt(target_start Target) const;
 
@@ -180,6 +187,8 @@
   void noteDeath(target_start Target, steady_time At);
   std::vector<request_fingerprint> endAttemptsOn(target_start Target,
                                                  steady_time Now);
+  /// The start that serves after those that are known to have died.
+  target_start livingStart(target_start Target) const;
   void merge(const suspect_report &Report, steady_time Now);
   void chargeLostOn(target_start Target, steady_time DiedAt, steady_time Now);
   suspect_report reportOf(request_fingerprint Fingerprint,
--- a/packages/coordination/src/crashevidence.cpp
+++ b/packages/coordination/src/crashevidence.cpp
@@ -27,6 +27,10 @@
                static_cast<XXH64_hash_t>(StartedAtMs));
 }
 
+target_start startAfter(target_start Died) {
+  return XXH64(&Died, sizeof(Died), 0);
+}
+
 bool crash_evidence::add(const crash &Crash) {
   if (SucceededAt && Crash.DiedAt <= *SucceededAt + SuccessMargin)
     return false;
--- a/packages/coordination/src/quarantine.cpp
+++ b/packages/coordination/src/quarantine.cpp
@@ -102,8 +102,9 @@
   if (Count == 0 && isAccused(Fingerprint))
     Isolated.push_back(Fingerprint);
   ++Count;
-  Attempts[Attempt] = {Fingerprint, Target, Now, std::nullopt};
-  AttemptsByTarget[Target].push_back(Attempt);
+  const target_start Living = livingStart(Target);
+  Attempts[Attempt] = {Fingerprint, Living, Now, std::nullopt};
+  AttemptsByTarget[Living].push_back(Attempt);
 }
 
 void quarantine::succeeded(attempt_id Attempt, steady_time Now) {
@@ -159,7 +160,7 @@
 }
 
 bool quarantine::isInDoubt(target_start Target) const {
-  const auto Found = AttemptsByTarget.find(Target);
+  const auto Found = AttemptsByTarget.find(livingStart(Target));
   return Found != AttemptsByTarget.end() &&
          std::any_of(
              Found->second.begin(), Found->second.end(),
@@ -230,10 +231,44 @@
     Row->second = std::min(Row->second, At);
 }
 
+/// What is sent to a target after its death runs on its next start, though its
+/// entry still tells the one before.
+target_start quarantine::livingStart(target_start Target) const {
+  while (Settings.TargetsRestart && Deaths.contains(Target))
+    Target = startAfter(Target);
+  return Target;
+}
+
 std::vector<request_fingerprint> quarantine::targetDied(target_start Target,
                                                         steady_time Now) {
-  noteDeath(Target, Now);
-  return endAttemptsOn(Target, Now);
+  const target_start Living = livingStart(Target);
+  // A later start that has run nothing may not be up yet.
+  if (Living == Target || AttemptsByTarget.contains(Living))
+    noteDeath(Living, Now);
+  return endAttemptsOn(Living, Now);
+}
+
+std::vector<request_fingerprint> quarantine::startedAgain(target_start Died,
+                                                          target_start Started,
+                                                          steady_time Now) {
+  std::vector<request_fingerprint> Guilty;
+  if (!Deaths.contains(Died))
+    Guilty = targetDied(Died, Now);
+  // What ran there before its name was known, also over further deaths.
+  target_start Unnamed = startAfter(Died);
+  for (target_start Named = Started;; Named = startAfter(Named)) {
+    if (const auto Moved = AttemptsByTarget.extract(Unnamed); !Moved.empty())
+      for (const attempt_id Id : Moved.mapped()) {
+        Attempts.at(Id).Target = Named;
+        AttemptsByTarget[Named].push_back(Id);
+      }
+    const auto Death = Deaths.find(Unnamed);
+    if (Death == Deaths.end())
+      break;
+    noteDeath(Named, Death->second);
+    Unnamed = startAfter(Unnamed);
+  }
+  return Guilty;
 }
 
 std::vector<request_fingerprint> quarantine::endAttemptsOn(target_start Target,
--- a/packages/coordination/tests/crashfleet.h
+++ b/packages/coordination/tests/crashfleet.h
@@ -127,6 +127,7 @@
     quarantine_settings Settings;
     Settings.DeathsWhenAlone = 3;
     Settings.DeathsInCompany = 3;
+    Settings.TargetsRestart = true;
     Settings.Seed = Random();
     Row.Quarantine = std::make_unique<quarantine>(Settings);
     Row.DownUntil.reset();
--- a/packages/coordination/tests/quarantine.cpp
+++ b/packages/coordination/tests/quarantine.cpp
@@ -342,6 +342,95 @@
   });
 }
 
+// Guards against a death that counts only where a second request of the same
+// instance finds the target gone.
+STORY(deaths_that_are_noticed_later_or_elsewhere_count) {
+  quarantine_settings Settings;
+  Settings.DeathsWhenAlone = 3;
+  Settings.DeathsInCompany = 3;
+  Settings.TargetsRestart = true;
+  quarantine Quarantine(Settings);
+  fake_clock Clock;
+  attempt_id Last = 0;
+  const auto Lose = [&](target_start Target) {
+    Quarantine.started(++Last, 5, Target, Clock.now());
+    Clock.advance(20ms);
+    const bool IsDead = Quarantine.lost(Last, Clock.now());
+    Clock.advance(1s);
+    return IsDead;
+  };
+
+  section("a broken connection alone tells nothing", [&] {
+    CPPUNIT_ASSERT(!Lose(1));
+    CPPUNIT_ASSERT(Quarantine.isInDoubt(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Quarantine.suspects());
+  });
+  section("the death is charged though it is noticed seconds later", [&] {
+    Clock.advance(5s);
+    CPPUNIT_ASSERT(Quarantine.targetDied(1, Clock.now()).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Quarantine.suspects());
+  });
+  section("or because a peer tells it of another request", [&] {
+    CPPUNIT_ASSERT(!Lose(2));
+    Quarantine.merge(
+        quarantine_news{{{77, std::nullopt, 1, {{2, 1100ms, 1000ms, false}}}}},
+        Clock.now());
+    CPPUNIT_ASSERT(!Quarantine.isInDoubt(2));
+  });
+  section("what is sent after the death isn't charged", [&] {
+    CPPUNIT_ASSERT(!Lose(2));
+    CPPUNIT_ASSERT(Quarantine.place(5, Clock.now()).Placement !=
+                   placement::Quarantined);
+  });
+  section("the third death is the last one", [&] {
+    CPPUNIT_ASSERT(!Lose(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Quarantine.targetDied(3, Clock.now()).size());
+  });
+  section("and a target that isn't proved dead in time is let go", [&] {
+    Quarantine.started(++Last, 6, 9, Clock.now());
+    Quarantine.lost(Last, Clock.now());
+    Clock.advance(11s);
+    Quarantine.tell(1, Clock.now());
+    CPPUNIT_ASSERT(!Quarantine.isInDoubt(9));
+  });
+}
+
+// Guards against crashes that aren't counted, since the target was back and its
+// entry still told the start that had died before.
+STORY(starts_that_have_no_entry_yet) {
+  quarantine_settings Settings;
+  Settings.DeathsWhenAlone = 3;
+  Settings.DeathsInCompany = 3;
+  Settings.TargetsRestart = true;
+  quarantine Quarantine(Settings);
+  fake_clock Clock;
+  attempt_id Last = 0;
+  const auto Lose = [&](target_start Target) {
+    Quarantine.started(++Last, 5, Target, Clock.now());
+    Clock.advance(20ms);
+    Quarantine.lost(Last, Clock.now());
+    Clock.advance(100ms);
+  };
+
+  section("a crash of the next start counts, and once", [&] {
+    Lose(1);
+    CPPUNIT_ASSERT(Quarantine.targetDied(1, Clock.now()).empty());
+    CPPUNIT_ASSERT(Quarantine.targetDied(1, Clock.now()).empty());
+    Lose(1);
+    CPPUNIT_ASSERT(Quarantine.isInDoubt(1));
+    CPPUNIT_ASSERT(Quarantine.targetDied(1, Clock.now()).empty());
+  });
+  section("so does the one after it, which gets its name meanwhile", [&] {
+    Lose(1);
+    Quarantine.startedAgain(1, 2, Clock.now());
+    Quarantine.startedAgain(2, 3, Clock.now());
+    CPPUNIT_ASSERT(Quarantine.isInDoubt(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Quarantine.targetDied(3, Clock.now()).size());
+  });
+}
+
 STORY(innocents_of_a_common_failure) {
   quarantine_settings Settings;
   Settings.DeathsWhenAlone = 3;
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -22,6 +22,8 @@
 /// callers are likely to repeat it.
 constexpr milliseconds FirstQuarantine = std::chrono::minutes(10);
 constexpr milliseconds LongestQuarantine = std::chrono::hours(1);
+/// How long a broken connection is looked into.
+constexpr milliseconds LookTimeout{1000};
 
 silence_settings silence() {
   silence_settings Silence;
@@ -38,6 +40,7 @@
   Quarantine.MinQuarantine = FirstQuarantine;
   Quarantine.MaxQuarantine = LongestQuarantine;
   Quarantine.SuspectTime = FirstQuarantine;
+  Quarantine.TargetsRestart = true;
   Quarantine.Seed = Seed;
   return Quarantine;
 }
@@ -219,6 +222,35 @@
              {{"fingerprint", Print}, {"target", Target.Name}});
 }
 
+void gate::state::lookAfter(const known_target &Target) {
+  if (Watched.insert(Target.Start).second)
+    asio::co_spawn(Context, connectAgain(Target), asio::detached);
+}
+
+/// A connection that can be made serves the next request.
+asio::awaitable<void> gate::state::connectAgain(known_target Target) {
+  auto Fresh = co_await Pool.connect(Target.Address, Clock.now() + LookTimeout);
+  Watched.erase(Target.Start);
+  if (!failed(Fresh))
+    Pool.putBack(Target.Address, std::move(valueOf(Fresh)));
+  else if (errorOf(Fresh).Kind == error_kind::TargetDown)
+    targetDied(Target, "connection refused");
+}
+
+/// A target that is back under its name has died, unless it was leaving.
+void gate::state::noteRestart(const known_target &Target, bool Leaves) {
+  const auto Known = Starts.find(Target.Name);
+  if (Known != Starts.end() && !Known->second.Leaves &&
+      Target.StartedAtMs > Known->second.Target.StartedAtMs)
+    logDeath(Known->second.Target, "started again",
+             Quarantine.startedAgain(Known->second.Target.Start, Target.Start,
+                                     Clock.now()));
+  // Most starts have a name of their own.
+  if (Starts.size() > 2 * MaxTargets)
+    Starts.clear();
+  Starts[Target.Name] = {Target, Leaves};
+}
+
 bool gate::state::keysProved() const {
   return Settings.KeyProof == milliseconds(0) ||
          Clock.boot() - ProvedAt < Settings.KeyProof;
@@ -339,6 +371,7 @@
       State->Targets.resize(Index + 1);
     State->Targets[Index] = {Record.Name, Record.Address, Record.StartedAtMs,
                              targetStart(Record.Name, Record.StartedAtMs)};
+    State->noteRestart(State->Targets[Index], !Row.Target.Open);
     if (!Row.Target.Open)
       State->Pool.dropIdle(Record.Address);
     placer_target Target;
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -59,6 +59,10 @@
   void targetDied(const known_target &Target, std::string_view Source);
   void logDeath(const known_target &Target, std::string_view Source,
                 const std::vector<request_fingerprint> &Guilty) const;
+  /// A connection to it broke: finds out whether the target died.
+  void lookAfter(const known_target &Target);
+  asio::awaitable<void> connectAgain(known_target Target);
+  void noteRestart(const known_target &Target, bool Leaves);
   /// The target has said that it leaves; no effect when that is known.
   void targetLeaves(target_handle Target, const std::string &RequestId);
   bool takeRetry(const std::string &Service);
@@ -74,6 +78,12 @@
     std::optional<placement_verdict> Verdict;
   };
 
+  struct last_start {
+    known_target Target;
+    /// It ends as planned.
+    bool Leaves = false;
+  };
+
   struct retry_account {
     double Tokens = 0;
   };
@@ -94,6 +104,10 @@
   name_map<std::size_t> RegionNumbers;
   /// By target handle.
   std::vector<known_target> Targets;
+  /// By name of the target.
+  name_map<last_start> Starts;
+  /// Targets that are being looked after.
+  std::set<target_start> Watched;
   leaving_handler OnTargetLeaving;
   std::unordered_map<std::uint64_t, place_waiter *> Waiters;
   name_map<retry_account> Retries;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -373,6 +373,9 @@
       State.Quarantine.clear(Wanted.Fingerprint, State.Clock.now());
     return;
   case call_end::Misdirected:
+    // Another process has the address.
+    State.Quarantine.ended(Attempt);
+    return State.targetDied(State.Targets[Target.Index], "address taken over");
   case call_end::NotRun:
   case call_end::CallerGone:
     return State.Quarantine.ended(Attempt);
@@ -386,7 +389,9 @@
             {"fingerprint", Wanted.Fingerprint},
             {"target", State.Targets[Target.Index].Name},
             {"detail", Result.Detail}});
-  State.Quarantine.lost(Attempt, State.Clock.now());
+  const bool IsDead = State.Quarantine.lost(Attempt, State.Clock.now());
+  if (Result.End == call_end::Broken && !IsDead)
+    State.lookAfter(State.Targets[Target.Index]);
 }
 
 /// Not sent on: it was refused while it waited, or since its last attempt.
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -425,9 +425,8 @@
           ? View->Config->Table.Workspaces[Request.Workspace.Index].Name
           : std::string();
   const auto &Head = Parser->get();
-  co_return fingerprintOf(
-      {Workspace, Head.method_string(), Head.target(),
-       Caller.held().substr(0, FingerprintBodyBytes)});
+  co_return fingerprintOf({Workspace, Head.method_string(), Head.target(),
+                           Caller.held().substr(0, FingerprintBodyBytes)});
 }
 
 asio::awaitable<relay_outcome>
--- /dev/null
+++ b/tests/soak/crashes.cpp
@@ -0,0 +1,87 @@
+/// Property: instances that run as processes stop a request that crashes its
+/// targets together.
+#include "world.h"
+
+#include <magnoliaspread/story.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Requests = 18;
+/// Longer than a death takes to be known everywhere.
+constexpr auto Pause = 400ms;
+/// Targets that may crash before a request is refused.
+constexpr std::size_t CrashesAllowed = 3;
+
+struct folder {
+  folder() {
+    if (mkdtemp(Name.data()) == nullptr)
+      throw std::runtime_error("no temporary folder");
+  }
+  ~folder() { std::filesystem::remove_all(Name); }
+
+  std::string Name =
+      (std::filesystem::temp_directory_path() / "crashes-XXXXXX").string();
+};
+
+} // namespace
+
+// Guards against a crashing request that each instance sends to targets of its
+// own before it refuses it, or that a restarted one sends again.
+STORY(crashing_request_is_refused_by_all_processes) {
+  const folder Folder;
+  soak_world World(Folder.Name);
+  // Not by way of the proxies, which take connections for a target that is
+  // down.
+  for (const soak_target &Target : World.Targets) {
+    const auto Put = [&World, &Target] {
+      World.Store.put("servers", Target.Target->name(),
+                      Target.Target->entry("ready", Target.DataCentre));
+    };
+    Put();
+    Target.Target->onReturn(Put);
+  }
+  const auto Crashes = [&] {
+    std::size_t Sum = 0;
+    for (const soak_target &Target : World.Targets)
+      Sum += Target.Target->crashes();
+    return Sum;
+  };
+  const auto Crash = [&](const soak_instance &Instance) {
+    const sent_request Request = World.send(Instance, "key-club", false, true);
+    std::this_thread::sleep_for(Pause);
+    return Request.Status;
+  };
+  CPPUNIT_ASSERT(World.waitAllReady(10s));
+  // The instances have to know each other and the targets' entries.
+  std::this_thread::sleep_for(3s);
+
+  section("each instance gets it in turn, three targets crash", [&] {
+    for (int I = 0; I < Requests; ++I)
+      Crash(World.Instances[I % World.Instances.size()]);
+    CPPUNIT_ASSERT_EQUAL(CrashesAllowed, Crashes());
+  });
+  section("every instance refuses it then", [&] {
+    for (const soak_instance &Instance : World.Instances)
+      CPPUNIT_ASSERT_EQUAL(503U, Crash(Instance));
+  });
+  section("also after it was killed and started again", [&] {
+    for (soak_instance &Instance : World.Instances) {
+      Instance.Process->kill();
+      World.start(Instance);
+      CPPUNIT_ASSERT(World.waitAllReady(10s));
+      std::this_thread::sleep_for(1s);
+      CPPUNIT_ASSERT_EQUAL(503U, Crash(Instance));
+    }
+    CPPUNIT_ASSERT_EQUAL(CrashesAllowed, Crashes());
+  });
+  section("while others like it are served", [&] {
+    for (const soak_instance &Instance : World.Instances)
+      CPPUNIT_ASSERT_EQUAL(200U, World.send(Instance, "key-club", true).Status);
+  });
+}
