--- a/packages/coordination/include/magnoliaspread/retry.h
+++ b/packages/coordination/include/magnoliaspread/retry.h
@@ -4,9 +4,12 @@
 #define MAGNOLIASPREAD_RETRY_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/namemap.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace magnoliaspread {
 
@@ -82,6 +85,39 @@
               std::chrono::nanoseconds SlowTime, const retry_settings &Settings,
               retry_budget &Budget, steady_time Now);
 
+struct fleet_retry_settings {
+  /// Second sends against the requests for a service, over the fleet.
+  double Ratio = 0.1;
+  /// Second sends of a service beyond Ratio, at once over the fleet.
+  double Slack = 30;
+  /// The most of one instance at once.
+  double MaxTokens = 3;
+};
+
+/// One instance's part of the second sends that its fleet may make.
+class fleet_retry_budget {
+public:
+  explicit fleet_retry_budget(const fleet_retry_settings &Settings)
+      : Settings(Settings) {}
+
+  /// Instances that share the slack, this one included; until it is known
+  /// each has as much as one of very many.
+  void setInstances(std::size_t Count);
+
+  /// A request for the service has come.
+  void countRequest(const std::string &Service);
+
+  /// Takes a second send; false when there is none.
+  bool tryTake(const std::string &Service);
+
+private:
+  double most() const;
+
+  fleet_retry_settings Settings;
+  std::size_t Instances = 0;
+  name_map<double> Tokens;
+};
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/coordination/src/retry.cpp
+++ b/packages/coordination/src/retry.cpp
@@ -70,4 +70,29 @@
   return Budget.tryTake(Now);
 }
 
+void fleet_retry_budget::setInstances(std::size_t Count) { Instances = Count; }
+
+/// At least one, or no second send would ever be made.
+double fleet_retry_budget::most() const {
+  if (Instances == 0)
+    return 1;
+  return std::clamp(Settings.Slack / static_cast<double>(Instances), 1.0,
+                    std::max(1.0, Settings.MaxTokens));
+}
+
+void fleet_retry_budget::countRequest(const std::string &Service) {
+  double &Left = Tokens[Service];
+  Left = std::min(most(), Left + Settings.Ratio);
+}
+
+bool fleet_retry_budget::tryTake(const std::string &Service) {
+  double &Left = Tokens[Service];
+  // More instances may have come since these were counted.
+  Left = std::min(Left, most());
+  if (Left < 1)
+    return false;
+  Left -= 1;
+  return true;
+}
+
 } // namespace magnoliaspread
--- a/packages/coordination/tests/retry.cpp
+++ b/packages/coordination/tests/retry.cpp
@@ -27,6 +27,53 @@
 
 } // namespace
 
+// Guards against an allowance of each instance that grows with the fleet: at
+// one moment every instance may spend what it has saved up.
+STORY(second_sends_of_a_fleet_stay_within_its_slack) {
+  struct fleet_size {
+    std::size_t Instances;
+    double Slack;
+  };
+  // The users' deployments: machines and budgetSlack.
+  for (const fleet_size Size :
+       {fleet_size{11, 62}, {65, 170}, {84, 208}, {90, 220}, {195, 430}})
+    section(std::to_string(Size.Instances) + " instances", [&] {
+      fleet_retry_settings Settings;
+      Settings.Ratio = 0.2;
+      Settings.Slack = Size.Slack;
+      std::vector<fleet_retry_budget> Fleet(Size.Instances,
+                                            fleet_retry_budget(Settings));
+      constexpr int Requests = 100;
+      std::size_t Sends = 0;
+      for (fleet_retry_budget &Budget : Fleet) {
+        Budget.setInstances(Size.Instances);
+        for (int I = 0; I < Requests; ++I)
+          Budget.countRequest("desk");
+        while (Budget.tryTake("desk"))
+          ++Sends;
+      }
+      CPPUNIT_ASSERT(static_cast<double>(Sends) <= Size.Slack);
+      CPPUNIT_ASSERT(Sends >= Size.Instances);
+    });
+  section("what was saved up by few isn't spent by many", [&] {
+    fleet_retry_budget Budget({0.2, 60, 3});
+    Budget.setInstances(10);
+    for (int I = 0; I < 100; ++I)
+      Budget.countRequest("desk");
+    Budget.setInstances(60);
+    CPPUNIT_ASSERT(Budget.tryTake("desk"));
+    CPPUNIT_ASSERT(!Budget.tryTake("desk"));
+  });
+  section("a started instance has none, and earns them by requests", [&] {
+    fleet_retry_budget Budget({0.5, 60, 3});
+    CPPUNIT_ASSERT(!Budget.tryTake("desk"));
+    Budget.countRequest("desk");
+    CPPUNIT_ASSERT(!Budget.tryTake("desk"));
+    Budget.countRequest("desk");
+    CPPUNIT_ASSERT(Budget.tryTake("desk"));
+  });
+}
+
 STORY(retries_that_are_safe) {
   retry_fixture Fixture;
   attempt_facts Facts = freshFacts();
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -486,7 +486,9 @@
   View.setOthers(std::move(Others));
   ColdShares.setMates(regionCandidates(), Now);
   Limiter.setReachable(std::move(Names));
-  Limiter.setInstances(limiterInstances(Now), Regions, Now);
+  std::vector<limiter_instance> Instances = limiterInstances(Now);
+  Gate.setInstances(Instances.size());
+  Limiter.setInstances(std::move(Instances), Regions, Now);
 }
 
 void gateway::runLimits(steady_time Now) {
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -72,7 +72,8 @@
   const milliseconds Revocation = Settings.Gateway->Revocation;
   if (Revocation > milliseconds(0))
     Gate.KeyProof = std::max(milliseconds(1), Revocation - RevocationMargin);
-  Gate.RetryRatio = Settings.Gateway->RetryRatio * RetryPart;
+  Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryPart;
+  Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryPart;
   return Gate;
 }
 
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -10,6 +10,7 @@
 #include <magnoliaspread/metrics.h>
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/registry.h>
+#include <magnoliaspread/retry.h>
 #include <magnoliaspread/routes.h>
 #include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
@@ -31,9 +32,7 @@
   /// Keyed requests are served only while the configuration is known to have
   /// been current less than this ago; zero is no bound.
   std::chrono::milliseconds KeyProof{0};
-  /// Second sends of a service against its requests, and at once.
-  double RetryRatio = 0.1;
-  double RetryBurst = 3;
+  fleet_retry_settings Retries;
   /// Bodies held at a time, in bytes; further requests are refused.
   std::size_t MaxHeldBytes = 32u << 20;
 };
@@ -73,6 +72,8 @@
   /// The configuration in force was the newest one then.
   void setProved(boot_time At);
   void setTargets(const std::vector<gate_target> &Targets);
+  /// Instances that share the fleet's limits, this one included.
+  void setInstances(std::size_t Count);
   void setTokenWaits(const std::vector<token_wait> &Waits);
   /// Called when a request begins to wait for a token.
   void onTokenShortage(std::function<void()> Handler);
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -65,8 +65,9 @@
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Pool(Context, Clock, silence()), Quarantine(quarantineSettings(Seed)),
-      RegionNumbers(numberRegions(Settings.Regions)), NextId(Seed),
-      Memory(Settings.MaxHeldBytes), Acceptor(Context), PollTimer(Context) {}
+      RegionNumbers(numberRegions(Settings.Regions)), Retries(Settings.Retries),
+      NextId(Seed), Memory(Settings.MaxHeldBytes), Acceptor(Context),
+      PollTimer(Context) {}
 
 /// Looks again at requests that wait: other instances' load on a target fades
 /// without a message.
@@ -154,20 +155,6 @@
     wakePlaced();
 }
 
-void gate::state::countRequest(const std::string &Service) {
-  retry_account &Account = Retries[Service];
-  Account.Tokens =
-      std::min(Settings.RetryBurst, Account.Tokens + Settings.RetryRatio);
-}
-
-bool gate::state::takeRetry(const std::string &Service) {
-  retry_account &Account = Retries[Service];
-  if (Account.Tokens < 1)
-    return false;
-  Account.Tokens -= 1;
-  return true;
-}
-
 std::string gate::state::pickService(const route_row &Route) {
   double Sum = 0;
   for (const route_part &Part : Route.Parts)
@@ -402,6 +389,10 @@
   State->Placer.setTargets(Placed, State->Clock.now());
 }
 
+void gate::setInstances(std::size_t Count) {
+  State->Retries.setInstances(Count);
+}
+
 void gate::setTokenWaits(const std::vector<token_wait> &Waits) {
   State->Tokens.publish(Waits);
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -65,8 +65,6 @@
   void noteRestart(const known_target &Target, bool Leaves);
   /// The target has said that it leaves; no effect when that is known.
   void targetLeaves(target_handle Target, const std::string &RequestId);
-  bool takeRetry(const std::string &Service);
-  void countRequest(const std::string &Service);
   std::string pickService(const route_row &Route);
   home_regions homesOf(const route_row &Route,
                        const routed_workspace *Workspace) const;
@@ -84,10 +82,6 @@
     bool Leaves = false;
   };
 
-  struct retry_account {
-    double Tokens = 0;
-  };
-
   asio::io_context &Context;
   const gate_settings &Settings;
   const clock &Clock;
@@ -110,7 +104,7 @@
   std::set<target_start> Watched;
   leaving_handler OnTargetLeaving;
   std::unordered_map<std::uint64_t, place_waiter *> Waiters;
-  name_map<retry_account> Retries;
+  fleet_retry_budget Retries;
   /// Draws by route, to follow the weights of its parts.
   name_map<even_draw> Draws;
   std::map<std::uint64_t, tcp::socket *> IdleCallers;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -260,7 +260,7 @@
   if (Outcome.Sends >= Wanted.Route->MaxAttempts ||
       Wanted.Place.Deadline - State.Clock.now() < LeastAttempt)
     return false;
-  return State.takeRetry(Wanted.Service);
+  return State.Retries.tryTake(Wanted.Service);
 }
 
 namespace {
@@ -499,7 +499,7 @@
       co_return Outcome;
     }
   }
-  State.countRequest(Wanted.Service);
+  State.Retries.countRequest(Wanted.Service);
   const steady_time PassedAt = State.Clock.now();
   co_await runAttempts(Wanted, Outcome);
   if (Limited && !Outcome.MayHaveRun)
