--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -630,6 +630,8 @@
   Gauges.ConfigStaleness =
       duration_cast<milliseconds>(Clock.boot() - View.routesProvedAt());
   Gauges.PlatformReachable = Store.reachable();
+  Gauges.Suspects = Counts.Suspects;
+  Gauges.Quarantined = Counts.Quarantined;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -35,6 +35,10 @@
   bool PlatformReachable = false;
   /// How long the instance has been draining; zero when it isn't.
   std::chrono::milliseconds Draining{};
+  /// Requests that were in flight on targets that died, and those of them that
+  /// are refused.
+  std::size_t Suspects = 0;
+  std::size_t Quarantined = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -55,6 +55,8 @@
   prometheus::Gauge &ConfigStaleness;
   prometheus::Gauge &PlatformReachable;
   prometheus::Gauge &Draining;
+  prometheus::Gauge &Suspects;
+  prometheus::Gauge &Quarantined;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -87,7 +89,12 @@
       PlatformReachable(addGauge(Registry, "magnoliaspread_platform_reachable",
                                  "1 while the platform answers")),
       Draining(addGauge(Registry, "magnoliaspread_drain_seconds",
-                        "Time since the drain began")) {
+                        "Time since the drain began")),
+      Suspects(addGauge(Registry, "magnoliaspread_suspect_requests",
+                        "Requests that were in flight on targets that died")),
+      Quarantined(addGauge(Registry, "magnoliaspread_quarantined_requests",
+                           "Requests that are refused for the targets that "
+                           "died of them")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -153,6 +160,8 @@
   State->ConfigStaleness.Set(seconds_double(Gauges.ConfigStaleness).count());
   State->PlatformReachable.Set(Gauges.PlatformReachable ? 1 : 0);
   State->Draining.Set(seconds_double(Gauges.Draining).count());
+  State->Suspects.Set(static_cast<double>(Gauges.Suspects));
+  State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -49,6 +49,9 @@
   std::size_t InFlight = 0;
   std::size_t Waiting = 0;
   std::size_t Connections = 0;
+  /// Requests that were in flight on targets that died, and those refused.
+  std::size_t Suspects = 0;
+  std::size_t Quarantined = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -455,8 +455,14 @@
 }
 
 gate_counts gate::counts() const {
-  return {State->InFlight, State->Placer.waiting(), State->Connections,
-          State->Requests};
+  gate_counts Counts;
+  Counts.InFlight = State->InFlight;
+  Counts.Waiting = State->Placer.waiting();
+  Counts.Connections = State->Connections;
+  Counts.Suspects = State->Quarantine.suspects();
+  Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
+  Counts.Requests = State->Requests;
+  return Counts;
 }
 
 } // namespace magnoliaspread
