--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -129,6 +129,10 @@
   /// What was seen here and not told yet, for every peer.
   quarantine_news takeSeen(steady_time Now);
 
+  /// What is known of one suspect; nothing when it is none.
+  std::optional<suspect_report> report(request_fingerprint Fingerprint,
+                                       steady_time Now) const;
+
   /// What an instance that has just started should know.
   quarantine_news current(steady_time Now) const;
 
--- a/packages/coordination/src/quarantinenews.cpp
+++ b/packages/coordination/src/quarantinenews.cpp
@@ -81,6 +81,14 @@
   return News;
 }
 
+std::optional<suspect_report>
+quarantine::report(request_fingerprint Fingerprint, steady_time Now) const {
+  const auto Found = Suspects.find(Fingerprint);
+  if (Found == Suspects.end())
+    return std::nullopt;
+  return reportOf(Fingerprint, Found->second, Now);
+}
+
 quarantine_news quarantine::current(steady_time Now) const {
   std::vector<request_fingerprint> Rows;
   for (const auto &[Fingerprint, Suspect] : Suspects)
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -7,6 +7,7 @@
 #include "identity_p.h"
 #include "membersys_p.h"
 #include "peerfetch_p.h"
+#include "quarantinestore_p.h"
 
 #include <magnoliaspread/coldshare.h>
 #include <magnoliaspread/entries.h>
@@ -135,6 +136,7 @@
   start_source Start;
   cold_shares ColdShares;
   gate Gate;
+  quarantine_store Quarantines;
   admin_port Admin;
   admin_port Directory;
   admin_port Ready;
@@ -191,6 +193,8 @@
       Start(startSettings(Settings), randomNumber(), Clock.now()),
       Gate(Context, GateSettings, Clock, Platform.dialect(), Limiter, Metrics,
            randomNumber()),
+      Quarantines(Store, Clock,
+                  [this](const quarantine_news &News) { Gate.receive(News); }),
       Admin(Context, {{"/metrics",
                        [this] {
                          return admin_answer{200, "text/plain; version=0.0.4",
@@ -225,6 +229,8 @@
       [this](const std::string &Name, std::int64_t StartedAtMs) {
         return Registry.noteLeaving(Name, StartedAtMs);
       });
+  Gate.onQuarantine(
+      [this](const suspect_report &Report) { Quarantines.save(Report); });
   Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
 }
 
@@ -308,6 +314,9 @@
     return;
   case start_action::Read:
     logEvent(log_level::Info, "start_reads_platform", {{"peers", From.size()}});
+    // Peers tell the others. Nothing is kept before the first start.
+    if (!Settings.Gateway->FirstStart)
+      Quarantines.load();
     return Follower.readAtStart();
   case start_action::AskPeer:
     return askForSnapshot(From[std::uniform_int_distribution<std::size_t>(
@@ -652,6 +661,7 @@
     Gate.acceptCallers();
   }
   Gate.tick();
+  Quarantines.tick();
   tellCrashes();
   tellObjects(Now);
   if (Now >= NextMeasure)
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -96,6 +96,9 @@
   /// Closes the public port, and connections that carry no request.
   void stopAccepting();
 
+  /// Called when a request is refused from now on by what this instance saw.
+  using quarantine_handler = std::function<void(const suspect_report &Report)>;
+  void onQuarantine(quarantine_handler Handler);
   /// Takes in what a peer knows of requests that crash targets.
   void receive(const quarantine_news &News);
   /// The same from here, for which of \p Peers peers.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -193,10 +193,10 @@
     Quarantine.targetDied(Target.Start, Clock.now());
     return;
   }
-  logDeath(Target, Source, Quarantine.targetDied(Target.Start, Clock.now()));
+  noteDeath(Target, Source, Quarantine.targetDied(Target.Start, Clock.now()));
 }
 
-void gate::state::logDeath(
+void gate::state::noteDeath(
     const known_target &Target, std::string_view Source,
     const std::vector<request_fingerprint> &Guilty) const {
   logEvent(log_level::Info, "target_died",
@@ -204,9 +204,13 @@
             {"started_at_ms", Target.StartedAtMs},
             {"source", Source},
             {"suspects", Quarantine.suspects()}});
-  for (const request_fingerprint Print : Guilty)
+  for (const request_fingerprint Print : Guilty) {
     logEvent(log_level::Warning, "request_quarantined",
              {{"fingerprint", Print}, {"target", Target.Name}});
+    const auto Report = Quarantine.report(Print, Clock.now());
+    if (OnQuarantine && Report)
+      OnQuarantine(*Report);
+  }
 }
 
 void gate::state::lookAfter(const known_target &Target) {
@@ -229,9 +233,9 @@
   const auto Known = Starts.find(Target.Name);
   if (Known != Starts.end() && !Known->second.Leaves &&
       Target.StartedAtMs > Known->second.Target.StartedAtMs)
-    logDeath(Known->second.Target, "started again",
-             Quarantine.startedAgain(Known->second.Target.Start, Target.Start,
-                                     Clock.now()));
+    noteDeath(Known->second.Target, "started again",
+              Quarantine.startedAgain(Known->second.Target.Start, Target.Start,
+                                      Clock.now()));
   // Most starts have a name of their own.
   if (Starts.size() > 2 * MaxTargets)
     Starts.clear();
@@ -407,6 +411,10 @@
   State->OnTargetLeaving = std::move(Handler);
 }
 
+void gate::onQuarantine(quarantine_handler Handler) {
+  State->OnQuarantine = std::move(Handler);
+}
+
 void gate::setLeaving() { State->Leaving = true; }
 
 void gate::tick() { State->Tokens.tick(); }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -57,8 +57,8 @@
   void finished(const target_end &End);
   /// The target's process is gone; it may have died of what it ran.
   void targetDied(const known_target &Target, std::string_view Source);
-  void logDeath(const known_target &Target, std::string_view Source,
-                const std::vector<request_fingerprint> &Guilty) const;
+  void noteDeath(const known_target &Target, std::string_view Source,
+                 const std::vector<request_fingerprint> &Guilty) const;
   /// A connection to it broke: finds out whether the target died.
   void lookAfter(const known_target &Target);
   asio::awaitable<void> connectAgain(known_target Target);
@@ -103,6 +103,7 @@
   /// Targets that are being looked after.
   std::set<target_start> Watched;
   leaving_handler OnTargetLeaving;
+  quarantine_handler OnQuarantine;
   std::unordered_map<std::uint64_t, place_waiter *> Waiters;
   fleet_retry_budget Retries;
   /// Draws by route, to follow the weights of its parts.
--- a/tests/soak/crashes.cpp
+++ b/tests/soak/crashes.cpp
@@ -18,6 +18,10 @@
 /// Targets that may crash before a request is refused.
 constexpr std::size_t CrashesAllowed = 3;
 
+/// RULES, In touch: an instance is bound this long after its start
+/// (stabilityWindowMs).
+constexpr auto AfterStart = 4000ms;
+
 struct folder {
   folder() {
     if (mkdtemp(Name.data()) == nullptr)
@@ -80,6 +84,17 @@
     }
     CPPUNIT_ASSERT_EQUAL(CrashesAllowed, Crashes());
   });
+  section("and after all were killed at one moment", [&] {
+    for (soak_instance &Instance : World.Instances)
+      Instance.Process->kill();
+    for (soak_instance &Instance : World.Instances)
+      World.start(Instance);
+    CPPUNIT_ASSERT(World.waitAllReady(10s));
+    std::this_thread::sleep_for(AfterStart);
+    for (const soak_instance &Instance : World.Instances)
+      CPPUNIT_ASSERT_EQUAL(503U, Crash(Instance));
+    CPPUNIT_ASSERT_EQUAL(CrashesAllowed, Crashes());
+  });
   section("while others like it are served", [&] {
     for (const soak_instance &Instance : World.Instances)
       CPPUNIT_ASSERT_EQUAL(200U, World.send(Instance, "key-club", true).Status);
