--- a/packages/coordination/include/magnoliaspread/crashevidence.h
+++ b/packages/coordination/include/magnoliaspread/crashevidence.h
@@ -48,7 +48,8 @@
   /// when that changes nothing.
   bool succeeded(steady_time At);
 
-  /// An instance that knows these crashes counts \p Rounds.
+  /// An instance that knows these crashes counts \p Rounds; more than there
+  /// are crashes can't be.
   void claim(std::size_t Rounds);
 
   /// Crashes that came one after the other. Targets that die of one cause at
--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -133,6 +133,9 @@
   std::optional<suspect_report> report(request_fingerprint Fingerprint,
                                        steady_time Now) const;
 
+  /// Whether the last crash of a suspect was seen here.
+  bool sawLastCrash(request_fingerprint Fingerprint) const;
+
   /// What an instance that has just started should know.
   quarantine_news current(steady_time Now) const;
 
--- a/packages/coordination/src/crashevidence.cpp
+++ b/packages/coordination/src/crashevidence.cpp
@@ -78,7 +78,7 @@
 }
 
 void crash_evidence::claim(std::size_t Rounds) {
-  Claimed = std::max(Claimed, std::min(Rounds, MaxCrashes));
+  Claimed = std::max(Claimed, Rounds);
 }
 
 /// The longest series of crashes in which each run was sent after the death
@@ -100,7 +100,7 @@
 }
 
 std::size_t crash_evidence::rounds() const {
-  return std::max(chain().size(), Claimed);
+  return std::max(chain().size(), std::min(Claimed, Crashes.size()));
 }
 
 bool crash_evidence::knows(target_start Target) const {
--- a/packages/coordination/src/quarantinenews.cpp
+++ b/packages/coordination/src/quarantinenews.cpp
@@ -89,6 +89,12 @@
   return reportOf(Fingerprint, Found->second, Now);
 }
 
+bool quarantine::sawLastCrash(request_fingerprint Fingerprint) const {
+  const auto Found = Suspects.find(Fingerprint);
+  return Found != Suspects.end() && !Found->second.Evidence.crashes().empty() &&
+         Found->second.Evidence.crashes().back().SeenHere;
+}
+
 quarantine_news quarantine::current(steady_time Now) const {
   std::vector<request_fingerprint> Rows;
   for (const auto &[Fingerprint, Suspect] : Suspects)
--- a/packages/coordination/tests/quarantine.cpp
+++ b/packages/coordination/tests/quarantine.cpp
@@ -320,6 +320,33 @@
   });
 }
 
+// Guards against a message that makes no sense and ends the process.
+STORY(quarantine_news_that_make_no_sense) {
+  quarantine_fixture Fixture;
+  const auto Merge = [&](const suspect_report &Report) {
+    return Fixture.Quarantine.merge({{Report}}, Fixture.Clock.now());
+  };
+  section("rounds without a crash", [&] {
+    CPPUNIT_ASSERT(Merge({5, std::nullopt, 0xffffffff, {}}).empty());
+    Fixture.dies(5, 1);
+    CPPUNIT_ASSERT(Merge({5, std::nullopt, 0xffffffff, {}}).empty());
+    CPPUNIT_ASSERT(Fixture.placeOf(5) == placement::Alone);
+  });
+  section("a death before its run, and ages beyond any memory", [&] {
+    Merge({6, std::nullopt, 2, {{1, 10ms, 20ms, true}, {2, 5ms, 10ms, true}}});
+    Merge({7, 1193h, 2, {{3, 1193h, 1193h, true}}});
+    CPPUNIT_ASSERT(Fixture.placeOf(6) == placement::Any);
+    CPPUNIT_ASSERT(Fixture.placeOf(7) == placement::Any);
+  });
+  section("more crashes than are kept", [&] {
+    suspect_report Report{8, std::nullopt, 2, {}};
+    for (std::uint64_t Target = 0; Target < 1000; ++Target)
+      Report.Crashes.push_back({Target, 20ms, 10ms, false});
+    Merge(Report);
+    CPPUNIT_ASSERT(Fixture.placeOf(8) == placement::Alone);
+  });
+}
+
 STORY(quarantine_table_is_bounded) {
   quarantine_fixture Fixture;
   section("suspects of one death make room for each other", [&] {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -204,13 +204,22 @@
             {"started_at_ms", Target.StartedAtMs},
             {"source", Source},
             {"suspects", Quarantine.suspects()}});
-  for (const request_fingerprint Print : Guilty) {
-    logEvent(log_level::Warning, "request_quarantined",
-             {{"fingerprint", Print}, {"target", Target.Name}});
-    const auto Report = Quarantine.report(Print, Clock.now());
-    if (OnQuarantine && Report)
-      OnQuarantine(*Report);
-  }
+  for (const request_fingerprint Print : Guilty)
+    noteQuarantine(Print, Target);
+}
+
+void gate::state::noteQuarantine(request_fingerprint Print,
+                                 const known_target &Target) const {
+  logEvent(log_level::Warning, "request_quarantined",
+           {{"fingerprint", Print}, {"target", Target.Name}});
+  keepQuarantine(Print);
+}
+
+/// Of several instances the one keeps it that has seen the last crash.
+void gate::state::keepQuarantine(request_fingerprint Print) const {
+  const auto Report = Quarantine.report(Print, Clock.now());
+  if (OnQuarantine && Report && Quarantine.sawLastCrash(Print))
+    OnQuarantine(*Report);
 }
 
 void gate::state::lookAfter(const known_target &Target) {
@@ -428,11 +437,13 @@
 
 void gate::receive(const quarantine_news &News) {
   const steady_time Now = State->Clock.now();
-  for (const request_fingerprint Print : State->Quarantine.merge(News, Now))
+  for (const request_fingerprint Print : State->Quarantine.merge(News, Now)) {
     logEvent(log_level::Warning, "quarantine_learned",
              {{"fingerprint", Print},
               {"refuse_ms",
                State->Quarantine.place(Print, Now).RetryAfter.count()}});
+    State->keepQuarantine(Print);
+  }
 }
 
 std::vector<quarantine_telling> gate::tellCrashes(std::size_t Peers) {
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -59,6 +59,9 @@
   void targetDied(const known_target &Target, std::string_view Source);
   void noteDeath(const known_target &Target, std::string_view Source,
                  const std::vector<request_fingerprint> &Guilty) const;
+  void noteQuarantine(request_fingerprint Print,
+                      const known_target &Target) const;
+  void keepQuarantine(request_fingerprint Print) const;
   /// A connection to it broke: finds out whether the target died.
   void lookAfter(const known_target &Target);
   asio::awaitable<void> connectAgain(known_target Target);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -389,9 +389,14 @@
             {"fingerprint", Wanted.Fingerprint},
             {"target", State.Targets[Target.Index].Name},
             {"detail", Result.Detail}});
-  const bool IsDead = State.Quarantine.lost(Attempt, State.Clock.now());
-  if (Result.End == call_end::Broken && !IsDead)
-    State.lookAfter(State.Targets[Target.Index]);
+  const auto &Known = State.Targets[Target.Index];
+  const steady_time Now = State.Clock.now();
+  const bool IsDead = State.Quarantine.lost(Attempt, Now);
+  if (IsDead && State.Quarantine.place(Wanted.Fingerprint, Now).Placement ==
+                    placement::Quarantined)
+    State.noteQuarantine(Wanted.Fingerprint, Known);
+  else if (Result.End == call_end::Broken && !IsDead)
+    State.lookAfter(Known);
 }
 
 /// Not sent on: it was refused while it waited, or since its last attempt.
