--- a/packages/coordination/include/magnoliaspread/quarantine.h
+++ b/packages/coordination/include/magnoliaspread/quarantine.h
@@ -196,7 +196,7 @@
                                                  steady_time Now);
   /// The start that serves after those that are known to have died.
   target_start livingStart(target_start Target) const;
-  void merge(const suspect_report &Report, steady_time Now);
+  void mergeReport(const suspect_report &Report, steady_time Now);
   void chargeLostOn(target_start Target, steady_time DiedAt, steady_time Now);
   suspect_report reportOf(request_fingerprint Fingerprint,
                           const suspect &Suspect, steady_time Now) const;
--- a/packages/coordination/src/quarantinenews.cpp
+++ b/packages/coordination/src/quarantinenews.cpp
@@ -158,7 +158,7 @@
   return Tellings;
 }
 
-void quarantine::merge(const suspect_report &Report, steady_time Now) {
+void quarantine::mergeReport(const suspect_report &Report, steady_time Now) {
   // Ages beyond the longest time that anything is kept tell nothing.
   const milliseconds Oldest = Settings.MaxQuarantine + Settings.SuspectTime;
   const auto Found = Suspects.find(Report.Fingerprint);
@@ -198,7 +198,7 @@
   std::vector<request_fingerprint> Guilty;
   for (const suspect_report &Report : News.Suspects) {
     const bool Was = isQuarantined(Report.Fingerprint, Now);
-    merge(Report, Now);
+    mergeReport(Report, Now);
     if (!Was && isQuarantined(Report.Fingerprint, Now))
       Guilty.push_back(Report.Fingerprint);
   }
--- a/packages/coordination/tests/quarantine.cpp
+++ b/packages/coordination/tests/quarantine.cpp
@@ -253,16 +253,21 @@
   });
 }
 
+namespace {
+
+void tell(quarantine_fixture &From, quarantine_fixture &To) {
+  From.Clock.advance(1s);
+  To.Clock.advance(1s);
+  for (const quarantine_telling &Telling :
+       From.Quarantine.tell(1, From.Clock.now()))
+    To.Quarantine.merge(Telling.News, To.Clock.now());
+}
+
+} // namespace
+
 STORY(quarantine_news_between_instances) {
   quarantine_fixture First;
   quarantine_fixture Second;
-  const auto Tell = [](quarantine_fixture &From, quarantine_fixture &To) {
-    From.Clock.advance(1s);
-    To.Clock.advance(1s);
-    for (const quarantine_telling &Telling :
-         From.Quarantine.tell(1, From.Clock.now()))
-      To.Quarantine.merge(Telling.News, To.Clock.now());
-  };
 
   section("a suspect of one instance runs alone on the next", [&] {
     First.dies(5, 0);
@@ -275,7 +280,7 @@
   });
   section("a death that both have seen counts once", [&] {
     CPPUNIT_ASSERT(!Second.dies(5, 0));
-    Tell(Second, First);
+    tell(Second, First);
     CPPUNIT_ASSERT(First.placeOf(5) == placement::Alone);
   });
   section("what succeeded there isn't accused again by old news", [&] {
@@ -289,22 +294,30 @@
     First.Clock.advance(5s);
     Second.Clock.advance(5s);
     CPPUNIT_ASSERT(First.dies(5, 1));
-    Tell(First, Second);
+    tell(First, Second);
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
     First.dies(5, 2);
-    Tell(First, Second);
+    tell(First, Second);
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Quarantined);
   });
-  section("which tells it on, though the first is gone", [&] {
+}
+
+STORY(quarantines_that_are_told_on) {
+  quarantine_fixture Second;
+  section("by one that has heard of it, though the first is gone", [&] {
+    quarantine_fixture First;
     quarantine_fixture Third;
-    Tell(Second, Third);
+    First.dies(5, 1);
+    CPPUNIT_ASSERT(First.dies(5, 2));
+    tell(First, Second);
+    tell(Second, Third);
     CPPUNIT_ASSERT(Third.placeOf(5) == placement::Quarantined);
   });
   section("it ends everywhere when it would without being told on", [&] {
     quarantine_fixture Third;
     for (int Seconds = 0; Seconds < 62; ++Seconds) {
-      Tell(Second, Third);
-      Tell(Third, Second);
+      tell(Second, Third);
+      tell(Third, Second);
     }
     CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
     CPPUNIT_ASSERT(Third.placeOf(5) == placement::Alone);
@@ -312,8 +325,8 @@
   section("and is forgotten, though both go on telling", [&] {
     quarantine_fixture Third;
     for (int Seconds = 0; Seconds < 70; ++Seconds) {
-      Tell(Second, Third);
-      Tell(Third, Second);
+      tell(Second, Third);
+      tell(Third, Second);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Second.Quarantine.suspects());
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Third.Quarantine.suspects());
