--- a/packages/coordination/src/quarantinenews.cpp
+++ b/packages/coordination/src/quarantinenews.cpp
@@ -98,7 +98,8 @@
 quarantine_news quarantine::current(steady_time Now) const {
   std::vector<request_fingerprint> Rows;
   for (const auto &[Fingerprint, Suspect] : Suspects)
-    if (Suspect.Evidence.rounds() >= RoundsToPassOn)
+    if (Suspect.Evidence.rounds() >= RoundsToPassOn ||
+        sawLastCrash(Fingerprint))
       Rows.push_back(Fingerprint);
   return newsOf(std::move(Rows), Now);
 }
@@ -115,7 +116,9 @@
 std::vector<quarantine_telling> quarantine::tell(std::size_t Peers,
                                                  steady_time Now) {
   std::vector<quarantine_telling> Tellings;
-  if (quarantine_news Seen = takeSeen(Now); !Seen.Suspects.empty()) {
+  // Without a peer it stays to be told.
+  quarantine_news Seen = Peers == 0 ? quarantine_news() : takeSeen(Now);
+  if (!Seen.Suspects.empty()) {
     std::vector<std::size_t> All(Peers);
     std::iota(All.begin(), All.end(), std::size_t(0));
     Tellings.push_back({std::move(All), std::move(Seen)});
--- a/packages/coordination/tests/quarantine.cpp
+++ b/packages/coordination/tests/quarantine.cpp
@@ -302,6 +302,24 @@
   });
 }
 
+// Guards against a crash that is told while no peer is known, and never again.
+STORY(quarantine_news_of_an_instance_that_was_alone) {
+  quarantine_fixture First;
+  quarantine_fixture Second;
+  First.dies(5, 1);
+  section("it is kept for the first peer", [&] {
+    CPPUNIT_ASSERT(First.Quarantine.tell(0, First.Clock.now()).empty());
+    tell(First, Second);
+    CPPUNIT_ASSERT(Second.placeOf(5) == placement::Alone);
+  });
+  section("and told to one that comes later", [&] {
+    quarantine_fixture Third;
+    Third.Quarantine.merge(First.Quarantine.current(First.Clock.now()),
+                           Third.Clock.now());
+    CPPUNIT_ASSERT(Third.placeOf(5) == placement::Alone);
+  });
+}
+
 STORY(quarantines_that_are_told_on) {
   quarantine_fixture Second;
   section("by one that has heard of it, though the first is gone", [&] {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -189,11 +189,11 @@
 
 void gate::state::targetDied(const known_target &Target,
                              std::string_view Source) {
-  if (!Quarantine.isInDoubt(Target.Start)) {
-    Quarantine.targetDied(Target.Start, Clock.now());
-    return;
-  }
-  noteDeath(Target, Source, Quarantine.targetDied(Target.Start, Clock.now()));
+  const bool InDoubt = Quarantine.isInDoubt(Target.Start);
+  const std::vector<request_fingerprint> Guilty =
+      Quarantine.targetDied(Target.Start, Clock.now());
+  if (InDoubt || !Guilty.empty())
+    noteDeath(Target, Source, Guilty);
 }
 
 void gate::state::noteDeath(
@@ -241,10 +241,14 @@
 void gate::state::noteRestart(const known_target &Target, bool Leaves) {
   const auto Known = Starts.find(Target.Name);
   if (Known != Starts.end() && !Known->second.Leaves &&
-      Target.StartedAtMs > Known->second.Target.StartedAtMs)
-    noteDeath(Known->second.Target, "started again",
-              Quarantine.startedAgain(Known->second.Target.Start, Target.Start,
-                                      Clock.now()));
+      Target.StartedAtMs > Known->second.Target.StartedAtMs) {
+    const known_target &Died = Known->second.Target;
+    const bool InDoubt = Quarantine.isInDoubt(Died.Start);
+    const std::vector<request_fingerprint> Guilty =
+        Quarantine.startedAgain(Died.Start, Target.Start, Clock.now());
+    if (InDoubt || !Guilty.empty())
+      noteDeath(Died, "started again", Guilty);
+  }
   // Most starts have a name of their own.
   if (Starts.size() > 2 * MaxTargets)
     Starts.clear();
