Log and count the rate limits that targets announce

The header is read now, and a change of what an instance believes of a target's limit writes event=target_limit with its value, source and request; values that are no number write target_limit_unreadable once. Announcements are ordered by the time at which their request was sent. Placement is unchanged.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -650,6 +650,7 @@
   Gauges.PlatformReachable = Store.reachable();
   Gauges.Suspects = Counts.Suspects;
   Gauges.Quarantined = Counts.Quarantined;
+  Gauges.LimitedTargets = Counts.LimitedTargets;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -39,6 +39,8 @@
   /// that are quarantined.
   std::size_t Suspects = 0;
   std::size_t Quarantined = 0;
+  /// Targets that announced a rate limit.
+  std::size_t LimitedTargets = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -61,6 +61,7 @@
   prometheus::Gauge &Draining;
   prometheus::Gauge &Suspects;
   prometheus::Gauge &Quarantined;
+  prometheus::Gauge &LimitedTargets;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -99,7 +100,9 @@
                         "Requests that were in flight on targets that died")),
       Quarantined(addGauge(Registry, "magnoliaspread_quarantined_requests",
                            "Requests that are refused for the targets that "
-                           "died of them")) {
+                           "died of them")),
+      LimitedTargets(addGauge(Registry, "magnoliaspread_limited_targets",
+                              "Targets that announced a rate limit")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -167,6 +170,7 @@
   State->Draining.Set(seconds_double(Gauges.Draining).count());
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
+  State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -53,6 +53,8 @@
   /// that.
   std::size_t Suspects = 0;
   std::size_t Quarantined = 0;
+  /// Targets that announced a rate limit.
+  std::size_t LimitedTargets = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
--- a/packages/traffic/include/magnoliaspread/gate_dialect.h
+++ b/packages/traffic/include/magnoliaspread/gate_dialect.h
@@ -56,6 +56,11 @@
   bool Leaving = false;
   /// The target shed the request and wants no other for this long.
   std::optional<std::chrono::milliseconds> PauseFor;
+  /// Requests per second that the target accepts from all instances together,
+  /// until an answer without it.
+  std::optional<double> RateLimit;
+  /// The answer has a rate limit that is no number from 0 on.
+  bool RateLimitUnreadable = false;
 };
 
 /// A caller's query for the instances to use.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -490,6 +490,7 @@
   Counts.Connections = State->Connections;
   Counts.Suspects = State->Quarantine.suspects();
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
+  Counts.LimitedTargets = State->TargetLimits.size(State->Clock.boot());
   Counts.Requests = State->Requests;
   return Counts;
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -14,6 +14,7 @@
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/shift.h>
+#include <magnoliaspread/targetlimits.h>
 
 #include <map>
 #include <memory>
@@ -70,6 +71,10 @@
   void detectRestart(const target_process &Target, bool IsLeaving);
   /// The target announced that it leaves; no effect if that is known.
   void handleTargetLeaving(target_handle Target, const std::string &RequestId);
+  /// Records whether the answer to a request sent at \p SentAt announced a
+  /// rate limit.
+  void noteTargetLimit(target_handle Target, const std::string &RequestId,
+                       const call_result &Result, boot_time SentAt);
   std::string pickService(const route_row &Route);
   home_regions homesOf(const route_row &Route,
                        const routed_workspace *Workspace) const;
@@ -96,6 +101,7 @@
   placer Placer{placer_policy{}};
   connection_pool Pool;
   quarantine Quarantine;
+  target_limits TargetLimits;
   route_index_ptr Routes;
   boot_time ConfigConfirmedAt;
   bool Leaving = false;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -462,6 +462,7 @@
   Outcome.Target = State.Targets[Target.Index].Name;
   const endpoint_address Address = State.Targets[Target.Index].Address;
   const steady_time Sent = State.Clock.now();
+  const boot_time SentAt = State.Clock.boot();
   call_result Result =
       co_await callTarget(State.Dialect, {Socket, Buffer}, *Connection, Call);
   const steady_time Now = State.Clock.now();
@@ -471,6 +472,7 @@
     State.Pool.drop(Address, std::move(Connection),
                     Result.End == call_end::Unresponsive);
   reportToQuarantine(Wanted, Target, Attempt, Result);
+  State.noteTargetLimit(Target, Wanted.Id, Result, SentAt);
   co_return concludeAttempt(Wanted, Target, std::move(Result), Now - Sent,
                             Outcome);
 }
