--- /dev/null
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -0,0 +1,97 @@
+/// Pages of the gateway: directory and readiness for callers and the platform,
+/// configuration and snapshots for peers.
+#include "gateway_p.h"
+
+#include "peerfetch_p.h"
+
+#include <magnoliaspread/log.h>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+admin_answer gateway::snapshotPage() const {
+  if (!Follower.knowsTargets() || DrainingSince)
+    return {503, "application/json", "{\"error\":\"not_ready\"}"};
+  result<std::string> Text = encodeSnapshot(Follower.snapshot(Clock.boot()));
+  if (failed(Text))
+    return {500, "application/json", "{\"error\":\"unreadable\"}"};
+  return {200, "application/octet-stream", std::move(valueOf(Text))};
+}
+
+admin_answer gateway::peerPage(const admin_port::request &Request) const {
+  const std::string_view Path = Request.target();
+  if (Path != ConfigPath && Path != SnapshotPath)
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const status Verified =
+      verifyFetch(Request.base(), Path, Secret, Clock.wall());
+  if (failed(Verified))
+    return {403, "application/json", "{\"error\":\"peer_rejected\"}"};
+  if (Path == SnapshotPath)
+    return snapshotPage();
+  if (InForce == nullptr)
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  return {200, "application/json", Source.Json};
+}
+
+bool gateway::serving() const {
+  const bool ConfigConfirmed =
+      GateSettings.KeyedConfigMaxAge == milliseconds(0) ||
+      Clock.boot() - View.routesConfirmedAt() < GateSettings.KeyedConfigMaxAge;
+  return InForce != nullptr && Registry.revision() > 0 && ConfigConfirmed;
+}
+
+/// Instances for callers: of this data centre, else of the region, else of all;
+/// chooseEntries selects among them by capacity and load.
+std::vector<std::string> gateway::directory() const {
+  std::vector<std::string> Addresses;
+  std::vector<entry_candidate> Candidates;
+  const bool IncludesSelf = serving() && !DrainingSince;
+  if (IncludesSelf) {
+    Addresses.push_back(textOf(Settings.Public));
+    Candidates.push_back(ownCandidate());
+  }
+  int Nearest = IncludesSelf ? 0 : 3;
+  for (const member_row &Row : Peers) {
+    if (!Row.Report.PlatformReachable && IncludesSelf)
+      continue;
+    int Distance = 2;
+    if (Row.Identity.DataCentre == Settings.DataCentre)
+      Distance = 0;
+    else if (Row.Identity.Region == Settings.Region)
+      Distance = 1;
+    if (Distance > Nearest)
+      continue;
+    if (Distance < Nearest) {
+      Addresses.clear();
+      Candidates.clear();
+    }
+    Nearest = Distance;
+    Addresses.push_back(textOf(Row.Identity.Public));
+    Candidates.push_back(candidateOf(Row.Identity, Row.Report.Load));
+  }
+  std::vector<std::string> Chosen;
+  for (const std::size_t Row : chooseEntries(Candidates))
+    Chosen.push_back(Addresses[Row]);
+  return Chosen;
+}
+
+admin_answer gateway::directoryPage(std::string_view Target) const {
+  if (!Platform.dialect().readDirectory(Target))
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const std::vector<std::string> Addresses = directory();
+  if (Addresses.empty())
+    return {503, "application/json", "{\"error\":\"no_instance\"}"};
+  return {200, "application/json",
+          Platform.dialect().directoryAnswer(Addresses, Settings.LookupTtl)};
+}
+
+admin_answer gateway::readyPage(std::string_view Target) const {
+  if (!Platform.dialect().isReadinessProbe(Target))
+    return {404, "application/json", "{\"error\":\"not_found\"}"};
+  const bool Accepts = serving() && !DrainingSince;
+  return {Accepts ? 200U : 503U, "application/json",
+          Accepts ? "{\"ready\":true}" : "{\"ready\":false}"};
+}
+
+} // namespace magnoliaspread
