Broken path: joined with gate, directory, readiness and peers

An instance whose path to the targets is broken leaves the directory and becomes unready, closes callers' connections after each answer, fails new connections to targets at once, voids what it noted against targets and tells its peers, which leave it out of their directory answers. Switched on by detect_broken_path.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -66,6 +66,7 @@
       Gate(Context, GateSettings, Clock, Platform.dialect(), Limiter, Metrics,
            randomNumber()),
       TargetLimits(Gate, Datagrams, Members.members()),
+      Paths(Gate, Datagrams, Settings.DataCentre, randomNumber()),
       Quarantines(
           Store, Clock,
           [this](const quarantine_update &Update) { Gate.receive(Update); }),
@@ -127,6 +128,7 @@
   Gauges.Suspects = Counts.Suspects;
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
+  Gauges.PathBroken = Gate.pathBroken();
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
@@ -150,6 +152,7 @@
   Quarantines.tick();
   gossipCrashes();
   TargetLimits.tick();
+  Paths.tick(Now);
   sendObjectUpdates(Now);
   if (Now >= NextMeasure)
     measure(Now);
--- a/packages/daemon/src/gateway_p.h
+++ b/packages/daemon/src/gateway_p.h
@@ -11,6 +11,7 @@
 #include "gatewayparts_p.h"
 #include "identity_p.h"
 #include "membersys_p.h"
+#include "pathsys_p.h"
 #include "quarantinestore_p.h"
 #include "targetlimitsys_p.h"
 
@@ -68,6 +69,7 @@
   void measure(steady_time Now);
   bool serving() const;
   std::vector<std::string> directory() const;
+  std::vector<std::string> directoryRows(bool OnlyWorkingPaths) const;
   admin_answer directoryPage(std::string_view Target) const;
   admin_answer readyPage(std::string_view Target) const;
   admin_answer peerPage(const admin_port::request &Request) const;
@@ -107,6 +109,7 @@
   cold_shares ColdShares;
   gate Gate;
   target_limit_system TargetLimits;
+  path_system Paths;
   quarantine_store Quarantines;
   admin_port Admin;
   admin_port Directory;
--- a/packages/daemon/src/gatewaypages.cpp
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -41,12 +41,21 @@
   return InForce != nullptr && Registry.revision() > 0 && ConfigConfirmed;
 }
 
-/// Instances for callers: of this data centre, else of the region, else of all;
-/// chooseEntries selects among them by capacity and load.
+/// Instances for callers. Those that reach no targets are left out, unless none
+/// does.
 std::vector<std::string> gateway::directory() const {
+  std::vector<std::string> Rows = directoryRows(true);
+  return Rows.empty() ? directoryRows(false) : Rows;
+}
+
+/// Instances of this data centre, else of the region, else of all;
+/// chooseEntries selects among them by capacity and load.
+std::vector<std::string> gateway::directoryRows(bool OnlyWorkingPaths) const {
   std::vector<std::string> Addresses;
   std::vector<entry_candidate> Candidates;
-  const bool IncludesSelf = serving() && !DrainingSince;
+  const steady_time Now = Clock.now();
+  const bool IncludesSelf =
+      serving() && !DrainingSince && !(OnlyWorkingPaths && Gate.pathBroken());
   if (IncludesSelf) {
     Addresses.push_back(textOf(Settings.Public));
     Candidates.push_back(ownCandidate());
@@ -55,6 +64,8 @@
   for (const member_row &Row : Peers) {
     if (!Row.Report.PlatformReachable && IncludesSelf)
       continue;
+    if (OnlyWorkingPaths && Paths.isBroken(Row.Identity.Name, Now))
+      continue;
     int Distance = 2;
     if (Row.Identity.DataCentre == Settings.DataCentre)
       Distance = 0;
@@ -89,7 +100,7 @@
 admin_answer gateway::readyPage(std::string_view Target) const {
   if (!Platform.dialect().isReadinessProbe(Target))
     return {404, "application/json", "{\"error\":\"not_found\"}"};
-  const bool Accepts = serving() && !DrainingSince;
+  const bool Accepts = serving() && !DrainingSince && !Gate.pathBroken();
   return {Accepts ? 200U : 503U, "application/json",
           Accepts ? "{\"ready\":true}" : "{\"ready\":false}"};
 }
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -75,6 +75,7 @@
     Gate.KeyedConfigMaxAge =
         std::max(milliseconds(1), RevocationBound - RevocationMargin);
   Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryAllowancePart;
+  Gate.DetectBrokenPath = Settings.Gateway->DetectBrokenPath;
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
   return Gate;
 }
--- a/packages/daemon/src/gatewaypeers.cpp
+++ b/packages/daemon/src/gatewaypeers.cpp
@@ -92,6 +92,7 @@
   View.setRemotePeers(std::move(RemotePeers));
   ColdShares.setRegionalPeers(regionCandidates(), Now);
   TargetLimits.setPeers(Peers);
+  Paths.setPeers(Peers);
   Limiter.setReachable(std::move(Names));
   std::vector<limiter_instance> Instances = limiterInstances(Now);
   Gate.setInstances(Instances.size());
@@ -138,6 +139,11 @@
     return applyViewReply(Datagram.Sender, *Reply);
   if (const auto *Limit = std::get_if<target_limit_message>(&Message))
     return TargetLimits.receive(Datagram.Sender, *Limit);
+  if (const auto *Path = std::get_if<path_message>(&Message)) {
+    if (const auto Row = Members.members().findIncarnation(Datagram.Sender))
+      Paths.receive(*Row, *Path, Clock.now());
+    return;
+  }
   if (const auto *Crashes = std::get_if<quarantine_update>(&Message))
     Gate.receive(*Crashes);
 }
--- /dev/null
+++ b/packages/daemon/src/pathsys.cpp
@@ -0,0 +1,92 @@
+#include "pathsys_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace magnoliaspread {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Peers asked, of the own data centre and of others: a cut often covers a
+/// whole data centre.
+constexpr std::size_t NearQueries = 2;
+constexpr std::size_t FarQueries = 4;
+/// Repeated while the path is broken, as datagrams may be lost.
+constexpr milliseconds AnnouncementPeriod{700};
+/// A peer that doesn't repeat its announcement counts as recovered, or as gone,
+/// after this.
+constexpr milliseconds AnnouncementLife{2500};
+
+} // namespace
+
+path_system::path_system(gate &Gate, datagram_port &Datagrams,
+                         std::string DataCentre, std::uint64_t Seed)
+    : Gate(Gate), Datagrams(Datagrams), DataCentre(std::move(DataCentre)),
+      Random(Seed) {}
+
+void path_system::query(const path_query &Query) {
+  std::vector<const member_row *> Rows;
+  for (const member_row &Row : Peers)
+    Rows.push_back(&Row);
+  std::shuffle(Rows.begin(), Rows.end(), Random);
+  std::size_t Near = 0;
+  std::size_t Far = 0;
+  std::vector<endpoint_address> To;
+  for (const member_row *Row : Rows) {
+    const bool IsNear = Row->Identity.DataCentre == DataCentre;
+    if (IsNear ? Near++ < NearQueries : Far++ < FarQueries)
+      To.push_back(Row->Identity.Internal);
+  }
+  Datagrams.send(To, path_message(Query));
+}
+
+void path_system::announce(const path_report &Report) {
+  std::vector<endpoint_address> To;
+  for (const member_row &Row : Peers)
+    To.push_back(Row.Identity.Internal);
+  Datagrams.send(To, path_message(Report));
+}
+
+void path_system::tick(steady_time Now) {
+  for (const path_message &Message : Gate.tickPath()) {
+    if (const auto *Query = std::get_if<path_query>(&Message)) {
+      query(*Query);
+      continue;
+    }
+    announce(std::get<path_report>(Message));
+    NextAnnouncement = Now + AnnouncementPeriod;
+  }
+  if (!Gate.pathBroken() || Now < NextAnnouncement)
+    return;
+  announce({0, path_state::Broken, {}});
+  NextAnnouncement = Now + AnnouncementPeriod;
+}
+
+void path_system::receive(const member_row &Sender, const path_message &Message,
+                          steady_time Now) {
+  if (const auto *Query = std::get_if<path_query>(&Message))
+    return Datagrams.send({Sender.Identity.Internal},
+                          path_message(Gate.answer(*Query)));
+  const auto &Report = std::get<path_report>(Message);
+  const std::string &Name = Sender.Identity.Name;
+  const bool WasBroken = isBroken(Name, Now);
+  if (Report.State == path_state::Broken)
+    Broken[Name] = Now + AnnouncementLife;
+  else
+    Broken.erase(Name);
+  if (isBroken(Name, Now) != WasBroken)
+    logEvent(log_level::Info, "peer_path_changed",
+             {{"peer", Name}, {"broken", WasBroken ? 0 : 1}});
+  Gate.receive(Report);
+}
+
+bool path_system::isBroken(const std::string &Name, steady_time Now) const {
+  const auto Found = Broken.find(Name);
+  return Found != Broken.end() && Now < Found->second;
+}
+
+} // namespace magnoliaspread
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,6 +41,8 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// This instance reaches no targets and peers do.
+  bool PathBroken = false;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -62,6 +62,7 @@
   prometheus::Gauge &Suspects;
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
+  prometheus::Gauge &PathBroken;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -102,7 +103,10 @@
                            "Requests that are refused for the targets that "
                            "died of them")),
       LimitedTargets(addGauge(Registry, "magnoliaspread_limited_targets",
-                              "Targets that announced a rate limit")) {
+                              "Targets that announced a rate limit")),
+      PathBroken(addGauge(Registry, "magnoliaspread_path_broken",
+                          "1 while this instance reaches no targets and peers "
+                          "do")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -171,6 +175,7 @@
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
+  State->PathBroken.Set(Gauges.PathBroken ? 1 : 0);
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -67,6 +67,8 @@
   double CpuCores = 0;
   /// Bandwidth of its link, megabits per second; 0 is unknown.
   double LinkMbps = 0;
+  /// Leave the directory while this instance reaches no targets and peers do.
+  bool DetectBrokenPath = false;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -174,6 +174,7 @@
          Gateway.CpuCores);
   Nested(numberField("link_mbps", presence::Optional, 0, MaxLinkMbps),
          Gateway.LinkMbps);
+  Nested(choiceField("detect_broken_path"), Gateway.DetectBrokenPath);
   Nested.finish();
 }
 
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -234,6 +234,10 @@
 
   void finished(const target_outcome &End, steady_time Now);
 
+  /// Voids what was noted against targets since \p Since: not they failed, but
+  /// the path to them.
+  void forgiveFailures(steady_time Since, steady_time Now);
+
   /// Stops new requests to a draining target. Later calls of setTargets() must
   /// not open it again.
   void close(target_handle Target);
@@ -272,6 +276,7 @@
     double FailureScore = 0;
     steady_time DecayedAt;
     std::uint32_t Failures = 0;
+    steady_time FailedAt;
     steady_time PausedUntil;
     /// Was unreachable; cold for ColdTime after its next answer.
     bool Restarted = false;
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -76,6 +76,7 @@
                          steady_time Now) {
   decayFailures(Target, Now);
   Target.FailureScore += (1 - Target.FailureScore) * FailureWeight;
+  Target.FailedAt = Now;
   if (Result == target_result::Shed) {
     Target.PausedUntil = std::max(Target.PausedUntil, Now + Policy.ShedPause);
     return;
@@ -135,4 +136,15 @@
   }
 }
 
+void placer::forgiveFailures(steady_time Since, steady_time Now) {
+  for (target_state &State : Targets) {
+    if (State.FailedAt < Since)
+      continue;
+    State.FailureScore = 0;
+    State.Failures = 0;
+    State.PausedUntil = Now;
+    State.Restarted = false;
+  }
+}
+
 } // namespace magnoliaspread
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -8,6 +8,7 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
+#include <magnoliaspread/pathmsg.h>
 #include <magnoliaspread/permitlender.h>
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/registry.h>
@@ -37,6 +38,8 @@
   /// current this long ago; zero is no limit.
   std::chrono::milliseconds KeyedConfigMaxAge{0};
   fleet_retry_settings Retries;
+  /// Tell a broken path of this instance apart from targets that are down.
+  bool DetectBrokenPath = false;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
 };
@@ -134,6 +137,15 @@
   /// Pending affinity and load updates for the peers of the region.
   std::vector<object_update> takeUpdates();
 
+  /// What is due to tell peers about this instance's path to the targets; call
+  /// every few tens of milliseconds.
+  std::vector<path_message> tickPath();
+  path_report answer(const path_query &Query) const;
+  void receive(const path_report &Report);
+  /// This instance reaches no targets and peers do. New connections to targets
+  /// fail at once, and connections of callers are closed after each answer.
+  bool pathBroken() const;
+
   gate_counts counts() const;
 
   /// Shared with the connections; private to the package.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -45,6 +45,12 @@
   return Quarantine;
 }
 
+target_path_settings pathSettings(const gate_settings &Settings) {
+  target_path_settings Path;
+  Path.Enabled = Settings.DetectBrokenPath;
+  return Path;
+}
+
 /// Numbers the regions in the order of their names.
 name_map<std::size_t> numberRegions(const name_map<std::string> &Regions) {
   std::set<std::string> Names;
@@ -66,6 +72,7 @@
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Permits(Clock, {Settings.Name, Settings.Region}, Seed),
       Pool(Context, Clock, reuseSettings()),
+      Path(pathSettings(Settings), Seed, Clock.now()),
       Quarantine(quarantineSettings(Seed)),
       RegionNumbers(numberRegions(Settings.Regions)), Retries(Settings.Retries),
       NextId(Seed), Memory(Settings.MaxBodyMemory), Acceptor(Context),
@@ -113,8 +120,10 @@
     }
     Verdict = std::move(*Waiter.Verdict);
   }
-  if (const auto *Send = std::get_if<place_send>(&Verdict))
+  if (const auto *Send = std::get_if<place_send>(&Verdict)) {
+    Path.sent(Send->Target, Clock.now());
     co_return Send->Target;
+  }
   co_return std::get<error>(Verdict);
 }
 
@@ -142,7 +151,8 @@
 
 } // namespace
 
-void gate::state::finished(const target_outcome &End) {
+void gate::state::finished(target_outcome End) {
+  notePathOutcome(End);
   if (End.Result != target_result::Answered &&
       End.Result != target_result::Abandoned)
     logEvent(log_level::Info, "target_failed",
@@ -194,6 +204,9 @@
 
 void gate::state::targetCrashed(const target_process &Target,
                                 std::string_view Source) {
+  // A refused connection may be the fault of this instance's path.
+  if (Path.state() != path_state::Working)
+    return;
   const bool HadSuspects = Quarantine.mayHaveCrashed(Target.Start);
   const std::vector<request_fingerprint> NewlyQuarantined =
       Quarantine.targetCrashed(Target.Start, Clock.now());
@@ -377,6 +390,7 @@
 void gate::setTargets(const std::vector<gate_target> &Rows) {
   std::vector<placer_target> Placed;
   std::vector<target_permits::target_row> Limited;
+  std::vector<path_target> Reached;
   for (const gate_target &Row : Rows) {
     const target_record &Record = Row.Target.Record;
     const std::size_t Index = Row.Target.Handle.Index;
@@ -387,6 +401,8 @@
     State->detectRestart(State->Targets[Index], !Row.Target.Open);
     if (!Row.Target.Open)
       State->Pool.dropIdle(Record.Address);
+    else
+      Reached.push_back({Row.Target.Handle, Record.Service, Record.DataCentre});
     placer_target Target;
     Target.Handle = Row.Target.Handle;
     Target.Service = State->Services.intern(Record.Service);
@@ -414,6 +430,7 @@
         Target.ColdTime = Service->ColdTime;
     Placed.push_back(Target);
   }
+  State->Path.setTargets(std::move(Reached));
   State->Permits.setTargets(Limited);
   State->Placer.setTargets(Placed, State->Clock.now());
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -15,6 +15,7 @@
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/shift.h>
+#include <magnoliaspread/targetpath.h>
 
 #include <map>
 #include <memory>
@@ -56,7 +57,22 @@
   /// not run.
   asio::awaitable<result<target_handle>> place(const place_request &Request);
   void wakePlaced();
-  void finished(const target_outcome &End);
+  /// Reserves a target that can take the request at once.
+  std::optional<target_handle> placeNow(const place_request &Request);
+  void finished(target_outcome End);
+  /// Opens a connection for a request that was placed on the target. Fails at
+  /// once while the path to the targets is broken.
+  asio::awaitable<result<outbound_ptr>> connectTo(target_handle Target,
+                                                  steady_time Deadline);
+  /// Tells the path's state from the outcome. While the path is in doubt, a
+  /// failure counts neither for nor against the target.
+  void notePathOutcome(target_outcome &End);
+  asio::awaitable<void> probe(target_handle Target);
+  std::vector<path_message> tickPath();
+  /// Whether a caller's connection stays open after an answer.
+  bool keepsCallers() const {
+    return !Leaving && Path.state() != path_state::Broken;
+  }
   /// The target's process is gone; a request in flight may have crashed it.
   void targetCrashed(const target_process &Target, std::string_view Source);
   void
@@ -105,6 +121,7 @@
   target_permits Permits;
   placer Placer{placer_policy{}, &Permits};
   connection_pool Pool;
+  target_path Path;
   quarantine Quarantine;
   route_index_ptr Routes;
   boot_time ConfigConfirmedAt;
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -187,7 +187,7 @@
 }
 
 asio::awaitable<bool> gate_session::sendAnswer(whole_answer Answer) {
-  const bool Keep = Request.keep_alive() && !State.Leaving;
+  const bool Keep = Request.keep_alive() && State.keepsCallers();
   Answer.keep_alive(Keep);
   socket_timeout Timer(Socket, WriteTimeout);
   auto [Failure, Count] = co_await http::async_write(Socket, Answer, Awaited);
@@ -229,7 +229,7 @@
   outbound_ptr Idle = State.Pool.takeIdle(Address, Wanted.Route->Repeatable);
   if (Idle != nullptr)
     co_return Idle;
-  auto Fresh = co_await State.Pool.connect(Address, Wanted.Place.Deadline);
+  auto Fresh = co_await State.connectTo(Target, Wanted.Place.Deadline);
   if (!failed(Fresh))
     co_return std::move(valueOf(Fresh));
   ++Outcome.Unreachable;
@@ -249,8 +249,7 @@
                              const request_outcome &Outcome) {
   place_request Again = Wanted.Place;
   Again.Tried.push_back(Unresponsive);
-  const std::optional<target_handle> Next =
-      State.Placer.placeNow(Again, State.Clock.now());
+  const std::optional<target_handle> Next = State.placeNow(Again);
   if (!Next || mayRetry(Wanted, Outcome, false))
     return Next;
   State.finished({*Next, 0, 0, target_result::Abandoned, {}, {}, {}});
--- /dev/null
+++ b/packages/traffic/src/gatepath.cpp
@@ -0,0 +1,106 @@
+/// The gate's handling of its own path to the targets.
+#include "gate_p.h"
+
+#include <magnoliaspread/log.h>
+
+#include <utility>
+
+namespace magnoliaspread {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds ProbeTimeout{300};
+
+} // namespace
+
+std::optional<target_handle>
+gate::state::placeNow(const place_request &Request) {
+  const auto Target = Placer.placeNow(Request, Clock.now());
+  if (Target)
+    Path.sent(*Target, Clock.now());
+  return Target;
+}
+
+void gate::state::notePathOutcome(target_outcome &End) {
+  const steady_time Now = Clock.now();
+  switch (End.Result) {
+  case target_result::Answered:
+  case target_result::Shed:
+  case target_result::Misdirected:
+    return Path.heard(End.Target, Now);
+  case target_result::Abandoned:
+    return Path.abandoned(End.Target);
+  case target_result::Unreachable:
+  case target_result::Failed:
+  case target_result::TimedOut:
+    break;
+  }
+  Path.abandoned(End.Target);
+  Path.failed(End.Target, Now);
+  if (Path.state() != path_state::Working)
+    End.Result = target_result::Abandoned;
+}
+
+asio::awaitable<result<outbound_ptr>>
+gate::state::connectTo(target_handle Target, steady_time Deadline) {
+  if (Path.state() == path_state::Broken)
+    co_return error{
+        error_kind::TargetUnreachable, "this instance reaches no targets", {}};
+  auto Fresh = co_await Pool.connect(Targets[Target.Index].Address, Deadline);
+  if (!failed(Fresh))
+    Path.connected(Target, Clock.now());
+  co_return Fresh;
+}
+
+/// A connection that opens is pooled for the next request.
+asio::awaitable<void> gate::state::probe(target_handle Target) {
+  const endpoint_address Address = Targets[Target.Index].Address;
+  auto Fresh = co_await Pool.connect(Address, Clock.now() + ProbeTimeout);
+  const bool Succeeded = !failed(Fresh);
+  if (Succeeded)
+    Pool.putBack(Address, std::move(valueOf(Fresh)));
+  Path.probed(Target, Succeeded, Clock.now());
+}
+
+std::vector<path_message> gate::state::tickPath() {
+  const steady_time Now = Clock.now();
+  const path_actions Actions = Path.tick(Now);
+  for (const target_handle Target : Actions.Probes)
+    asio::co_spawn(Context, probe(Target), asio::detached);
+  std::vector<path_message> Messages;
+  if (Actions.Query)
+    Messages.emplace_back(*Actions.Query);
+  if (!Actions.Announcement)
+    return Messages;
+  Messages.emplace_back(*Actions.Announcement);
+  const bool Broken = Path.state() == path_state::Broken;
+  logEvent(Broken ? log_level::Warning : log_level::Info,
+           Broken ? "path_broken" : "path_recovered",
+           {{"failing_for_ms",
+             duration_cast<milliseconds>(Now - Actions.FailingSince).count()},
+            {"in_flight", InFlight},
+            {"targets", Targets.size()}});
+  Placer.forgiveFailures(Actions.FailingSince, Now);
+  if (Placer.waiting() > 0)
+    wakePlaced();
+  return Messages;
+}
+
+std::vector<path_message> gate::tickPath() { return State->tickPath(); }
+
+path_report gate::answer(const path_query &Query) const {
+  return State->Path.answer(Query, State->Clock.now());
+}
+
+void gate::receive(const path_report &Report) {
+  State->Path.receive(Report, State->Clock.now());
+}
+
+bool gate::pathBroken() const {
+  return State->Path.state() == path_state::Broken;
+}
+
+} // namespace magnoliaspread
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -5436,6 +5436,232 @@
 }
 
 
+PathAsk::~PathAsk() noexcept {
+}
+
+
+void PathAsk::__set_round(const int64_t val) {
+  this->round = val;
+}
+std::ostream& operator<<(std::ostream& out, const PathAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PathAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PathAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PathAsk");
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PathAsk &a, PathAsk &b) {
+  using ::std::swap;
+  swap(a.round, b.round);
+  swap(a.__isset, b.__isset);
+}
+
+PathAsk::PathAsk(const PathAsk& other158) noexcept {
+  round = other158.round;
+  __isset = other158.__isset;
+}
+PathAsk& PathAsk::operator=(const PathAsk& other159) noexcept {
+  round = other159.round;
+  __isset = other159.__isset;
+  return *this;
+}
+void PathAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PathAsk(";
+  out << "round=" << to_string(round);
+  out << ")";
+}
+
+
+PathReport::~PathReport() noexcept {
+}
+
+
+void PathReport::__set_round(const int64_t val) {
+  this->round = val;
+}
+
+void PathReport::__set_state(const int8_t val) {
+  this->state = val;
+}
+
+void PathReport::__set_heardAgeMs(const int64_t val) {
+  this->heardAgeMs = val;
+__isset.heardAgeMs = true;
+}
+std::ostream& operator<<(std::ostream& out, const PathReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PathReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          this->__isset.round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BYTE) {
+          xfer += iprot->readByte(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heardAgeMs);
+          this->__isset.heardAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PathReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PathReport");
+
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_BYTE, 2);
+  xfer += oprot->writeByte(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.heardAgeMs) {
+    xfer += oprot->writeFieldBegin("heardAgeMs", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->heardAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PathReport &a, PathReport &b) {
+  using ::std::swap;
+  swap(a.round, b.round);
+  swap(a.state, b.state);
+  swap(a.heardAgeMs, b.heardAgeMs);
+  swap(a.__isset, b.__isset);
+}
+
+PathReport::PathReport(const PathReport& other160) noexcept {
+  round = other160.round;
+  state = other160.state;
+  heardAgeMs = other160.heardAgeMs;
+  __isset = other160.__isset;
+}
+PathReport& PathReport::operator=(const PathReport& other161) noexcept {
+  round = other161.round;
+  state = other161.state;
+  heardAgeMs = other161.heardAgeMs;
+  __isset = other161.__isset;
+  return *this;
+}
+void PathReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PathReport(";
+  out << "round=" << to_string(round);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "heardAgeMs="; (__isset.heardAgeMs ? (out << to_string(heardAgeMs)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -5524,6 +5750,16 @@
   this->permitGrant = val;
 __isset.permitGrant = true;
 }
+
+void Datagram::__set_pathAsk(const PathAsk& val) {
+  this->pathAsk = val;
+__isset.pathAsk = true;
+}
+
+void Datagram::__set_pathReport(const PathReport& val) {
+  this->pathReport = val;
+__isset.pathReport = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -5688,6 +5924,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->pathAsk.read(iprot);
+          this->__isset.pathAsk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->pathReport.read(iprot);
+          this->__isset.pathReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5790,6 +6042,16 @@
     xfer += this->permitGrant.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.pathAsk) {
+    xfer += oprot->writeFieldBegin("pathAsk", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->pathAsk.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.pathReport) {
+    xfer += oprot->writeFieldBegin("pathReport", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->pathReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5814,48 +6076,54 @@
   swap(a.limitNews, b.limitNews);
   swap(a.permitAsk, b.permitAsk);
   swap(a.permitGrant, b.permitGrant);
+  swap(a.pathAsk, b.pathAsk);
+  swap(a.pathReport, b.pathReport);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other158) {
-  heartbeat = other158.heartbeat;
-  summary = other158.summary;
-  rows = other158.rows;
-  rowsRequest = other158.rowsRequest;
-  tokenAsk = other158.tokenAsk;
-  tokenGrant = other158.tokenGrant;
-  promiseRequest = other158.promiseRequest;
-  promiseReply = other158.promiseReply;
-  creditAsk = other158.creditAsk;
-  creditGrant = other158.creditGrant;
-  objectNews = other158.objectNews;
-  viewAsk = other158.viewAsk;
-  viewReply = other158.viewReply;
-  quarantine = other158.quarantine;
-  limitNews = other158.limitNews;
-  permitAsk = other158.permitAsk;
-  permitGrant = other158.permitGrant;
-  __isset = other158.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other159) {
-  heartbeat = other159.heartbeat;
-  summary = other159.summary;
-  rows = other159.rows;
-  rowsRequest = other159.rowsRequest;
-  tokenAsk = other159.tokenAsk;
-  tokenGrant = other159.tokenGrant;
-  promiseRequest = other159.promiseRequest;
-  promiseReply = other159.promiseReply;
-  creditAsk = other159.creditAsk;
-  creditGrant = other159.creditGrant;
-  objectNews = other159.objectNews;
-  viewAsk = other159.viewAsk;
-  viewReply = other159.viewReply;
-  quarantine = other159.quarantine;
-  limitNews = other159.limitNews;
-  permitAsk = other159.permitAsk;
-  permitGrant = other159.permitGrant;
-  __isset = other159.__isset;
+Datagram::Datagram(const Datagram& other162) {
+  heartbeat = other162.heartbeat;
+  summary = other162.summary;
+  rows = other162.rows;
+  rowsRequest = other162.rowsRequest;
+  tokenAsk = other162.tokenAsk;
+  tokenGrant = other162.tokenGrant;
+  promiseRequest = other162.promiseRequest;
+  promiseReply = other162.promiseReply;
+  creditAsk = other162.creditAsk;
+  creditGrant = other162.creditGrant;
+  objectNews = other162.objectNews;
+  viewAsk = other162.viewAsk;
+  viewReply = other162.viewReply;
+  quarantine = other162.quarantine;
+  limitNews = other162.limitNews;
+  permitAsk = other162.permitAsk;
+  permitGrant = other162.permitGrant;
+  pathAsk = other162.pathAsk;
+  pathReport = other162.pathReport;
+  __isset = other162.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other163) {
+  heartbeat = other163.heartbeat;
+  summary = other163.summary;
+  rows = other163.rows;
+  rowsRequest = other163.rowsRequest;
+  tokenAsk = other163.tokenAsk;
+  tokenGrant = other163.tokenGrant;
+  promiseRequest = other163.promiseRequest;
+  promiseReply = other163.promiseReply;
+  creditAsk = other163.creditAsk;
+  creditGrant = other163.creditGrant;
+  objectNews = other163.objectNews;
+  viewAsk = other163.viewAsk;
+  viewReply = other163.viewReply;
+  quarantine = other163.quarantine;
+  limitNews = other163.limitNews;
+  permitAsk = other163.permitAsk;
+  permitGrant = other163.permitGrant;
+  pathAsk = other163.pathAsk;
+  pathReport = other163.pathReport;
+  __isset = other163.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -5878,6 +6146,8 @@
   out << ", " << "limitNews="; (__isset.limitNews ? (out << to_string(limitNews)) : (out << "<null>"));
   out << ", " << "permitAsk="; (__isset.permitAsk ? (out << to_string(permitAsk)) : (out << "<null>"));
   out << ", " << "permitGrant="; (__isset.permitGrant ? (out << to_string(permitGrant)) : (out << "<null>"));
+  out << ", " << "pathAsk="; (__isset.pathAsk ? (out << to_string(pathAsk)) : (out << "<null>"));
+  out << ", " << "pathReport="; (__isset.pathReport ? (out << to_string(pathReport)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -89,6 +89,10 @@
 
 class PermitGrant;
 
+class PathAsk;
+
+class PathReport;
+
 class Datagram;
 
 typedef struct _Address__isset {
@@ -2230,8 +2234,110 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitGrant& obj);
 
+typedef struct _PathAsk__isset {
+  _PathAsk__isset() : round(false) {}
+  bool round :1;
+} _PathAsk__isset;
+
+class PathAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  PathAsk(const PathAsk&) noexcept;
+  PathAsk& operator=(const PathAsk&) noexcept;
+  PathAsk() noexcept
+          : round(0) {
+  }
+
+  virtual ~PathAsk() noexcept;
+  int64_t round;
+
+  _PathAsk__isset __isset;
+
+  void __set_round(const int64_t val);
+
+  bool operator == (const PathAsk & rhs) const
+  {
+    if (!(round == rhs.round))
+      return false;
+    return true;
+  }
+  bool operator != (const PathAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PathAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PathAsk &a, PathAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const PathAsk& obj);
+
+typedef struct _PathReport__isset {
+  _PathReport__isset() : round(false), state(false), heardAgeMs(false) {}
+  bool round :1;
+  bool state :1;
+  bool heardAgeMs :1;
+} _PathReport__isset;
+
+class PathReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  PathReport(const PathReport&) noexcept;
+  PathReport& operator=(const PathReport&) noexcept;
+  PathReport() noexcept
+             : round(0),
+               state(0),
+               heardAgeMs(0) {
+  }
+
+  virtual ~PathReport() noexcept;
+  int64_t round;
+  int8_t state;
+  int64_t heardAgeMs;
+
+  _PathReport__isset __isset;
+
+  void __set_round(const int64_t val);
+
+  void __set_state(const int8_t val);
+
+  void __set_heardAgeMs(const int64_t val);
+
+  bool operator == (const PathReport & rhs) const
+  {
+    if (!(round == rhs.round))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (__isset.heardAgeMs != rhs.__isset.heardAgeMs)
+      return false;
+    else if (__isset.heardAgeMs && !(heardAgeMs == rhs.heardAgeMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PathReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PathReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PathReport &a, PathReport &b);
+
+std::ostream& operator<<(std::ostream& out, const PathReport& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), creditAsk(false), creditGrant(false), objectNews(false), viewAsk(false), viewReply(false), quarantine(false), limitNews(false), permitAsk(false), permitGrant(false) {}
+  _Datagram__isset() : heartbeat(false), summary(false), rows(false), rowsRequest(false), tokenAsk(false), tokenGrant(false), promiseRequest(false), promiseReply(false), creditAsk(false), creditGrant(false), objectNews(false), viewAsk(false), viewReply(false), quarantine(false), limitNews(false), permitAsk(false), permitGrant(false), pathAsk(false), pathReport(false) {}
   bool heartbeat :1;
   bool summary :1;
   bool rows :1;
@@ -2249,6 +2355,8 @@
   bool limitNews :1;
   bool permitAsk :1;
   bool permitGrant :1;
+  bool pathAsk :1;
+  bool pathReport :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -2277,6 +2385,8 @@
   LimitNews limitNews;
   PermitAsk permitAsk;
   PermitGrant permitGrant;
+  PathAsk pathAsk;
+  PathReport pathReport;
 
   _Datagram__isset __isset;
 
@@ -2314,6 +2424,10 @@
 
   void __set_permitGrant(const PermitGrant& val);
 
+  void __set_pathAsk(const PathAsk& val);
+
+  void __set_pathReport(const PathReport& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -2384,6 +2498,14 @@
       return false;
     else if (__isset.permitGrant && !(permitGrant == rhs.permitGrant))
       return false;
+    if (__isset.pathAsk != rhs.__isset.pathAsk)
+      return false;
+    else if (__isset.pathAsk && !(pathAsk == rhs.pathAsk))
+      return false;
+    if (__isset.pathReport != rhs.__isset.pathReport)
+      return false;
+    else if (__isset.pathReport && !(pathReport == rhs.pathReport))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -243,6 +243,17 @@
   4: LimitReport limit
 }
 
+/// Asks whether the receiver hears from targets.
+struct PathAsk {
+  1: i64 round
+}
+
+struct PathReport {
+  1: i64 round
+  2: i8 state
+  3: optional i64 heardAgeMs
+}
+
 /// Exactly one field is set; it is the kind of the datagram.
 struct Datagram {
   1: optional Heartbeat heartbeat
@@ -263,4 +274,6 @@
   16: optional LimitNews limitNews
   17: optional PermitAsk permitAsk
   18: optional PermitGrant permitGrant
+  20: optional PathAsk pathAsk
+  21: optional PathReport pathReport
 }
--- a/packages/wire/include/magnoliaspread/datagram.h
+++ b/packages/wire/include/magnoliaspread/datagram.h
@@ -10,6 +10,7 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/membermsg.h>
 #include <magnoliaspread/objectmsg.h>
+#include <magnoliaspread/pathmsg.h>
 #include <magnoliaspread/quarantinemsg.h>
 #include <magnoliaspread/quotamsg.h>
 #include <magnoliaspread/replay.h>
@@ -44,7 +45,7 @@
 using control_message =
     std::variant<member_message, quota_message, quarantine_update,
                  credit_message, object_update, view_request, view_reply,
-                 target_limit_message>;
+                 target_limit_message, path_message>;
 
 using fleet_key = std::array<unsigned char, FleetKeyBytes>;
 
--- a/packages/wire/src/codec_p.h
+++ b/packages/wire/src/codec_p.h
@@ -29,6 +29,7 @@
 void writeCredit(const credit_message &Message, idl::Datagram &Body);
 void writeObjectUpdate(const object_update &Update, idl::Datagram &Body);
 void writeTargetLimit(const target_limit_message &Message, idl::Datagram &Body);
+void writePath(const path_message &Message, idl::Datagram &Body);
 void writeView(const view_request &Request, idl::Datagram &Body);
 void writeView(const view_reply &Reply, idl::Datagram &Body);
 
@@ -49,6 +50,8 @@
 limit_update readLimitUpdate(const idl::LimitNews &From);
 permit_request readPermitRequest(const idl::PermitAsk &From);
 permit_grant readPermitGrant(const idl::PermitGrant &From);
+path_query readPathQuery(const idl::PathAsk &From);
+path_report readPathReport(const idl::PathReport &From);
 view_request readViewRequest(const idl::ViewAsk &From);
 view_reply readViewReply(const idl::ViewReply &From);
 
--- a/packages/wire/src/datagram.cpp
+++ b/packages/wire/src/datagram.cpp
@@ -65,6 +65,8 @@
     writeObjectUpdate(*Update, Body);
   else if (const auto *Limit = std::get_if<target_limit_message>(&Message))
     writeTargetLimit(*Limit, Body);
+  else if (const auto *Path = std::get_if<path_message>(&Message))
+    writePath(*Path, Body);
   else if (const auto *Request = std::get_if<view_request>(&Message))
     writeView(*Request, Body);
   else if (const auto *Reply = std::get_if<view_reply>(&Message))
@@ -104,6 +106,10 @@
     return target_limit_message(readPermitRequest(Body.permitAsk));
   if (Body.__isset.permitGrant)
     return target_limit_message(readPermitGrant(Body.permitGrant));
+  if (Body.__isset.pathAsk)
+    return path_message(readPathQuery(Body.pathAsk));
+  if (Body.__isset.pathReport)
+    return path_message(readPathReport(Body.pathReport));
   if (Body.__isset.viewAsk)
     return readViewRequest(Body.viewAsk);
   if (Body.__isset.viewReply)
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -102,6 +102,9 @@
           limit_update{{{1ull << 63, 6.4, 700ms}, {5, std::nullopt, 0ms}}}),
       target_limit_message(permit_request{1ull << 62, 3, {7, 0.5, 20ms}}),
       target_limit_message(permit_grant{9, 2, 156ms, {7, 1e6, 30ms}}),
+      path_message(path_query{1ull << 63}),
+      path_message(path_report{7, path_state::Broken, 250ms}),
+      path_message(path_report{}),
       sampleReply(),
   };
 }
