--- a/packages/steering/src/targetpath.cpp
+++ b/packages/steering/src/targetpath.cpp
@@ -45,7 +45,7 @@
   std::erase_if(FailedAt, [&](const auto &Row) {
     return Now - Row.second >= Settings.FailureMemory;
   });
-  if (FailedAt.empty())
+  if (FailedAt.empty() && State == path_state::Working)
     FailingSince = Now;
   FailedAt[Target.Index] = Now;
 }
--- a/packages/traffic/src/gatepath.cpp
+++ b/packages/traffic/src/gatepath.cpp
@@ -67,7 +67,13 @@
 
 std::vector<path_message> gate::state::tickPath() {
   const steady_time Now = Clock.now();
+  const path_state Before = Path.state();
   const path_actions Actions = Path.tick(Now);
+  if (Before == path_state::Working && Path.state() == path_state::Suspect)
+    logEvent(log_level::Info, "path_suspected",
+             {{"probes", Actions.Probes.size()}, {"in_flight", InFlight}});
+  if (Before == path_state::Suspect && Path.state() == path_state::Working)
+    logEvent(log_level::Info, "path_cleared", {{"in_flight", InFlight}});
   for (const target_handle Target : Actions.Probes)
     asio::co_spawn(Context, probe(Target), asio::detached);
   std::vector<path_message> Messages;
