Pipelined reads of a connection run together and are answered in order

A request that waits for a target ends its wait when its caller leaves, so that it no longer holds a place in the queue. During a drain nothing more is taken from the socket while requests are unanswered; what was read is served, and the last answer closes.

watchdog_of_a_caller_that_pipelines and pipelined_bytes_are_bounded tested the watchdog's own reading, which is gone; input_of_a_caller_that_pipelines, input_is_bounded and watchdog_is_told_that_the_caller_left check the same at the new reader.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -118,6 +118,7 @@
   Members.members().setLoad(Load);
   instance_gauges Gauges;
   Gauges.InFlight = Counts.InFlight;
+  Gauges.Pipelined = Counts.Pipelined;
   Gauges.QueueLength = Counts.Waiting;
   Gauges.Connections = Counts.Connections;
   Gauges.ConfigVersion = InForce == nullptr ? 0 : InForce->table().Version;
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,6 +41,8 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// Requests in flight behind an unanswered one of their connection.
+  std::size_t Pipelined = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -53,6 +53,7 @@
   prometheus::Family<prometheus::Histogram> &Latency;
   std::array<prometheus::Counter *, ErrorKinds> Errors{};
   prometheus::Gauge &InFlight;
+  prometheus::Gauge &Pipelined;
   prometheus::Gauge &QueueLength;
   prometheus::Gauge &Connections;
   prometheus::Gauge &ConfigVersion;
@@ -82,6 +83,9 @@
                   .Register(Registry)),
       InFlight(addGauge(Registry, "magnoliaspread_in_flight",
                         "Requests without a whole answer")),
+      Pipelined(addGauge(Registry, "magnoliaspread_pipelined",
+                         "Requests behind an unanswered one of their "
+                         "connection")),
       QueueLength(addGauge(Registry, "magnoliaspread_queue_length",
                            "Requests that wait for a target")),
       Connections(addGauge(Registry, "magnoliaspread_connections",
@@ -162,6 +166,7 @@
 
 void instance_metrics::setGauges(const instance_gauges &Gauges) {
   State->InFlight.Set(static_cast<double>(Gauges.InFlight));
+  State->Pipelined.Set(static_cast<double>(Gauges.Pipelined));
   State->QueueLength.Set(static_cast<double>(Gauges.QueueLength));
   State->Connections.Set(static_cast<double>(Gauges.Connections));
   State->ConfigVersion.Set(static_cast<double>(Gauges.ConfigVersion));
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -67,6 +67,11 @@
   double CpuCores = 0;
   /// Bandwidth of its link, megabits per second; 0 is unknown.
   double LinkMbps = 0;
+  /// Requests of one caller's connection that may be unanswered at once; with
+  /// 1 each waits for the one before it.
+  std::size_t PipelinedRequests = 1;
+  /// Bytes of answers of a connection that wait for those before them.
+  std::size_t PipelinedBytes = 256u << 10;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -24,6 +24,7 @@
 /// For drain_ms, config_ms and evacuation_ms; two reads and one request fit.
 constexpr double MinBoundMs = 1000;
 constexpr double MaxLinkMbps = 1000000;
+constexpr double MaxPipelinedRequests = 64;
 
 /// Parses "address:port" with an IP address; false when malformed.
 bool parseEndpoint(std::string_view Text, endpoint_address &Address) {
@@ -137,6 +138,20 @@
   }
 }
 
+void readPipelining(object_reader &Reader, gateway_settings &Gateway,
+                    read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("pipelining", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("pipelining"), Fault);
+  Nested(numberField("requests", presence::Optional, 1, MaxPipelinedRequests),
+         Gateway.PipelinedRequests);
+  Nested(numberField("bytes", presence::Optional, 0, MaxCount),
+         Gateway.PipelinedBytes);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -174,6 +189,7 @@
          Gateway.CpuCores);
   Nested(numberField("link_mbps", presence::Optional, 0, MaxLinkMbps),
          Gateway.LinkMbps);
+  readPipelining(Nested, Gateway, Fault);
   Nested.finish();
 }
 
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -62,6 +62,36 @@
   });
 }
 
+STORY(pipelining_is_off_unless_set) {
+  const auto Gateway = [](const std::string &Pipelining) {
+    return validSettingsWith(
+        "\"traffic_threads\":1,",
+        "\"gateway\":{\"directory\":\"127.0.0.1:1\",\"ready\":\"127.0.0.1:2\","
+        "\"data_centres\":{\"porto-1\":\"porto\"}" +
+            Pipelining + "},");
+  };
+  section("one request at a time by default", [&] {
+    const auto Read = parseSettings(Gateway(""), "porto.json");
+    CPPUNIT_ASSERT(!failed(Read));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         valueOf(Read).Gateway->PipelinedRequests);
+  });
+  section("with the bounds of the file", [&] {
+    const auto Read = parseSettings(
+        Gateway(",\"pipelining\":{\"requests\":8,\"bytes\":65536}"),
+        "porto.json");
+    CPPUNIT_ASSERT(!failed(Read));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8),
+                         valueOf(Read).Gateway->PipelinedRequests);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(65536),
+                         valueOf(Read).Gateway->PipelinedBytes);
+  });
+  section("and a wrong bound is named", [&] {
+    expectFault(Gateway(",\"pipelining\":{\"requests\":0}"),
+                {"gateway.pipelining", "requests", "0"});
+  });
+}
+
 STORY(wrong_settings_name_their_file_and_field) {
   section("types and ranges", [&] {
     expectFault(validSettingsWith("\"port\":21000", "\"port\":70000"),
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -9,6 +9,7 @@
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
 #include <magnoliaspread/permitlender.h>
+#include <magnoliaspread/pipeline.h>
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/retry.h>
@@ -39,6 +40,8 @@
   fleet_retry_settings Retries;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
+  /// Bounds of the requests of one connection that run at once.
+  pipeline_limits Pipelining;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -51,6 +54,8 @@
 struct gate_counts {
   /// Requests whose head has arrived and whose answer is not complete.
   std::size_t InFlight = 0;
+  /// Of these, requests behind another one of their connection.
+  std::size_t Pipelined = 0;
   std::size_t Waiting = 0;
   std::size_t Connections = 0;
   /// Requests that were in flight on crashed targets, and those refused for
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -118,6 +118,11 @@
   co_return std::get<error>(Verdict);
 }
 
+void gate::state::cancelPlacement(std::uint64_t Id) {
+  if (const auto Found = Waiters.find(Id); Found != Waiters.end())
+    Found->second->Signal.cancel();
+}
+
 namespace {
 
 std::string_view nameOf(target_result Result) {
@@ -499,6 +504,7 @@
 gate_counts gate::counts() const {
   gate_counts Counts;
   Counts.InFlight = State->InFlight;
+  Counts.Pipelined = State->Pipelined;
   Counts.Waiting = State->Placer.waiting();
   Counts.Connections = State->Connections;
   Counts.Suspects = State->Quarantine.suspects();
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -55,6 +55,8 @@
   /// Waits until a target can take the request. After an error the request has
   /// not run.
   asio::awaitable<result<target_handle>> place(const place_request &Request);
+  /// Ends the wait of a request that is being placed.
+  void cancelPlacement(std::uint64_t Id);
   void wakePlaced();
   void finished(const target_outcome &End);
   /// The target's process is gone; a request in flight may have crashed it.
@@ -127,6 +129,8 @@
   std::map<std::uint64_t, tcp::socket *> IdleCallers;
   std::uint64_t NextId = 0;
   std::size_t InFlight = 0;
+  /// Of these, requests behind another one of their connection.
+  std::size_t Pipelined = 0;
   std::uint64_t Requests = 0;
   std::size_t Connections = 0;
   memory_budget Memory;
@@ -135,7 +139,7 @@
   bool Polling = false;
 };
 
-/// Serves one caller's connection, request after request.
+/// Serves one caller's connection.
 asio::awaitable<void> serveCaller(tcp::socket Socket, gate::state &State);
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -25,10 +25,10 @@
 
 class exchange {
 public:
-  exchange(const gate_dialect &Dialect, caller_stream Caller,
+  exchange(const gate_dialect &Dialect, caller_watch &Caller,
            outbound_connection &Outbound, const target_call &Call)
-      : Dialect(Dialect), Outbound(Outbound), Call(Call),
-        Pipelined(Caller.Pipelined), Watchdog(Caller.Socket, Outbound.Socket) {}
+      : Dialect(Dialect), Outbound(Outbound), Call(Call), Caller(Caller),
+        Watchdog(Outbound.Socket) {}
 
   asio::awaitable<call_result> run();
 
@@ -45,7 +45,7 @@
   const gate_dialect &Dialect;
   outbound_connection &Outbound;
   const target_call &Call;
-  beast::flat_buffer &Pipelined;
+  caller_watch &Caller;
   watchdog Watchdog;
   bool Sent = false;
   call_result Result;
@@ -90,6 +90,8 @@
 asio::awaitable<error_code> exchange::readBody(answer_parser &Parser) {
   error_code Failure;
   while (!Failure && !Parser.is_done()) {
+    if (Watchdog.callerGone())
+      co_return asio::error::operation_aborted;
     std::tie(Failure, std::ignore) = co_await http::async_read_some(
         Outbound.Socket, Outbound.Buffer, Parser, Awaited);
     if (!Result.BodyMemory->resize(Parser.get().body().capacity()))
@@ -102,7 +104,10 @@
 /// abandoned.
 asio::awaitable<bool> exchange::awaitHead(answer_parser &Parser) {
   for (;;) {
-    const error_code Failure = co_await readHead(Parser);
+    error_code Failure = asio::error::operation_aborted;
+    // It may have left between two operations.
+    if (!Watchdog.callerGone())
+      Failure = co_await readHead(Parser);
     if (!Failure)
       co_return true;
     const bool Again = keepWaiting();
@@ -120,8 +125,6 @@
       (Call.MayAbandon && Call.MayAbandon()))
     return false;
   Watchdog.restart(Call.Deadline);
-  if (Call.CancelWithCaller)
-    Watchdog.watchCaller(Pipelined, MaxPipelinedBytes);
   return true;
 }
 
@@ -188,8 +191,10 @@
 }
 
 asio::awaitable<call_result> exchange::run() {
-  if (Call.CancelWithCaller)
-    Watchdog.watchCaller(Pipelined, MaxPipelinedBytes);
+  const caller_subscription WhileRunning(Caller, [this] {
+    if (Call.CancelWithCaller)
+      Watchdog.callerLeft();
+  });
   bool Succeeded = co_await send();
   if (Succeeded)
     Succeeded = co_await readAnswer();
@@ -199,7 +204,7 @@
 } // namespace
 
 asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
-                                        caller_stream Caller,
+                                        caller_watch &Caller,
                                         outbound_connection &Outbound,
                                         target_call Call) {
   exchange Exchange(Dialect, Caller, Outbound, Call);
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -3,6 +3,7 @@
 #define MAGNOLIASPREAD_TARGET_CALL_P_H
 
 #include "bodymemory_p.h"
+#include "caller_watch_p.h"
 #include "net_p.h"
 #include "pool_p.h"
 
@@ -27,22 +28,12 @@
   std::chrono::milliseconds HeadTimeout{0};
   /// Whether an unresponsive target may be abandoned for another one.
   std::function<bool()> MayAbandon;
-  /// Cancel the call when the caller closes its connection.
+  /// Cancel the call when the caller leaves.
   bool CancelWithCaller = false;
   /// Budget of the answer's body; an answer that exceeds it is aborted.
   memory_budget *Memory = nullptr;
 };
 
-/// The caller's side of a call.
-struct caller_stream {
-  tcp::socket &Socket;
-  /// Buffers requests that the caller pipelines.
-  beast::flat_buffer &Pipelined;
-};
-
-/// Limit of buffered bytes of pipelined requests.
-inline constexpr std::size_t MaxPipelinedBytes = 65536;
-
 enum class call_end : std::uint8_t {
   /// The whole answer was received.
   Answered,
@@ -70,10 +61,9 @@
   bool ConnectionReusable = false;
 };
 
-/// Sends the request and reads the answer. Reads only pipelined requests from
-/// \p Caller.
+/// Sends the request and reads the answer.
 asio::awaitable<call_result> callTarget(const gate_dialect &Dialect,
-                                        caller_stream Caller,
+                                        caller_watch &Caller,
                                         outbound_connection &Outbound,
                                         target_call Call);
 
--- a/packages/traffic/src/watchdog.cpp
+++ b/packages/traffic/src/watchdog.cpp
@@ -9,6 +9,11 @@
           state{&Caller, &Outbound, asio::steady_timer(Caller.get_executor()),
                 steady_time::max()})) {}
 
+watchdog::watchdog(tcp::socket &Outbound)
+    : Shared(std::make_shared<state>(
+          state{nullptr, &Outbound, asio::steady_timer(Outbound.get_executor()),
+                steady_time::max()})) {}
+
 watchdog::~watchdog() {
   Shared->Alive = false;
   error_code Ignored;
@@ -17,7 +22,8 @@
 
 void watchdog::state::cancelAll() {
   error_code Ignored;
-  Caller->cancel(Ignored);
+  if (Caller != nullptr)
+    Caller->cancel(Ignored);
   Outbound->cancel(Ignored);
 }
 
@@ -49,34 +55,20 @@
   });
 }
 
-bool watchdog::state::pollCaller() {
-  return Pipelined == nullptr
-             ? hasClosed(*Caller)
-             : readPipelined(*Caller, *Pipelined, MaxPipelined);
-}
-
-void watchdog::watchCaller(const std::shared_ptr<state> &Shared) {
-  Shared->Caller->async_wait(
-      tcp::socket::wait_read, [Shared](error_code Failure) {
-        if (!Shared->Alive || Failure)
-          return;
-        Shared->CallerGone = Shared->pollCaller();
-        if (Shared->CallerGone)
-          return Shared->cancelAll();
-        // Unread bytes would fire the watch again at once.
-        if (Shared->Pipelined != nullptr &&
-            Shared->Pipelined->size() < Shared->MaxPipelined)
-          watchCaller(Shared);
-      });
+void watchdog::watchCaller() {
+  Shared->Caller->async_wait(tcp::socket::wait_read,
+                             [State = Shared](error_code Failure) {
+                               if (!State->Alive || Failure)
+                                 return;
+                               State->CallerGone = hasClosed(*State->Caller);
+                               if (State->CallerGone)
+                                 State->cancelAll();
+                             });
 }
 
-void watchdog::watchCaller() { watchCaller(Shared); }
-
-void watchdog::watchCaller(beast::flat_buffer &Pipelined,
-                           std::size_t MaxBytes) {
-  Shared->Pipelined = &Pipelined;
-  Shared->MaxPipelined = MaxBytes;
-  watchCaller(Shared);
+void watchdog::callerLeft() {
+  Shared->CallerGone = true;
+  Shared->cancelAll();
 }
 
 void watchdog::watchAnswer() {
--- a/packages/traffic/src/watchdog_p.h
+++ b/packages/traffic/src/watchdog_p.h
@@ -1,4 +1,4 @@
-/// Cancels the operations of two sockets at an adjustable deadline.
+/// Cancels the operations of sockets at an adjustable deadline.
 #ifndef MAGNOLIASPREAD_WATCHDOG_P_H
 #define MAGNOLIASPREAD_WATCHDOG_P_H
 
@@ -10,11 +10,13 @@
 
 namespace magnoliaspread {
 
-/// Cancels the pending operations of both sockets at the deadline, or when one
-/// of its watches fires. The sockets must outlive it.
+/// Cancels the pending operations of its sockets at the deadline, when one of
+/// its watches fires or the caller leaves. The sockets must outlive it.
 class watchdog {
 public:
   watchdog(tcp::socket &Caller, tcp::socket &Outbound);
+  /// For a caller whose connection is watched elsewhere; see callerLeft().
+  explicit watchdog(tcp::socket &Outbound);
   ~watchdog();
   watchdog(const watchdog &) = delete;
   watchdog &operator=(const watchdog &) = delete;
@@ -28,10 +30,7 @@
   /// Fires callerGone() when the caller closes its connection.
   void watchCaller();
 
-  /// The same for a caller that may pipeline requests. They are read into
-  /// \p Pipelined, up to \p MaxBytes in all, as unread bytes would hide the
-  /// close. \p Pipelined must outlive the watchdog.
-  void watchCaller(beast::flat_buffer &Pipelined, std::size_t MaxBytes);
+  void callerLeft();
 
   /// Fires answerBegan() when the other end sends bytes or closes.
   void watchAnswer();
@@ -43,6 +42,7 @@
 
 private:
   struct state {
+    /// Null when it is watched elsewhere.
     tcp::socket *Caller;
     tcp::socket *Outbound;
     asio::steady_timer Timer;
@@ -53,16 +53,11 @@
     bool Expired = false;
     bool CallerGone = false;
     bool AnswerBegan = false;
-    beast::flat_buffer *Pipelined = nullptr;
-    std::size_t MaxPipelined = 0;
 
     void cancelAll();
-    /// True when the caller has closed its connection.
-    bool pollCaller();
   };
 
   static void wait(const std::shared_ptr<state> &Shared);
-  static void watchCaller(const std::shared_ptr<state> &Shared);
 
   std::shared_ptr<state> Shared;
 };
--- a/packages/traffic/tests/timers.cpp
+++ b/packages/traffic/tests/timers.cpp
@@ -1,7 +1,10 @@
-#include "sockets_p.h"
+#include "caller_input_p.h"
+#include "caller_watch_p.h"
 #include "timers_p.h"
 #include "watchdog_p.h"
 
+#include <boost/asio/read.hpp>
+
 #include <magnoliaspread/story.h>
 
 #include <optional>
@@ -41,44 +44,111 @@
   });
 }
 
-STORY(watchdog_of_a_caller_that_pipelines) {
+namespace {
+
+/// A caller's connection whose input is read ahead.
+struct input_fixture {
+  input_fixture() {
+    Client.connect(Acceptor.local_endpoint());
+    Acceptor.accept(Caller);
+  }
+
+  void run() {
+    Context.restart();
+    Context.run_for(50ms);
+  }
+
   asio::io_context Context;
-  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
-  tcp::socket Client(Context);
-  Client.connect(Acceptor.local_endpoint());
-  tcp::socket Caller = Acceptor.accept();
-  tcp::socket Outbound(Context);
-  Outbound.connect(Acceptor.local_endpoint());
-  beast::flat_buffer Pipelined;
-  constexpr std::size_t MaxBytes = 64;
-  watchdog Watchdog(Caller, Outbound);
-  Watchdog.watchCaller(Pipelined, MaxBytes);
+  tcp::acceptor Acceptor{Context, {asio::ip::make_address("127.0.0.1"), 0}};
+  tcp::socket Client{Context};
+  tcp::socket Caller{Context};
+  const system_clock Clock;
+  std::size_t Limit = 64;
+  int Changes = 0;
+  caller_input Input{Caller, Clock, [this] { return Limit; },
+                     [this] { ++Changes; }};
+};
+
+} // namespace
+
+// Failure: a caller that pipelines leaves while its requests run.
+STORY(input_of_a_caller_that_pipelines) {
+  input_fixture Fixture;
+  Fixture.Input.resume();
   const std::string Next = "GET /next HTTP/1.1\r\n\r\n";
 
-  section("pipelined requests are buffered and don't end the call", [&] {
-    asio::write(Client, asio::buffer(Next));
-    Context.run_for(50ms);
-    CPPUNIT_ASSERT(!Watchdog.callerGone());
-    CPPUNIT_ASSERT_EQUAL(Next.size(), Pipelined.size());
+  section("pipelined requests are buffered and aren't a close", [&] {
+    asio::write(Fixture.Client, asio::buffer(Next));
+    Fixture.run();
+    CPPUNIT_ASSERT(!Fixture.Input.closed());
+    CPPUNIT_ASSERT_EQUAL(Next.size(), Fixture.Input.buffer().size());
   });
-  section("a close behind them ends it", [&] {
-    Client.close();
-    Context.restart();
-    Context.run_for(50ms);
-    CPPUNIT_ASSERT(Watchdog.callerGone());
+  section("a close behind them is noticed", [&] {
+    Fixture.Client.close();
+    Fixture.run();
+    CPPUNIT_ASSERT(Fixture.Input.closed());
+    CPPUNIT_ASSERT(Fixture.Changes >= 2);
   });
 }
 
-STORY(pipelined_bytes_are_bounded) {
+// Load: a caller that sends without end while nothing may be read.
+STORY(input_is_bounded) {
+  input_fixture Fixture;
+  asio::write(Fixture.Client, asio::buffer(std::string(1000, 'x')));
+  std::this_thread::sleep_for(20ms);
+  Fixture.Input.resume();
+  Fixture.run();
+  CPPUNIT_ASSERT(!Fixture.Input.closed());
+  CPPUNIT_ASSERT_EQUAL(Fixture.Limit, Fixture.Input.buffer().size());
+  section("it goes on when there is room", [&] {
+    Fixture.Input.buffer().consume(10);
+    Fixture.Input.resume();
+    Fixture.run();
+    CPPUNIT_ASSERT_EQUAL(Fixture.Limit, Fixture.Input.buffer().size());
+  });
+}
+
+// Failure: a drain begins; what isn't read may be sent to another instance.
+STORY(input_leaves_bytes_unread_when_asked) {
+  input_fixture Fixture;
+  Fixture.Limit = 0;
+  Fixture.Input.resume();
+  section("bytes stay with the kernel", [&] {
+    asio::write(Fixture.Client, asio::buffer(std::string(10, 'x')));
+    Fixture.run();
+    CPPUNIT_ASSERT(!Fixture.Input.closed());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fixture.Input.buffer().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(10), Fixture.Caller.available());
+  });
+  section("a close is noticed when none are unread", [&] {
+    char Bytes[10];
+    asio::read(Fixture.Caller, asio::buffer(Bytes));
+    Fixture.Client.close();
+    Fixture.Input.resume();
+    Fixture.run();
+    CPPUNIT_ASSERT(Fixture.Input.closed());
+  });
+}
+
+// Failure: the caller's connection is watched by its own reader.
+STORY(watchdog_is_told_that_the_caller_left) {
   asio::io_context Context;
   tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
-  tcp::socket Client(Context);
-  Client.connect(Acceptor.local_endpoint());
-  tcp::socket Caller = Acceptor.accept();
-  beast::flat_buffer Pipelined;
-  constexpr std::size_t MaxBytes = 64;
-  asio::write(Client, asio::buffer(std::string(1000, 'x')));
-  std::this_thread::sleep_for(20ms);
-  CPPUNIT_ASSERT(!readPipelined(Caller, Pipelined, MaxBytes));
-  CPPUNIT_ASSERT_EQUAL(MaxBytes, Pipelined.size());
+  tcp::socket Outbound(Context);
+  Outbound.connect(Acceptor.local_endpoint());
+  watchdog Watchdog(Outbound);
+  std::optional<error_code> Read;
+  char Byte = 0;
+  Outbound.async_read_some(
+      asio::buffer(&Byte, 1),
+      [&](error_code Failure, std::size_t) { Read = Failure; });
+  caller_watch Caller;
+  {
+    const caller_subscription Ended(Caller, [] { CPPUNIT_FAIL("it ended"); });
+  }
+  const caller_subscription Running(Caller, [&] { Watchdog.callerLeft(); });
+  Caller.leave();
+  Context.run_for(50ms);
+  CPPUNIT_ASSERT(Caller.gone() && Watchdog.callerGone());
+  CPPUNIT_ASSERT(Read && *Read == asio::error::operation_aborted);
 }
--- a/tests/e2e/client.cpp
+++ b/tests/e2e/client.cpp
@@ -36,7 +36,9 @@
 
 open_connection::~open_connection() { delete State; }
 
-http_answer open_connection::call(const http_call &Call) {
+namespace {
+
+http::request<http::string_body> requestOf(const http_call &Call) {
   http::request<http::string_body> Request(http::string_to_verb(Call.Method),
                                            Call.Target, 11);
   Request.set(http::field::host, "test");
@@ -44,6 +46,22 @@
     Request.set(Name, Value);
   Request.body() = Call.Body;
   Request.prepare_payload();
+  return Request;
+}
+
+http_answer answerOf(const http::response_parser<http::string_body> &Parser) {
+  http_answer Answer;
+  Answer.Status = Parser.get().result_int();
+  for (const auto &Field : Parser.get())
+    Answer.Fields[std::string(Field.name_string())] = Field.value();
+  Answer.Body = Parser.get().body();
+  return Answer;
+}
+
+} // namespace
+
+http_answer open_connection::call(const http_call &Call) {
+  const auto Request = requestOf(Call);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(boost::none);
   beast::error_code Failure;
@@ -52,14 +70,31 @@
   http::async_read(State->Stream, State->Buffer, Parser,
                    [&](beast::error_code Problem, auto) { Failure = Problem; });
   State->runToCompletion();
-  http_answer Answer;
-  if (Failure)
-    return Answer;
-  Answer.Status = Parser.get().result_int();
-  for (const auto &Field : Parser.get())
-    Answer.Fields[std::string(Field.name_string())] = Field.value();
-  Answer.Body = Parser.get().body();
-  return Answer;
+  return Failure ? http_answer() : answerOf(Parser);
+}
+
+void open_connection::send(const http_call &Call) {
+  const auto Request = requestOf(Call);
+  State->Stream.expires_after(Call.Timeout);
+  http::async_write(State->Stream, Request, [](auto, auto) {});
+  State->runToCompletion();
+}
+
+void open_connection::sendRaw(const std::string &Bytes) {
+  State->Stream.expires_after(std::chrono::seconds(5));
+  asio::async_write(State->Stream, asio::buffer(Bytes), [](auto, auto) {});
+  State->runToCompletion();
+}
+
+http_answer open_connection::receive(std::chrono::milliseconds Timeout) {
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(boost::none);
+  beast::error_code Failure;
+  State->Stream.expires_after(Timeout);
+  http::async_read(State->Stream, State->Buffer, Parser,
+                   [&](beast::error_code Problem, auto) { Failure = Problem; });
+  State->runToCompletion();
+  return Failure ? http_answer() : answerOf(Parser);
 }
 
 boost::json::value http_answer::json() const {
--- a/tests/e2e/client.h
+++ b/tests/e2e/client.h
@@ -43,6 +43,12 @@
 
   http_answer call(const http_call &Call);
 
+  /// Sends without waiting for the answers to earlier requests.
+  void send(const http_call &Call);
+  void sendRaw(const std::string &Bytes);
+  /// The next answer, in the order of the requests.
+  http_answer receive(std::chrono::milliseconds Timeout);
+
 private:
   struct state;
   state *State;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -1,7 +1,5 @@
 #include "world.h"
 
-#include <client.h>
-
 #include <csignal>
 #include <fstream>
 #include <random>
@@ -27,6 +25,7 @@
 constexpr milliseconds Work{15};
 constexpr milliseconds DownTime{700};
 constexpr milliseconds CrashPause{250};
+constexpr std::size_t PipelinedRequests = 4;
 constexpr int InstancesPerDataCentre = 2;
 constexpr int TargetsPerDataCentre = 3;
 constexpr const char *Secret =
@@ -103,13 +102,15 @@
       {"fleet_secret", Secret},
       {"lookup_ttl_ms", 1000},
       {"control_tick_ms", 50},
-      {"gateway", json::object{{"directory", at(Instance.Directory)},
-                               {"ready", at(Instance.Ready)},
-                               {"data_centres", std::move(DataCentres)},
-                               {"seeds", std::move(Seeds)},
-                               {"revocation_ms", 5000},
-                               {"retry_ratio", 0.2},
-                               {"grace_ms", 6000}}}});
+      {"gateway",
+       json::object{{"directory", at(Instance.Directory)},
+                    {"ready", at(Instance.Ready)},
+                    {"data_centres", std::move(DataCentres)},
+                    {"seeds", std::move(Seeds)},
+                    {"revocation_ms", 5000},
+                    {"retry_ratio", 0.2},
+                    {"grace_ms", 6000},
+                    {"pipelining", json::object{{"requests", 8}}}}}});
 }
 
 void soak_world::start(soak_instance &Instance) {
@@ -160,37 +161,71 @@
       Target.Target->entry(State, Target.DataCentre, Target.Link->port()));
 }
 
-sent_request soak_world::send(const soak_instance &Instance,
-                              const std::string &Key, bool Repeatable,
-                              bool Crashes) {
+namespace {
+
+http_call callOf(const sent_request &Request, std::uint64_t Object) {
+  return {
+      .Method = Request.Repeatable ? "GET" : "POST",
+      .Target = (Request.Repeatable ? "/read" : "/pay") +
+                std::string(Request.Crashes ? CrashPath : "/1"),
+      .Fields = {{"Host", "a.example"},
+                 {"Attempt-Id", Request.Id},
+                 {"Affinity-Key",
+                  std::to_string(Request.Crashes ? 0 : Object % AffinityKeys)},
+                 {"Request-Deadline", std::to_string(CallerDeadline.count())},
+                 {"Key", Request.Key}},
+      .Body = Request.Repeatable ? "" : "sum=3",
+      .Timeout = CallerDeadline + AnswerMargin};
+}
+
+} // namespace
+
+sent_request soak_world::newRequest(const std::string &Key, bool Repeatable,
+                                    bool Crashes) {
   sent_request Request;
   Request.Crashes = Crashes;
   Request.Id = "id-" + std::to_string(++NextId);
   Request.Key = Key;
   Request.Repeatable = Repeatable;
   Request.SentAt = std::chrono::steady_clock::now();
-  const http_answer Answer = call(
-      Instance.Public,
-      {.Method = Repeatable ? "GET" : "POST",
-       .Target = (Repeatable ? "/read" : "/pay") +
-                 std::string(Crashes ? CrashPath : "/1"),
-       .Fields = {{"Host", "a.example"},
-                  {"Attempt-Id", Request.Id},
-                  {"Affinity-Key",
-                   std::to_string(Crashes ? 0 : NextId % AffinityKeys)},
-                  {"Request-Deadline", std::to_string(CallerDeadline.count())},
-                  {"Key", Key}},
-       .Body = Repeatable ? "" : "sum=3",
-       .Timeout = CallerDeadline + AnswerMargin});
+  return Request;
+}
+
+void soak_world::record(sent_request &Request, const http_answer &Answer) {
   Request.Status = Answer.Status;
   Request.Signature = fieldOf(Answer, "Server-Signature");
   Request.EchoedId = fieldOf(Answer, "Attempt-Id");
   Request.Body = Answer.Body;
   const std::lock_guard Lock(Mutex);
   Sent.push_back(Request);
+}
+
+sent_request soak_world::send(const soak_instance &Instance,
+                              const std::string &Key, bool Repeatable,
+                              bool Crashes) {
+  sent_request Request = newRequest(Key, Repeatable, Crashes);
+  record(Request, call(Instance.Public, callOf(Request, NextId)));
   return Request;
 }
 
+void soak_world::sendPipelined(const soak_instance &Instance,
+                               const std::string &Key, std::size_t Count) {
+  open_connection Connection(Instance.Public);
+  std::vector<sent_request> Requests;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Requests.push_back(newRequest(Key, true, false));
+    Connection.send(callOf(Requests.back(), NextId));
+  }
+  bool Lost = false;
+  for (sent_request &Request : Requests) {
+    http_answer Answer;
+    if (!Lost)
+      Answer = Connection.receive(CallerDeadline + AnswerMargin);
+    Lost = Answer.Status == 0;
+    record(Request, Answer);
+  }
+}
+
 std::vector<sent_request> soak_world::sent() const {
   const std::lock_guard Lock(Mutex);
   return Sent;
@@ -201,8 +236,12 @@
   const std::vector<std::string> Keys{"key-club", "key-gone", "key-small",
                                       "key-small"};
   while (Calling) {
-    send(Instances[Random() % Instances.size()], Keys[Random() % Keys.size()],
-         Random() % 2 == 0);
+    const soak_instance &Instance = Instances[Random() % Instances.size()];
+    const std::string &Key = Keys[Random() % Keys.size()];
+    if (Random() % 8 == 0)
+      sendPipelined(Instance, Key, PipelinedRequests);
+    else
+      send(Instance, Key, Random() % 2 == 0);
     std::this_thread::sleep_for(CallerPause);
   }
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -5,6 +5,7 @@
 
 #include "proxy.h"
 
+#include <client.h>
 #include <process.h>
 #include <standin.h>
 
@@ -83,6 +84,10 @@
   /// Sends one request and records it like those of the callers.
   sent_request send(const soak_instance &Instance, const std::string &Key,
                     bool Repeatable, bool Crashes = false);
+  /// Sends \p Count repeatable requests on one connection before the first is
+  /// answered.
+  void sendPipelined(const soak_instance &Instance, const std::string &Key,
+                     std::size_t Count);
   std::vector<sent_request> sent() const;
 
   store_standin Store;
@@ -94,6 +99,9 @@
 private:
   void callerLoop(unsigned Number);
   void crashLoop();
+  sent_request newRequest(const std::string &Key, bool Repeatable,
+                          bool Crashes);
+  void record(sent_request &Request, const http_answer &Answer);
   std::string settingsOf(const soak_instance &Instance) const;
 
   std::string Folder;
