--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -77,6 +77,8 @@
   Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryAllowancePart;
   Gate.DetectBrokenPath = Settings.Gateway->DetectBrokenPath;
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
+  Gate.Pipelining.Requests = Settings.Gateway->PipelinedRequests;
+  Gate.Pipelining.Bytes = Settings.Gateway->PipelinedBytes;
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -43,6 +43,8 @@
   std::size_t LimitedTargets = 0;
   /// This instance reaches no targets and peers do.
   bool PathBroken = false;
+  /// Requests in flight behind an unanswered one of their connection.
+  std::size_t Pipelined = 0;
 };
 
 class instance_metrics {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -69,6 +69,11 @@
   double LinkMbps = 0;
   /// Leave the directory while this instance reaches no targets and peers do.
   bool DetectBrokenPath = false;
+  /// Requests of one caller's connection that may be unanswered at once; with
+  /// 1 each waits for the one before it.
+  std::size_t PipelinedRequests = 1;
+  /// Bytes of answers of a connection that wait for those before them.
+  std::size_t PipelinedBytes = 256u << 10;
 };
 
 struct instance_settings {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -10,6 +10,7 @@
 #include <magnoliaspread/metrics.h>
 #include <magnoliaspread/pathmsg.h>
 #include <magnoliaspread/permitlender.h>
+#include <magnoliaspread/pipeline.h>
 #include <magnoliaspread/quarantine.h>
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/retry.h>
@@ -42,6 +43,8 @@
   bool DetectBrokenPath = false;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
+  /// Bounds of the requests of one connection that run at once.
+  pipeline_limits Pipelining;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -54,6 +57,8 @@
 struct gate_counts {
   /// Requests whose head has arrived and whose answer is not complete.
   std::size_t InFlight = 0;
+  /// Of these, requests behind another one of their connection.
+  std::size_t Pipelined = 0;
   std::size_t Waiting = 0;
   std::size_t Connections = 0;
   /// Requests that were in flight on crashed targets, and those refused for
