--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,10 +41,10 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
-  /// This instance reaches no targets and peers do.
-  bool PathBroken = false;
   /// Requests in flight behind an unanswered one of their connection.
   std::size_t Pipelined = 0;
+  /// This instance reaches no targets and peers do.
+  bool PathBroken = false;
 };
 
 class instance_metrics {
