Weigh the bytes that cross data centres and regions

Callers' answers of 90 KB crossed data centres like answers of nothing: placement counted only the request's body as large, and chose holders with no regard to their answers. Answer sizes are learned by kind, and settings say how long a caller may wait rather than have a megabyte cross.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -127,6 +127,10 @@
   Gauges.Suspects = Counts.Suspects;
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
+  Gauges.DataCentreCrossed =
+      Counts.Crossings.bytesFrom(target_distance::Region);
+  Gauges.RegionCrossed = Counts.Crossings.bytesFrom(target_distance::Remote);
+  Gauges.NearHolders = Counts.Crossings.NearHolders;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,6 +41,12 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// Answer bytes that came from other data centres of the region and from
+  /// other regions since the start.
+  std::uint64_t DataCentreCrossed = 0;
+  std::uint64_t RegionCrossed = 0;
+  /// Holders added so that answers don't cross, since the start.
+  std::uint64_t NearHolders = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -62,6 +62,9 @@
   prometheus::Gauge &Suspects;
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
+  prometheus::Gauge &DataCentreCrossed;
+  prometheus::Gauge &RegionCrossed;
+  prometheus::Gauge &NearHolders;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -102,7 +105,14 @@
                            "Requests that are refused for the targets that "
                            "died of them")),
       LimitedTargets(addGauge(Registry, "magnoliaspread_limited_targets",
-                              "Targets that announced a rate limit")) {
+                              "Targets that announced a rate limit")),
+      DataCentreCrossed(
+          addGauge(Registry, "magnoliaspread_data_centre_crossed_bytes",
+                   "Answer bytes from other data centres of the region")),
+      RegionCrossed(addGauge(Registry, "magnoliaspread_region_crossed_bytes",
+                             "Answer bytes from other regions")),
+      NearHolders(addGauge(Registry, "magnoliaspread_near_holders",
+                           "Holders added so that answers don't cross")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -171,6 +181,9 @@
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
+  State->DataCentreCrossed.Set(static_cast<double>(Gauges.DataCentreCrossed));
+  State->RegionCrossed.Set(static_cast<double>(Gauges.RegionCrossed));
+  State->NearHolders.Set(static_cast<double>(Gauges.NearHolders));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -67,6 +67,10 @@
   double CpuCores = 0;
   /// Bandwidth of its link, megabits per second; 0 is unknown.
   double LinkMbps = 0;
+  /// Time that a caller may wait rather than have a megabyte cross between data
+  /// centres of a region, and between regions.
+  std::chrono::milliseconds DataCentreCrossing{0};
+  std::chrono::milliseconds RegionCrossing{0};
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -137,6 +137,22 @@
   }
 }
 
+void readCrossing(object_reader &Reader, gateway_settings &Gateway,
+                  read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("crossing", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("crossing"), Fault);
+  Nested(numberField("data_centre_ms_per_mb", presence::Optional, 0,
+                     MaxMilliseconds),
+         Gateway.DataCentreCrossing);
+  Nested(
+      numberField("region_ms_per_mb", presence::Optional, 0, MaxMilliseconds),
+      Gateway.RegionCrossing);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -149,6 +165,7 @@
   readAddress(Nested, "ready", Gateway.Ready, Fault);
   readRegions(Nested, Gateway, Fault);
   readSeeds(Nested, Gateway);
+  readCrossing(Nested, Gateway, Fault);
   Nested(numberField("revocation_ms", presence::Optional, 0, MaxMilliseconds),
          Gateway.RevocationBound);
   Nested(numberField("retry_ratio", presence::Optional, 0, 1),
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -16,11 +16,13 @@
 #define MAGNOLIASPREAD_PLACER_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
 #include <magnoliaspread/pushback.h>
 #include <magnoliaspread/sendpermits.h>
+#include <magnoliaspread/targetdistance.h>
 
 #include <array>
 #include <bitset>
@@ -35,11 +37,6 @@
 
 namespace magnoliaspread {
 
-/// Distance from this instance to a target.
-enum class target_distance : std::uint8_t { DataCentre, Region, Remote };
-
-inline constexpr std::size_t TargetDistances = 3;
-
 /// Allowed regions by their number in the settings; none set allows all.
 using home_regions = std::bitset<32>;
 
@@ -79,6 +76,8 @@
   /// If a holder's expected answer takes more than this fraction of the time
   /// left, another holder is added even if its answer is late as well.
   double LatePart = 0.5;
+  /// What the bytes of requests and answers cost that leave the data centre.
+  crossing_costs Crossing;
   /// Largest busy fraction of a target's slots, the new request included, at
   /// which it may become an additional holder.
   double SparePart = 0.5;
@@ -203,13 +202,15 @@
   std::optional<target_report> Report;
   /// Pause that the target asked for.
   std::optional<std::chrono::milliseconds> PauseFor;
+  /// Size of the answer's body.
+  std::size_t AnswerBytes = 0;
 };
 
 class placer {
 public:
   /// \p Permits outlives the placer; null if targets have no rate limits.
   explicit placer(const placer_policy &Policy, send_permits *Permits = nullptr)
-      : Policy(Policy), Permits(Permits) {}
+      : Policy(Policy), Permits(Permits), Crossing(Policy.Crossing) {}
 
   /// Replaces all targets. The state of a handle is retained while its Id
   /// stays the same.
@@ -258,6 +259,8 @@
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
+  const crossing_counts &crossings() const { return Crossing.counts(); }
+
 private:
   struct target_state {
     placer_target Info;
@@ -325,10 +328,20 @@
     double Score = 0;
   };
 
+  /// Weight factors by distance, which grow with a request's bytes.
+  struct distance_factors {
+    double DataCentre = 1;
+    double Region = 1;
+    /// In place of Region if the region's slots can't serve all its objects.
+    double ScarceRegion = 1;
+  };
+
   struct choice {
     target_handle Target;
     double Expected = 0;
     bool HasFreeSlot = false;
+    /// Becomes a holder so that answers don't cross.
+    bool IsNearHolder = false;
   };
 
   target_state *find(target_handle Target);
@@ -336,7 +349,12 @@
   bool usable(const target_state &Target, const place_request &Request,
               steady_time Now) const;
   bool coldAllowed(const target_state &Target, steady_time Now) const;
-  double weight(const target_state &Target, bool Large) const;
+  double weight(const target_state &Target,
+                const distance_factors &Factors) const;
+  distance_factors factorsOf(const place_request &Request,
+                             const crossing_price &Price) const;
+  bool hasRoom(target_handle Target, steady_time Now) const;
+  bool hasSpareSlots(target_handle Target, steady_time Now) const;
   void listCandidates(const place_request &Request, steady_time Now);
   double waitSeconds(const target_state &Target, double ServiceSeconds,
                      steady_time Now) const;
@@ -346,6 +364,8 @@
                                    steady_time Now);
   std::optional<choice> bestOther(const place_request &Request,
                                   const choice *Holder, steady_time Now);
+  std::optional<choice> nearHolder(const place_request &Request,
+                                   const choice &Holder, steady_time Now);
   bool isWarm(target_handle Target, std::uint64_t Object,
               steady_time Now) const;
   holder *holderOf(std::uint64_t Object, target_handle Target);
@@ -381,6 +401,7 @@
 
   placer_policy Policy;
   send_permits *Permits;
+  crossing Crossing;
   pushback_table Pushback;
   std::vector<target_state> Targets;
   /// Handles by service.
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -144,6 +144,8 @@
   const bool NeedsPermit = permitOf(Choice->Target) == permit_state::Obtainable;
   if (Choice->HasFreeSlot && !NeedsPermit) {
     start(Request, Choice->Target, Now);
+    if (Choice->IsNearHolder)
+      Crossing.noteNearHolder();
     return place_send{Choice->Target};
   }
   const double Whole = seconds(Request.Deadline - Request.Arrived);
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace magnoliaspread {
 
@@ -79,7 +80,8 @@
 
 /// Rendezvous weight of a target for an object without a holder. Each region
 /// places as many of its objects in its own targets as their slots can serve.
-double placer::weight(const target_state &Target, bool Large) const {
+double placer::weight(const target_state &Target,
+                      const distance_factors &Factors) const {
   const service_capacity &Capacity = Capacities[Target.Info.Service.Index];
   const double Slots = usableSlots(Target);
   if (Target.Info.Distance == target_distance::Remote)
@@ -92,19 +94,48 @@
                  Policy.LeastLocal, Policy.MostLocal);
   double Weight = Part / (1 - Part) * std::max(1.0, Capacity.RemoteSlots) /
                   std::max(1.0, Capacity.LocalSlots) * Slots;
-  if (Large)
-    Weight *= Policy.LargeRegionFactor;
+  Weight *= Part < Policy.MostLocal ? Factors.ScarceRegion : Factors.Region;
   if (Target.Info.Distance == target_distance::DataCentre)
-    Weight *= Large ? Policy.LargeNearFactor : Policy.NearFactor;
+    Weight *= Factors.DataCentre;
   return Weight;
 }
 
+/// Weight factors of near targets. A large body counts in full; other bytes by
+/// the price of crossing, and a region short of slots keeps its division of
+/// objects whatever their answers cost.
+placer::distance_factors placer::factorsOf(const place_request &Request,
+                                           const crossing_price &Price) const {
+  if (Request.BodyBytes >= Policy.LargeBody)
+    return {Policy.LargeNearFactor, Policy.LargeRegionFactor,
+            Policy.LargeRegionFactor};
+  const double Near =
+      distanceStrength(Price.at(target_distance::Region), Policy.LeaveMargin);
+  const double Region =
+      distanceStrength(Price.at(target_distance::Remote), Policy.LeaveMargin);
+  return {Policy.NearFactor *
+              std::pow(Policy.LargeNearFactor / Policy.NearFactor, Near),
+          std::pow(Policy.LargeRegionFactor, Region), 1};
+}
+
+bool placer::hasRoom(target_handle Target, steady_time Now) const {
+  return loadOf(Target, Now) <
+         static_cast<double>(find(Target)->Info.Slots + Policy.Ahead);
+}
+
+/// Whether the target may become an additional holder.
+bool placer::hasSpareSlots(target_handle Target, steady_time Now) const {
+  return loadOf(Target, Now) + 1 <= find(Target)->Info.Slots * Policy.SparePart;
+}
+
 /// The best targets by weighted rendezvous hash.
 void placer::listCandidates(const place_request &Request, steady_time Now) {
   Candidates.clear();
   if (Request.Service.Index >= ByService.size())
     return;
-  const bool Large = Request.BodyBytes >= Policy.LargeBody;
+  const crossing_price Price =
+      Crossing.priceOf(Request.Kind, Request.BodyBytes, Now);
+  const distance_factors Factors = factorsOf(Request, Price);
+  const distance_factors FullFactors = factorsOf(Request, {});
   const std::uint64_t Key = Request.Object != 0
                                 ? Request.Object
                                 : rendezvousScore(++Draws, Request.Id);
@@ -115,8 +146,9 @@
     const target_state &State = Targets[Handle.Index];
     if (!usable(State, Request, Now))
       continue;
+    const bool Full = Crossing.enabled() && !hasRoom(Handle, Now);
     const double Score = -std::log(unit(rendezvousScore(Key, State.Info.Id))) /
-                         weight(State, Large);
+                         weight(State, Full ? FullFactors : Factors);
     if (Candidates.size() == MaxCandidates && Score >= Candidates.back().Score)
       continue;
     if (Candidates.size() == MaxCandidates)
@@ -128,7 +160,8 @@
   }
 }
 
-/// The holder with the earliest expected answer.
+/// The holder with the earliest expected answer. If crossing has a price, those
+/// that answer in good time come first, and then the price counts as well.
 std::optional<placer::choice> placer::bestHolder(const place_request &Request,
                                                  steady_time Now) {
   const auto Found = Objects.find(Request.Object);
@@ -141,8 +174,11 @@
     return Now - Row.Used >= Policy.WarmTime ||
            Age >= Cold * Policy.WarmingPatience;
   });
+  const crossing_price Price =
+      Crossing.priceOf(Request.Kind, Request.BodyBytes, Now);
+  const double Good = seconds(Request.GoodUntil - Now);
   std::optional<choice> Best;
-  double LeastCost = 0;
+  std::pair<bool, double> LeastCost;
   for (const holder &Row : Found->second) {
     const target_state *State = find(Row.Target);
     if (State == nullptr || State->Info.Service != Request.Service ||
@@ -154,15 +190,15 @@
             : 0;
     const double Expected = expected(*State, Request, Warm + Left, Now);
     const bool Limited = permitOf(Row.Target) != permit_state::Unlimited;
-    const double Cost =
-        Expected - (Limited ? seconds(Policy.LimitedMargin) : 0);
+    const std::pair<bool, double> Cost(
+        Crossing.enabled() && Expected > Good,
+        Expected + seconds(Price.at(State->Info.Distance)) -
+            (Limited ? seconds(Policy.LimitedMargin) : 0));
     if (Best && LeastCost <= Cost)
       continue;
     LeastCost = Cost;
-    const bool HasFreeSlot =
-        loadOf(Row.Target, Now) <
-        static_cast<double>(State->Info.Slots + Policy.Ahead);
-    Best = choice{Row.Target, Expected, HasFreeSlot && !Row.WarmingSince};
+    Best = choice{Row.Target, Expected,
+                  hasRoom(Row.Target, Now) && !Row.WarmingSince};
   }
   return Best;
 }
@@ -175,34 +211,82 @@
   listCandidates(Request, Now);
   const double Service = serviceSeconds(Request, Request.Object == 0);
   const double Margin = seconds(Policy.LeaveMargin);
+  const crossing_price Price =
+      Crossing.priceOf(Request.Kind, Request.BodyBytes, Now);
   std::optional<choice> Best;
-  double CostToBeat = Holder == nullptr ? 0 : Holder->Expected - Margin;
+  double CostToBeat = 0;
   for (const candidate &Row : Candidates) {
     const target_state &State = Targets[Row.Target.Index];
-    const double Load = loadOf(Row.Target, Now);
-    const double Slots = State.Info.Slots;
     if (Holder != nullptr && (holderOf(Request.Object, Row.Target) != nullptr ||
-                              Load + 1 > Slots * Policy.SparePart))
+                              !hasSpareSlots(Row.Target, Now)))
       continue;
     const double Expected = expected(State, Request, Service, Now);
+    if (Holder != nullptr && Expected >= Holder->Expected - Margin)
+      continue;
     // The rendezvous weights already account for the distance.
     const auto Distance = static_cast<std::size_t>(State.Info.Distance);
     const double Cost = Holder != nullptr
-                            ? Expected
+                            ? Expected + seconds(Price.at(State.Info.Distance))
                             : Expected - seconds(Policy.RoundTrip[Distance]);
-    if ((Holder != nullptr || Best) && Cost >= CostToBeat)
+    if (Best && Cost >= CostToBeat)
       continue;
-    Best = choice{Row.Target, Expected, Load < Slots + Policy.Ahead};
+    Best = choice{Row.Target, Expected, hasRoom(Row.Target, Now)};
     CostToBeat = Cost - Margin;
   }
   return Best;
 }
 
+/// A target nearer than the best holder that becomes a holder as well, if the
+/// answers that cross cost more than its cold run. Only with spare slots, and
+/// only if no nearer target holds the object.
+std::optional<placer::choice> placer::nearHolder(const place_request &Request,
+                                                 const choice &Holder,
+                                                 steady_time Now) {
+  const target_distance From = find(Holder.Target)->Info.Distance;
+  const auto Price =
+      Crossing.priceOf(Request.Kind, Request.BodyBytes, Now).at(From);
+  // Where regions place their objects depends on their slots; only large
+  // answers are fetched back.
+  if (Price.count() == 0 ||
+      (From == target_distance::Remote && Price < Policy.LeaveMargin))
+    return std::nullopt;
+  const double Cold = serviceSeconds(Request, false);
+  const double Extra = Cold - serviceSeconds(Request, true);
+  const auto ExtraTime = duration_cast<nanoseconds>(duration<double>(Extra));
+  const std::uint64_t Random = rendezvousScore(Request.Id, Request.Object);
+  if (!addsNearHolder(Price, ExtraTime, Random))
+    return std::nullopt;
+  for (const holder &Row : Objects[Request.Object])
+    if (const target_state *State = find(Row.Target);
+        State != nullptr && State->Info.Distance < From)
+      return std::nullopt;
+  listCandidates(Request, Now);
+  for (const candidate &Row : Candidates) {
+    const target_state &State = Targets[Row.Target.Index];
+    if (State.Info.Distance >= From || !hasSpareSlots(Row.Target, Now))
+      continue;
+    const double Expected = expected(State, Request, Cold, Now);
+    // A caller whose answer comes late because of this loses more than the
+    // slot time.
+    const bool MakesLate =
+        Holder.Expected <= seconds(Request.GoodUntil - Now) &&
+        Expected > seconds(Request.GoodUntil - Now);
+    if (MakesLate && !addsNearHolder(Price, 2 * ExtraTime, Random))
+      continue;
+    if (Expected > seconds(Request.Deadline - Now) * Policy.LatePart)
+      continue;
+    return choice{Row.Target, Expected, true, true};
+  }
+  return std::nullopt;
+}
+
 std::optional<placer::choice> placer::chooseTarget(const place_request &Request,
                                                    steady_time Now) {
   const std::optional<choice> Holder = bestHolder(Request, Now);
   if (!Holder)
     return bestOther(Request, nullptr, Now);
+  if (const std::optional<choice> Near = nearHolder(Request, *Holder, Now))
+    return Near;
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -127,6 +127,7 @@
     cancelWarming(End.Object, End.Target);
   switch (End.Result) {
   case target_result::Answered:
+    Crossing.noteAnswer(End.Kind, End.AnswerBytes, State->Info.Distance, Now);
     return noteAnswer(*State, End, Now);
   case target_result::Abandoned:
     return;
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -5,6 +5,7 @@
 #define MAGNOLIASPREAD_GATE_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
@@ -37,6 +38,7 @@
   /// current this long ago; zero is no limit.
   std::chrono::milliseconds KeyedConfigMaxAge{0};
   fleet_retry_settings Retries;
+  crossing_costs Crossing;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
 };
@@ -59,6 +61,7 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  crossing_counts Crossings;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -45,6 +45,12 @@
   return Quarantine;
 }
 
+placer_policy placerPolicy(const gate_settings &Settings) {
+  placer_policy Policy;
+  Policy.Crossing = Settings.Crossing;
+  return Policy;
+}
+
 /// Numbers the regions in the order of their names.
 name_map<std::size_t> numberRegions(const name_map<std::string> &Regions) {
   std::set<std::string> Names;
@@ -65,6 +71,7 @@
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Permits(Clock, {Settings.Name, Settings.Region}, Seed),
+      Placer(placerPolicy(Settings), &Permits),
       Pool(Context, Clock, reuseSettings()),
       Quarantine(quarantineSettings(Seed)),
       RegionNumbers(numberRegions(Settings.Regions)), Retries(Settings.Retries),
@@ -504,6 +511,7 @@
   Counts.Suspects = State->Quarantine.suspects();
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
+  Counts.Crossings = State->Placer.crossings();
   Counts.Requests = State->Requests;
   return Counts;
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -103,7 +103,7 @@
   token_gate Tokens;
   instance_metrics &Metrics;
   target_permits Permits;
-  placer Placer{placer_policy{}, &Permits};
+  placer Placer;
   connection_pool Pool;
   quarantine Quarantine;
   route_index_ptr Routes;
