Expect slow answers of targets that say so; keep a scarce region's part

Targets share machines: a fourth figure of their load report says how long work takes now, and was dropped. Expected times use it with its age, peers of the region hear of it (LoadRow field 3), and learned slowness takes only what it doesn't explain.

--- a/packages/steering/include/magnoliaspread/objectmsg.h
+++ b/packages/steering/include/magnoliaspread/objectmsg.h
@@ -30,6 +30,8 @@
   std::uint64_t Target = 0;
   /// Requests running or waiting on the target.
   std::uint32_t Busy = 0;
+  /// Time that work takes there, in percent of the usual; 0 is unknown.
+  std::uint32_t PacePercent = 0;
 
   bool operator==(const load_row &) const = default;
 };
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -23,6 +23,7 @@
 #include <magnoliaspread/pushback.h>
 #include <magnoliaspread/sendpermits.h>
 #include <magnoliaspread/targetdistance.h>
+#include <magnoliaspread/targetpace.h>
 
 #include <array>
 #include <bitset>
@@ -78,6 +79,7 @@
   double LatePart = 0.5;
   /// What the bytes of requests and answers cost that leave the data centre.
   crossing_costs Crossing;
+  target_pace_policy Pace;
   /// Largest busy fraction of a target's slots, the new request included, at
   /// which it may become an additional holder.
   double SparePart = 0.5;
@@ -189,6 +191,9 @@
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
+  /// Time that work takes there at this moment, relative to the usual time;
+  /// empty where the target doesn't say.
+  std::optional<double> Pace;
 };
 
 /// Outcome of one request on a target.
@@ -210,7 +215,8 @@
 public:
   /// \p Permits outlives the placer; null if targets have no rate limits.
   explicit placer(const placer_policy &Policy, send_permits *Permits = nullptr)
-      : Policy(Policy), Permits(Permits), Crossing(Policy.Crossing) {}
+      : Policy(Policy), Permits(Permits), Crossing(Policy.Crossing),
+        Paces(Policy.Pace) {}
 
   /// Replaces all targets. The state of a handle is retained while its Id
   /// stays the same.
@@ -282,6 +288,8 @@
     steady_time ColdRefilledAt;
     /// Last load report not yet sent to peers, in requests.
     std::optional<std::uint32_t> UnsentLoad;
+    /// Pace of the same report in percent; 0 is unknown.
+    std::uint32_t UnsentPace = 0;
     /// Requests queued here for this target.
     std::uint32_t Queued = 0;
     /// Those of them that wait only for a permit.
@@ -307,6 +315,8 @@
   /// Slots of a service, used to weight its targets.
   struct service_capacity {
     double LocalSlots = 0;
+    /// Those of LocalSlots in the own data centre.
+    double DataCentreSlots = 0;
     double RemoteSlots = 0;
     std::set<std::uint8_t> Regions;
   };
@@ -332,8 +342,8 @@
   struct distance_factors {
     double DataCentre = 1;
     double Region = 1;
-    /// In place of Region if the region's slots can't serve all its objects.
-    double ScarceRegion = 1;
+    /// Applies even if the region's slots can't serve all its objects.
+    bool IsLargeBody = false;
   };
 
   struct choice {
@@ -349,6 +359,9 @@
   bool usable(const target_state &Target, const place_request &Request,
               steady_time Now) const;
   bool coldAllowed(const target_state &Target, steady_time Now) const;
+  double localPart(const service_capacity &Capacity) const;
+  double regionFactor(const service_capacity &Capacity,
+                      const distance_factors &Factors) const;
   double weight(const target_state &Target,
                 const distance_factors &Factors) const;
   distance_factors factorsOf(const place_request &Request,
@@ -403,6 +416,7 @@
   send_permits *Permits;
   crossing Crossing;
   pushback_table Pushback;
+  target_paces Paces;
   std::vector<target_state> Targets;
   /// Handles by service.
   std::vector<std::vector<target_handle>> ByService;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -54,6 +54,7 @@
     target_state &State = Targets[Row.Handle.Index];
     if (State.Info.Id != Row.Id) {
       Pushback.forget(Row.Handle);
+      Paces.forget(Row.Handle);
       State = target_state();
       State.DecayedAt = Now;
       State.ReportedAt = Now;
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -67,7 +67,8 @@
   const double Wait = waitSeconds(Target, serviceSeconds(Request, true), Now);
   const double Decay =
       decayFactor(Now - Target.DecayedAt, Policy.FailureHalfLife);
-  const double Slow = 1 + (Target.Slowness - 1) * Decay;
+  const double Slow = (1 + (Target.Slowness - 1) * Decay) *
+                      Paces.factor(Target.Info.Handle, Now);
   const auto Distance = static_cast<std::size_t>(Target.Info.Distance);
   double Travel = seconds(Policy.RoundTrip[Distance]);
   // The owner of the limit is as far away as the target.
@@ -78,43 +79,56 @@
              seconds(Request.GoodUntil - Request.Arrived);
 }
 
-/// Rendezvous weight of a target for an object without a holder. Each region
-/// places as many of its objects in its own targets as their slots can serve.
+/// Part of the objects that the region places in its own targets: as many as
+/// their slots can serve.
+double placer::localPart(const service_capacity &Capacity) const {
+  const double All = Capacity.LocalSlots + Capacity.RemoteSlots;
+  const double Regions =
+      static_cast<double>(std::max<std::size_t>(1, Capacity.Regions.size()));
+  return std::clamp(Policy.RegionFill * Capacity.LocalSlots * Regions / All,
+                    Policy.LeastLocal, Policy.MostLocal);
+}
+
+/// Rendezvous weight of a target for an object without a holder.
 double placer::weight(const target_state &Target,
                       const distance_factors &Factors) const {
   const service_capacity &Capacity = Capacities[Target.Info.Service.Index];
   const double Slots = usableSlots(Target);
   if (Target.Info.Distance == target_distance::Remote)
     return Slots;
-  const double All = Capacity.LocalSlots + Capacity.RemoteSlots;
-  const double Regions =
-      static_cast<double>(std::max<std::size_t>(1, Capacity.Regions.size()));
-  const double Part =
-      std::clamp(Policy.RegionFill * Capacity.LocalSlots * Regions / All,
-                 Policy.LeastLocal, Policy.MostLocal);
+  const double Part = localPart(Capacity);
   double Weight = Part / (1 - Part) * std::max(1.0, Capacity.RemoteSlots) /
                   std::max(1.0, Capacity.LocalSlots) * Slots;
-  Weight *= Part < Policy.MostLocal ? Factors.ScarceRegion : Factors.Region;
   if (Target.Info.Distance == target_distance::DataCentre)
     Weight *= Factors.DataCentre;
-  return Weight;
+  return Weight * regionFactor(Capacity, Factors);
+}
+
+/// Weight factor of the own region. A region short of slots keeps its part of
+/// the objects whatever their answers cost.
+double placer::regionFactor(const service_capacity &Capacity,
+                            const distance_factors &Factors) const {
+  if (Factors.IsLargeBody || localPart(Capacity) >= Policy.MostLocal)
+    return Factors.Region;
+  const double Near = Capacity.DataCentreSlots;
+  const double Other = Capacity.LocalSlots - Near;
+  const double Usual = Near * Policy.NearFactor + Other;
+  return Usual > 0 ? Usual / (Near * Factors.DataCentre + Other) : 1;
 }
 
 /// Weight factors of near targets. A large body counts in full; other bytes by
-/// the price of crossing, and a region short of slots keeps its division of
-/// objects whatever their answers cost.
+/// the price of crossing.
 placer::distance_factors placer::factorsOf(const place_request &Request,
                                            const crossing_price &Price) const {
   if (Request.BodyBytes >= Policy.LargeBody)
-    return {Policy.LargeNearFactor, Policy.LargeRegionFactor,
-            Policy.LargeRegionFactor};
+    return {Policy.LargeNearFactor, Policy.LargeRegionFactor, true};
   const double Near =
       distanceStrength(Price.at(target_distance::Region), Policy.LeaveMargin);
   const double Region =
       distanceStrength(Price.at(target_distance::Remote), Policy.LeaveMargin);
   return {Policy.NearFactor *
               std::pow(Policy.LargeNearFactor / Policy.NearFactor, Near),
-          std::pow(Policy.LargeRegionFactor, Region), 1};
+          std::pow(Policy.LargeRegionFactor, Region), false};
 }
 
 bool placer::hasRoom(target_handle Target, steady_time Now) const {
@@ -245,10 +259,13 @@
   const target_distance From = find(Holder.Target)->Info.Distance;
   const auto Price =
       Crossing.priceOf(Request.Kind, Request.BodyBytes, Now).at(From);
+  if (Price.count() == 0)
+    return std::nullopt;
   // Where regions place their objects depends on their slots; only large
-  // answers are fetched back.
-  if (Price.count() == 0 ||
-      (From == target_distance::Remote && Price < Policy.LeaveMargin))
+  // answers are fetched back, and only by a region with slots for all.
+  const service_capacity &Capacity = Capacities[Request.Service.Index];
+  if (From == target_distance::Remote &&
+      (Price < Policy.LeaveMargin || localPart(Capacity) < Policy.MostLocal))
     return std::nullopt;
   const double Cold = serviceSeconds(Request, false);
   const double Extra = Cold - serviceSeconds(Request, true);
--- a/packages/steering/src/placerholders.cpp
+++ b/packages/steering/src/placerholders.cpp
@@ -2,6 +2,8 @@
 /// peers.
 #include <magnoliaspread/placer.h>
 
+#include "placermath_p.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -79,6 +81,8 @@
     State.Others =
         std::max(0.0, static_cast<double>(Row.Busy) - State.InFlight);
     State.ReportedAt = Now;
+    if (Row.PacePercent > 0)
+      Paces.note(Target->second, Row.PacePercent / Percent, Now);
   }
   for (const object_row &Row : Message.Rows) {
     const auto Target = ById.find(Row.Target);
--- a/packages/steering/src/placermath_p.h
+++ b/packages/steering/src/placermath_p.h
@@ -11,6 +11,7 @@
 
 /// Weight of a new sample in a moving average.
 inline constexpr double SampleWeight = 0.15;
+inline constexpr double Percent = 100;
 
 inline double seconds(steady_time::duration Time) {
   return std::chrono::duration<double>(Time).count();
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -4,6 +4,7 @@
 #include "placermath_p.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace magnoliaspread {
@@ -26,7 +27,8 @@
   for (const target_handle Handle : std::exchange(UnsentLoads, {})) {
     target_state &State = Targets[Handle.Index];
     if (const auto Busy = std::exchange(State.UnsentLoad, std::nullopt))
-      Loads.push_back({State.Info.Id, *Busy});
+      Loads.push_back(
+          {State.Info.Id, *Busy, std::exchange(State.UnsentPace, 0U)});
   }
   return Loads;
 }
@@ -59,15 +61,18 @@
     Warm = Took < (Known.Warm + Known.Cold) / 2;
   double &Mean = Warm ? Known.Warm : Known.Cold;
   const bool Waited = End.Report && End.Report->Waiting > 0;
+  const double Pace = End.Report ? End.Report->Pace.value_or(1) : 1;
   if (Mean > 0 && !Waited) {
-    const double Ratio = std::clamp(Took / Mean, MinSlowness, MaxSlowness);
+    const double Ratio = std::clamp(unexplainedSlowness(Took / Mean, Pace),
+                                    MinSlowness, MaxSlowness);
     Target.Slowness += (Ratio - Target.Slowness) * SampleWeight;
   }
   double &ServiceMean = MeanService[Target.Info.Service.Index];
   ServiceMean = ServiceMean > 0
                     ? ServiceMean + (Took - ServiceMean) * SampleWeight
                     : Took;
-  if (!Waited && Target.Info.ColdUntil <= Now)
+  const bool AtUsualPace = Mean <= 0 || !Paces.isSlow(Pace);
+  if (!Waited && AtUsualPace && Target.Info.ColdUntil <= Now)
     Mean = Mean > 0 ? Mean + (Took - Mean) * SampleWeight : Took;
   recordHolder(End.Object, Target.Info.Handle, true, Now);
 }
@@ -97,8 +102,14 @@
   const std::uint32_t Busy = Report.Running + Report.Waiting;
   Target.Others = std::max(0.0, static_cast<double>(Busy) - Target.InFlight);
   Target.ReportedAt = Now;
-  if (Busy < Policy.BusyPart * std::max(1U, Target.Info.Slots))
+  const double Pace = Report.Pace.value_or(1);
+  if (Report.Pace)
+    Paces.note(Target.Info.Handle, Pace, Now);
+  if (Busy < Policy.BusyPart * std::max(1U, Target.Info.Slots) &&
+      !Paces.isSlow(Pace))
     return;
+  Target.UnsentPace =
+      Report.Pace ? static_cast<std::uint32_t>(std::lround(Pace * Percent)) : 0;
   if (!Target.UnsentLoad)
     UnsentLoads.push_back(Target.Info.Handle);
   Target.UnsentLoad = Busy;
--- a/packages/steering/src/placerpermits.cpp
+++ b/packages/steering/src/placerpermits.cpp
@@ -48,6 +48,8 @@
       (State.Info.Distance == target_distance::Remote ? Capacity.RemoteSlots
                                                       : Capacity.LocalSlots) +=
           usableSlots(State);
+      if (State.Info.Distance == target_distance::DataCentre)
+        Capacity.DataCentreSlots += usableSlots(State);
     }
 }
 
--- a/packages/steering/tests/crossing.cpp
+++ b/packages/steering/tests/crossing.cpp
@@ -6,6 +6,7 @@
 #include <magnoliaspread/story.h>
 
 #include <array>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
@@ -175,7 +176,7 @@
       End.Object = Request.Object;
       End.Kind = Kind;
       End.Took = Now - Row.Sent;
-      End.Report = target_report{Load, 0, Slots};
+      End.Report = target_report{Load, 0, Slots, {}};
       End.AnswerBytes = AnswerBytes;
       Fleet[Row.Instance]->finished(End, Now);
     }
@@ -317,6 +318,44 @@
   });
 }
 
+// A region with a tenth of the slots and a third of the load: large answers
+// must not bring more objects into it than its slots bear.
+STORY(large_answers_leave_a_scarce_region_its_part) {
+  std::vector<placer_target> Targets = targetsFrom(0);
+  for (std::uint16_t I = 0; I < 72; ++I) {
+    placer_target Target = Targets[0];
+    Target.Handle = {static_cast<std::uint16_t>(Targets.size())};
+    Target.Id = 2000U + I;
+    Target.Distance = target_distance::Remote;
+    Target.Region = static_cast<std::uint8_t>(1 + I % 2);
+    Targets.push_back(Target);
+  }
+  const auto LocalPart = [&](std::size_t AnswerBytes) {
+    placer Placer{policyWith(Costs)};
+    Placer.setTargets(Targets, Start);
+    answer(Placer, {20}, 1, AnswerBytes, WarmTime + 90ms, Start);
+    std::size_t Local = 0;
+    constexpr std::uint64_t Objects = 600;
+    for (std::uint64_t Object = 2; Object < 2 + Objects; ++Object) {
+      const auto Sent =
+          sentTo(Placer.place(requestAt(Start, Object, Object), Start));
+      CPPUNIT_ASSERT(Sent);
+      const bool IsLocal = Sent->Index < DataCentres * TargetsEach;
+      Local += IsLocal ? 1 : 0;
+      // Distant answers take their round trip longer.
+      answer(Placer, *Sent, Object, AnswerBytes,
+             IsLocal ? WarmTime : WarmTime + 90ms, Start);
+    }
+    return static_cast<double>(Local) / Objects;
+  };
+  // RegionFill 1.4 times 8 of 80 targets times 3 regions: 0.42.
+  const double Small = LocalPart(0);
+  const double Large = LocalPart(LargeAnswer);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(Small) + " and " +
+                             std::to_string(Large),
+                         std::abs(Large - Small) <= 0.05);
+}
+
 // A route whose answers turn from 1.5 KB to 90 KB and back.
 STORY(objects_follow_a_kind_whose_answers_change_size) {
   region_load Load(4, Costs, SmallAnswer);
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3857,6 +3857,11 @@
 void LoadRow::__set_busy(const int32_t val) {
   this->busy = val;
 }
+
+void LoadRow::__set_pacePercent(const int32_t val) {
+  this->pacePercent = val;
+__isset.pacePercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadRow& obj)
 {
   obj.printTo(out);
@@ -3901,6 +3906,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pacePercent);
+          this->__isset.pacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3926,6 +3939,11 @@
   xfer += oprot->writeI32(this->busy);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.pacePercent) {
+    xfer += oprot->writeFieldBegin("pacePercent", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->pacePercent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3935,17 +3953,20 @@
   using ::std::swap;
   swap(a.target, b.target);
   swap(a.busy, b.busy);
+  swap(a.pacePercent, b.pacePercent);
   swap(a.__isset, b.__isset);
 }
 
 LoadRow::LoadRow(const LoadRow& other110) noexcept {
   target = other110.target;
   busy = other110.busy;
+  pacePercent = other110.pacePercent;
   __isset = other110.__isset;
 }
 LoadRow& LoadRow::operator=(const LoadRow& other111) noexcept {
   target = other111.target;
   busy = other111.busy;
+  pacePercent = other111.pacePercent;
   __isset = other111.__isset;
   return *this;
 }
@@ -3954,6 +3975,7 @@
   out << "LoadRow(";
   out << "target=" << to_string(target);
   out << ", " << "busy=" << to_string(busy);
+  out << ", " << "pacePercent="; (__isset.pacePercent ? (out << to_string(pacePercent)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1618,9 +1618,10 @@
 std::ostream& operator<<(std::ostream& out, const ObjectRow& obj);
 
 typedef struct _LoadRow__isset {
-  _LoadRow__isset() : target(false), busy(false) {}
+  _LoadRow__isset() : target(false), busy(false), pacePercent(false) {}
   bool target :1;
   bool busy :1;
+  bool pacePercent :1;
 } _LoadRow__isset;
 
 class LoadRow : public virtual ::apache::thrift::TBase {
@@ -1630,12 +1631,14 @@
   LoadRow& operator=(const LoadRow&) noexcept;
   LoadRow() noexcept
           : target(0),
-            busy(0) {
+            busy(0),
+            pacePercent(0) {
   }
 
   virtual ~LoadRow() noexcept;
   int64_t target;
   int32_t busy;
+  int32_t pacePercent;
 
   _LoadRow__isset __isset;
 
@@ -1643,12 +1646,18 @@
 
   void __set_busy(const int32_t val);
 
+  void __set_pacePercent(const int32_t val);
+
   bool operator == (const LoadRow & rhs) const
   {
     if (!(target == rhs.target))
       return false;
     if (!(busy == rhs.busy))
       return false;
+    if (__isset.pacePercent != rhs.__isset.pacePercent)
+      return false;
+    else if (__isset.pacePercent && !(pacePercent == rhs.pacePercent))
+      return false;
     return true;
   }
   bool operator != (const LoadRow &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -175,6 +175,7 @@
 struct LoadRow {
   1: i64 target
   2: i32 busy
+  3: optional i32 pacePercent
 }
 
 struct ObjectNews {
--- a/packages/wire/src/viewcodec.cpp
+++ b/packages/wire/src/viewcodec.cpp
@@ -18,6 +18,8 @@
     idl::LoadRow Out;
     Out.target = static_cast<std::int64_t>(Row.Target);
     Out.busy = static_cast<std::int32_t>(Row.Busy);
+    if (Row.PacePercent > 0)
+      Out.__set_pacePercent(static_cast<std::int32_t>(Row.PacePercent));
     To.loads.push_back(Out);
   }
   Body.__set_objectNews(To);
@@ -102,7 +104,10 @@
                            static_cast<std::uint64_t>(Row.target), Row.warm});
   for (const idl::LoadRow &Row : From.loads)
     Update.Loads.push_back({static_cast<std::uint64_t>(Row.target),
-                            readNumber<std::uint32_t>(Row.busy)});
+                            readNumber<std::uint32_t>(Row.busy),
+                            Row.__isset.pacePercent
+                                ? readNumber<std::uint32_t>(Row.pacePercent)
+                                : 0U});
   return Update;
 }
 
