Count the targets that say that their work is slow

An operator who sees late answers without failed targets couldn't tell that machines are overbooked.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -131,6 +131,7 @@
       Counts.Crossings.bytesFrom(target_distance::Region);
   Gauges.RegionCrossed = Counts.Crossings.bytesFrom(target_distance::Remote);
   Gauges.NearHolders = Counts.Crossings.NearHolders;
+  Gauges.SlowTargets = Counts.SlowTargets;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/model/src/model_target.cpp
+++ b/packages/model/src/model_target.cpp
@@ -26,7 +26,7 @@
 }
 
 target_report model_target::report() const {
-  return {Running, static_cast<std::uint32_t>(Waiting.size()), Slots};
+  return {Running, static_cast<std::uint32_t>(Waiting.size()), Slots, {}};
 }
 
 } // namespace magnoliaspread
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -47,6 +47,8 @@
   std::uint64_t RegionCrossed = 0;
   /// Holders added so that answers don't cross, since the start.
   std::uint64_t NearHolders = 0;
+  /// Targets that report that their work takes longer than usual.
+  std::size_t SlowTargets = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -65,6 +65,7 @@
   prometheus::Gauge &DataCentreCrossed;
   prometheus::Gauge &RegionCrossed;
   prometheus::Gauge &NearHolders;
+  prometheus::Gauge &SlowTargets;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -112,7 +113,10 @@
       RegionCrossed(addGauge(Registry, "magnoliaspread_region_crossed_bytes",
                              "Answer bytes from other regions")),
       NearHolders(addGauge(Registry, "magnoliaspread_near_holders",
-                           "Holders added so that answers don't cross")) {
+                           "Holders added so that answers don't cross")),
+      SlowTargets(addGauge(Registry, "magnoliaspread_slow_targets",
+                           "Targets that report that their work takes longer "
+                           "than usual")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -184,6 +188,7 @@
   State->DataCentreCrossed.Set(static_cast<double>(Gauges.DataCentreCrossed));
   State->RegionCrossed.Set(static_cast<double>(Gauges.RegionCrossed));
   State->NearHolders.Set(static_cast<double>(Gauges.NearHolders));
+  State->SlowTargets.Set(static_cast<double>(Gauges.SlowTargets));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/report/tests/metrics.cpp
+++ b/packages/report/tests/metrics.cpp
@@ -42,7 +42,8 @@
                         "service=\"calendar\",workspace=\"aero\"} 2");
   });
   section("and reports its state", [&] {
-    Metrics.setGauges({3, 2, 9, 17, 1500ms, true, 0ms, 5, 1, 4, 700, 800, 6});
+    Metrics.setGauges(
+        {3, 2, 9, 17, 1500ms, true, 0ms, 5, 1, 4, 700, 800, 6, 12});
     expectLine(Metrics, "magnoliaspread_config_version 17");
     expectLine(Metrics, "magnoliaspread_config_staleness_seconds 1.5");
     expectLine(Metrics, "magnoliaspread_platform_reachable 1");
@@ -53,6 +54,7 @@
     expectLine(Metrics, "magnoliaspread_data_centre_crossed_bytes 700");
     expectLine(Metrics, "magnoliaspread_region_crossed_bytes 800");
     expectLine(Metrics, "magnoliaspread_near_holders 6");
+    expectLine(Metrics, "magnoliaspread_slow_targets 12");
   });
 }
 
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -266,6 +266,10 @@
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
   const crossing_counts &crossings() const { return Crossing.counts(); }
+  /// Targets that report that their work takes longer than usual.
+  std::size_t slowTargets(steady_time Now) const {
+    return Paces.slowTargets(Now);
+  }
 
 private:
   struct target_state {
--- a/packages/steering/include/magnoliaspread/targetpace.h
+++ b/packages/steering/include/magnoliaspread/targetpace.h
@@ -12,6 +12,7 @@
 #include <magnoliaspread/handle.h>
 
 #include <chrono>
+#include <cstddef>
 #include <vector>
 
 namespace magnoliaspread {
@@ -42,6 +43,9 @@
 
   bool isSlow(double Factor) const { return Factor >= Policy.SlowFactor; }
 
+  /// Targets whose work is expected to be slow now.
+  std::size_t slowTargets(steady_time Now) const;
+
 private:
   struct row {
     double Factor = 1;
--- a/packages/steering/src/targetpace.cpp
+++ b/packages/steering/src/targetpace.cpp
@@ -28,6 +28,14 @@
   return 1 + (Row.Factor - 1) * decayFactor(Now - Row.NotedAt, Policy.HalfLife);
 }
 
+std::size_t target_paces::slowTargets(steady_time Now) const {
+  std::size_t Count = 0;
+  for (std::size_t I = 0; I < Rows.size(); ++I)
+    if (isSlow(factor(handleAt<target_handle>(I), Now)))
+      ++Count;
+  return Count;
+}
+
 double unexplainedSlowness(double Ratio, double Factor) {
   if (Factor <= 1 || Ratio <= 1)
     return Ratio;
--- a/packages/steering/tests/targetpace.cpp
+++ b/packages/steering/tests/targetpace.cpp
@@ -257,6 +257,8 @@
   section("slowness is believed at first and fades", [&] {
     Paces.note(Target, 2.5, Start);
     CPPUNIT_ASSERT_EQUAL(2.5, Paces.factor(Target, Start));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Paces.slowTargets(Start));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Paces.slowTargets(Start + 3s));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.75, Paces.factor(Target, Start + 300ms),
                                  1e-9);
     CPPUNIT_ASSERT(Paces.factor(Target, Start + 3s) < 1.01);
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -62,6 +62,8 @@
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
   crossing_counts Crossings;
+  /// Targets that report that their work takes longer than usual.
+  std::size_t SlowTargets = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -512,6 +512,7 @@
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
   Counts.Crossings = State->Placer.crossings();
+  Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.Requests = State->Requests;
   return Counts;
 }
