--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -130,6 +130,11 @@
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
   Gauges.PathBroken = Gate.pathBroken();
+  Gauges.DataCentreCrossed =
+      Counts.Crossings.bytesFrom(target_distance::Region);
+  Gauges.RegionCrossed = Counts.Crossings.bytesFrom(target_distance::Remote);
+  Gauges.NearHolders = Counts.Crossings.NearHolders;
+  Gauges.SlowTargets = Counts.SlowTargets;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -79,6 +79,8 @@
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
   Gate.Pipelining.Requests = Settings.Gateway->PipelinedRequests;
   Gate.Pipelining.Bytes = Settings.Gateway->PipelinedBytes;
+  Gate.Crossing = {Settings.Gateway->DataCentreCrossing,
+                   Settings.Gateway->RegionCrossing};
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -45,6 +45,14 @@
   std::size_t Pipelined = 0;
   /// This instance reaches no targets and peers do.
   bool PathBroken = false;
+  /// Answer bytes that came from other data centres of the region and from
+  /// other regions since the start.
+  std::uint64_t DataCentreCrossed = 0;
+  std::uint64_t RegionCrossed = 0;
+  /// Holders added so that answers don't cross, since the start.
+  std::uint64_t NearHolders = 0;
+  /// Targets that report that their work takes longer than usual.
+  std::size_t SlowTargets = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -64,6 +64,10 @@
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
   prometheus::Gauge &PathBroken;
+  prometheus::Gauge &DataCentreCrossed;
+  prometheus::Gauge &RegionCrossed;
+  prometheus::Gauge &NearHolders;
+  prometheus::Gauge &SlowTargets;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -110,7 +114,17 @@
                               "Targets that announced a rate limit")),
       PathBroken(addGauge(Registry, "magnoliaspread_path_broken",
                           "1 while this instance reaches no targets and peers "
-                          "do")) {
+                          "do")),
+      DataCentreCrossed(
+          addGauge(Registry, "magnoliaspread_data_centre_crossed_bytes",
+                   "Answer bytes from other data centres of the region")),
+      RegionCrossed(addGauge(Registry, "magnoliaspread_region_crossed_bytes",
+                             "Answer bytes from other regions")),
+      NearHolders(addGauge(Registry, "magnoliaspread_near_holders",
+                           "Holders added so that answers don't cross")),
+      SlowTargets(addGauge(Registry, "magnoliaspread_slow_targets",
+                           "Targets that report that their work takes longer "
+                           "than usual")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -181,6 +195,10 @@
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
   State->PathBroken.Set(Gauges.PathBroken ? 1 : 0);
+  State->DataCentreCrossed.Set(static_cast<double>(Gauges.DataCentreCrossed));
+  State->RegionCrossed.Set(static_cast<double>(Gauges.RegionCrossed));
+  State->NearHolders.Set(static_cast<double>(Gauges.NearHolders));
+  State->SlowTargets.Set(static_cast<double>(Gauges.SlowTargets));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -74,6 +74,10 @@
   std::size_t PipelinedRequests = 1;
   /// Bytes of answers of a connection that wait for those before them.
   std::size_t PipelinedBytes = 256u << 10;
+  /// Time that a caller may wait rather than have a megabyte cross between data
+  /// centres of a region, and between regions.
+  std::chrono::milliseconds DataCentreCrossing{0};
+  std::chrono::milliseconds RegionCrossing{0};
 };
 
 struct instance_settings {
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -16,11 +16,14 @@
 #define MAGNOLIASPREAD_PLACER_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
 #include <magnoliaspread/pushback.h>
 #include <magnoliaspread/sendpermits.h>
+#include <magnoliaspread/targetdistance.h>
+#include <magnoliaspread/targetpace.h>
 
 #include <array>
 #include <bitset>
@@ -35,11 +38,6 @@
 
 namespace magnoliaspread {
 
-/// Distance from this instance to a target.
-enum class target_distance : std::uint8_t { DataCentre, Region, Remote };
-
-inline constexpr std::size_t TargetDistances = 3;
-
 /// Allowed regions by their number in the settings; none set allows all.
 using home_regions = std::bitset<32>;
 
@@ -79,6 +77,9 @@
   /// If a holder's expected answer takes more than this fraction of the time
   /// left, another holder is added even if its answer is late as well.
   double LatePart = 0.5;
+  /// What the bytes of requests and answers cost that leave the data centre.
+  crossing_costs Crossing;
+  target_pace_policy Pace;
   /// Largest busy fraction of a target's slots, the new request included, at
   /// which it may become an additional holder.
   double SparePart = 0.5;
@@ -190,6 +191,9 @@
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
+  /// Time that work takes there at this moment, relative to the usual time;
+  /// empty where the target doesn't say.
+  std::optional<double> Pace;
 };
 
 /// Outcome of one request on a target.
@@ -203,13 +207,16 @@
   std::optional<target_report> Report;
   /// Pause that the target asked for.
   std::optional<std::chrono::milliseconds> PauseFor;
+  /// Size of the answer's body.
+  std::size_t AnswerBytes = 0;
 };
 
 class placer {
 public:
   /// \p Permits outlives the placer; null if targets have no rate limits.
   explicit placer(const placer_policy &Policy, send_permits *Permits = nullptr)
-      : Policy(Policy), Permits(Permits) {}
+      : Policy(Policy), Permits(Permits), Crossing(Policy.Crossing),
+        Paces(Policy.Pace) {}
 
   /// Replaces all targets. The state of a handle is retained while its Id
   /// stays the same.
@@ -262,6 +269,12 @@
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
+  const crossing_counts &crossings() const { return Crossing.counts(); }
+  /// Targets that report that their work takes longer than usual.
+  std::size_t slowTargets(steady_time Now) const {
+    return Paces.slowTargets(Now);
+  }
+
 private:
   struct target_state {
     placer_target Info;
@@ -284,6 +297,8 @@
     steady_time ColdRefilledAt;
     /// Last load report not yet sent to peers, in requests.
     std::optional<std::uint32_t> UnsentLoad;
+    /// Pace of the same report in percent; 0 is unknown.
+    std::uint32_t UnsentPace = 0;
     /// Requests queued here for this target.
     std::uint32_t Queued = 0;
     /// Those of them that wait only for a permit.
@@ -309,6 +324,8 @@
   /// Slots of a service, used to weight its targets.
   struct service_capacity {
     double LocalSlots = 0;
+    /// Those of LocalSlots in the own data centre.
+    double DataCentreSlots = 0;
     double RemoteSlots = 0;
     std::set<std::uint8_t> Regions;
   };
@@ -330,10 +347,20 @@
     double Score = 0;
   };
 
+  /// Weight factors by distance, which grow with a request's bytes.
+  struct distance_factors {
+    double DataCentre = 1;
+    double Region = 1;
+    /// Applies even if the region's slots can't serve all its objects.
+    bool IsLargeBody = false;
+  };
+
   struct choice {
     target_handle Target;
     double Expected = 0;
     bool HasFreeSlot = false;
+    /// Becomes a holder so that answers don't cross.
+    bool IsNearHolder = false;
   };
 
   target_state *find(target_handle Target);
@@ -341,7 +368,15 @@
   bool usable(const target_state &Target, const place_request &Request,
               steady_time Now) const;
   bool coldAllowed(const target_state &Target, steady_time Now) const;
-  double weight(const target_state &Target, bool Large) const;
+  double localPart(const service_capacity &Capacity) const;
+  double regionFactor(const service_capacity &Capacity,
+                      const distance_factors &Factors) const;
+  double weight(const target_state &Target,
+                const distance_factors &Factors) const;
+  distance_factors factorsOf(const place_request &Request,
+                             const crossing_price &Price) const;
+  bool hasRoom(target_handle Target, steady_time Now) const;
+  bool hasSpareSlots(target_handle Target, steady_time Now) const;
   void listCandidates(const place_request &Request, steady_time Now);
   double waitSeconds(const target_state &Target, double ServiceSeconds,
                      steady_time Now) const;
@@ -351,6 +386,8 @@
                                    steady_time Now);
   std::optional<choice> bestOther(const place_request &Request,
                                   const choice *Holder, steady_time Now);
+  std::optional<choice> nearHolder(const place_request &Request,
+                                   const choice &Holder, steady_time Now);
   bool isWarm(target_handle Target, std::uint64_t Object,
               steady_time Now) const;
   holder *holderOf(std::uint64_t Object, target_handle Target);
@@ -386,7 +423,9 @@
 
   placer_policy Policy;
   send_permits *Permits;
+  crossing Crossing;
   pushback_table Pushback;
+  target_paces Paces;
   std::vector<target_state> Targets;
   /// Handles by service.
   std::vector<std::vector<target_handle>> ByService;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -54,6 +54,7 @@
     target_state &State = Targets[Row.Handle.Index];
     if (State.Info.Id != Row.Id) {
       Pushback.forget(Row.Handle);
+      Paces.forget(Row.Handle);
       State = target_state();
       State.DecayedAt = Now;
       State.ReportedAt = Now;
@@ -144,6 +145,8 @@
   const bool NeedsPermit = permitOf(Choice->Target) == permit_state::Obtainable;
   if (Choice->HasFreeSlot && !NeedsPermit) {
     start(Request, Choice->Target, Now);
+    if (Choice->IsNearHolder)
+      Crossing.noteNearHolder();
     return place_send{Choice->Target};
   }
   const double Whole = seconds(Request.Deadline - Request.Arrived);
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -5,6 +5,7 @@
 #define MAGNOLIASPREAD_GATE_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
@@ -41,6 +42,7 @@
   fleet_retry_settings Retries;
   /// Tell a broken path of this instance apart from targets that are down.
   bool DetectBrokenPath = false;
+  crossing_costs Crossing;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
   /// Bounds of the requests of one connection that run at once.
@@ -67,6 +69,9 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  crossing_counts Crossings;
+  /// Targets that report that their work takes longer than usual.
+  std::size_t SlowTargets = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -51,6 +51,12 @@
   return Path;
 }
 
+placer_policy placerPolicy(const gate_settings &Settings) {
+  placer_policy Policy;
+  Policy.Crossing = Settings.Crossing;
+  return Policy;
+}
+
 /// Numbers the regions in the order of their names.
 name_map<std::size_t> numberRegions(const name_map<std::string> &Regions) {
   std::set<std::string> Names;
@@ -71,6 +77,7 @@
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Permits(Clock, {Settings.Name, Settings.Region}, Seed),
+      Placer(placerPolicy(Settings), &Permits),
       Pool(Context, Clock, reuseSettings()),
       Path(pathSettings(Settings), Seed, Clock.now()),
       Quarantine(quarantineSettings(Seed)),
@@ -527,6 +534,8 @@
   Counts.Suspects = State->Quarantine.suspects();
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
+  Counts.Crossings = State->Placer.crossings();
+  Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.Requests = State->Requests;
   return Counts;
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -121,7 +121,7 @@
   token_gate Tokens;
   instance_metrics &Metrics;
   target_permits Permits;
-  placer Placer{placer_policy{}, &Permits};
+  placer Placer;
   connection_pool Pool;
   target_path Path;
   quarantine Quarantine;
