--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -12,6 +12,7 @@
 #define MAGNOLIASPREAD_PLATFORMVIEW_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/storehistory.h>
 #include <magnoliaspread/viewmsg.h>
 
 #include <chrono>
@@ -48,8 +49,12 @@
   /// this old, which leaves an instance that can't read itself two requests
   /// before a drain must be known.
   std::chrono::milliseconds AnyPeerForTargets{1400};
+  history_settings History;
 };
 
+/// Origin of a proof that a configuration is current.
+enum class routes_source : std::uint8_t { Platform, Peer };
+
 /// Receiver of the next request.
 enum class view_source : std::uint8_t {
   None,
@@ -62,7 +67,8 @@
 class platform_view {
 public:
   platform_view(const view_settings &Settings, std::string Instance)
-      : Settings(Settings), Instance(std::move(Instance)) {}
+      : Settings(Settings), Instance(std::move(Instance)),
+        History(Settings.History) {}
 
   /// Sets the live instances of the region except this one.
   void setRegionalPeers(const std::vector<std::string> &Names);
@@ -75,17 +81,32 @@
   bool isReader() const { return Reader.empty(); }
   const std::string &reader() const { return Reader; }
 
-  /// \p Version is in force and was the newest at \p AsOf.
-  void confirmRoutes(std::uint64_t Version, boot_time AsOf);
+  /// An answer of the platform or a peer's reply names \p Era. True if the
+  /// platform lost a part of its history. State of an older era is then no
+  /// longer accepted; what is known stays, with its age.
+  bool hearEra(store_era Era, boot_time Now);
+  const store_history &history() const { return History; }
+
+  /// \p Version is in force and was the newest at \p AsOf. No proof if it was
+  /// read from the platform before the time to write again was over.
+  void confirmRoutes(std::uint64_t Version, boot_time AsOf, store_era Era = 0,
+                     routes_source Source = routes_source::Platform);
   /// The targets are known at \p Revision, which was current at \p AsOf.
-  void confirmTargets(std::uint64_t Revision, boot_time AsOf);
+  void confirmTargets(std::uint64_t Revision, boot_time AsOf,
+                      store_era Era = 0);
   /// Logs a change for later requests of peers. If its revision is 0, it counts
   /// as made at \p Revision.
   void logTargetChange(std::uint64_t Revision, target_change Change);
   /// Clears the log: changes up to \p Revision aren't known individually.
-  void truncateChangeLog(std::uint64_t Revision);
+  void truncateChangeLog(std::uint64_t Revision, store_era Era = 0);
   /// Sets the data centres that were evacuated at \p AsOf.
-  void setEvacuated(std::set<std::string> DataCentres, boot_time AsOf);
+  void setEvacuated(std::set<std::string> DataCentres, boot_time AsOf,
+                    store_era Era = 0);
+  /// Counts these as evacuated until the time to write again is over.
+  void keepEvacuated(std::set<std::string> DataCentres);
+  /// Those of the newest list, and those that were evacuated before the loss
+  /// of history until the time to write again is over.
+  std::set<std::string> evacuated(boot_time Now) const;
 
   bool targetsDue(boot_time Now) const;
   /// True if targets last confirmed at \p AsOf needn't be read yet.
@@ -116,6 +137,7 @@
     /// No configuration newer than the peer's, or than the one it has by the
     /// time of the fetch, was in force at this time.
     boot_time RoutesAsOf;
+    store_era RoutesEra = 0;
     /// The peer doesn't know the changes since the own revision: the targets
     /// must be read.
     bool ReadTargets = false;
@@ -137,7 +159,8 @@
 
   std::uint64_t version() const { return Version; }
   boot_time routesConfirmedAt() const { return RoutesAsOf; }
-  std::uint64_t revision() const { return Revision; }
+  std::uint64_t revision() const { return Revision.Revision; }
+  store_era targetsEra() const { return Revision.Era; }
 
 private:
   void chooseReader();
@@ -161,17 +184,21 @@
   std::optional<boot_time> ReaderSuspectedAt;
 
   // Local state, and the log of changes for peers.
+  store_history History;
   std::uint64_t Version = 0;
   boot_time RoutesAsOf;
-  std::uint64_t Revision = 0;
+  store_era RoutesEra = 0;
+  store_version Revision;
   boot_time TargetsAsOf;
   std::set<std::string> Evacuated;
+  std::set<std::string> KeptEvacuated;
+  store_era EvacuatedEra = 0;
   /// Empty until the list has been read, here or by a peer. Until then replies
   /// carry no targets: an empty list would bring evacuated ones back elsewhere.
   std::optional<boot_time> EvacuatedAsOf;
   std::deque<target_change> Log;
-  /// Log holds all changes after this revision.
-  std::uint64_t LogStart = 0;
+  /// Log holds all changes after this version, all of its era.
+  store_version LogStart;
 
   // Requests, and the parts of the reply that is being received.
   boot_time NextRequest;
--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -63,6 +63,11 @@
   /// Sets the data centres whose targets get no requests.
   void setEvacuated(std::set<std::string> DataCentres, steady_time Now);
 
+  /// The platform lost a part of its history: targets that it lacks are kept
+  /// for the time to register again, and entries of removed targets that are
+  /// not newer than the removed ones are ignored.
+  void historyLost(steady_time Now);
+
   /// Drops entries that weren't registered again in time.
   void tick(steady_time Now);
 
@@ -85,11 +90,23 @@
     bool Used = false;
   };
 
+  /// The last entry of a target that was removed.
+  struct removed_entry {
+    steady_time RemovedAt;
+    std::string Name;
+    std::int64_t StartedAtMs = 0;
+    std::uint64_t Sequence = 0;
+  };
+
   entry *find(std::string_view Name);
+  /// True for an entry that an older copy brought back.
+  bool isRevived(const target_record &Record) const;
+  void noteRemoved(const target_record &Record, steady_time Now);
   bool isLeaving(const target_record &Record) const;
   bool isVisibleChange(const target_record &Record);
   void add(const target_record &Record, steady_time Now);
   void drop(std::string_view Name);
+  void removeEntry(std::string_view Name, steady_time Now);
 
   registry_settings Settings;
   std::vector<entry> Entries;
@@ -97,6 +114,10 @@
   std::set<std::string> Evacuated;
   /// Targets that announced that they leave: name and start time.
   std::deque<std::pair<std::string, std::int64_t>> Leaving;
+  /// Removed lately; ordered by time.
+  std::deque<removed_entry> Removed;
+  /// Removed before the last loss of history.
+  std::deque<removed_entry> RemovedBeforeLoss;
   std::optional<steady_time> AnsweredAt;
   steady_time RetainUntil;
   std::uint16_t NextRow = 0;
--- a/packages/coordination/include/magnoliaspread/viewmsg.h
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -4,6 +4,7 @@
 #define MAGNOLIASPREAD_VIEWMSG_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/storeversion.h>
 #include <magnoliaspread/targetrecord.h>
 
 #include <chrono>
@@ -26,6 +27,8 @@
   std::uint64_t Revision = 0;
   /// Changes after Revision already received from the same instance.
   std::uint32_t Skip = 0;
+  /// The era of Revision.
+  store_era Era = 0;
 
   bool operator==(const view_request &) const = default;
 };
@@ -53,6 +56,13 @@
   std::vector<std::string> Evacuated;
   /// Same as Age for Evacuated.
   std::chrono::milliseconds EvacuatedAge{0};
+  /// The highest era that the sender heard of.
+  store_era Era = 0;
+  /// The eras of Revision, of the answer that Age counts from, and of
+  /// Evacuated.
+  store_era TargetsEra = 0;
+  store_era RoutesEra = 0;
+  store_era EvacuatedEra = 0;
 
   bool operator==(const view_reply &) const = default;
 };
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -56,15 +56,34 @@
   }
 }
 
-void platform_view::confirmRoutes(std::uint64_t Newest, boot_time AsOf) {
+bool platform_view::hearEra(store_era Era, boot_time Now) {
+  std::set<std::string> InForce = evacuated(Now);
+  if (!History.hear(Era, Now))
+    return false;
+  KeptEvacuated = std::move(InForce);
+  // Parts of a reply belong to the older era.
+  Skip = 0;
+  Parts.clear();
+  AskedAt = {};
+  return true;
+}
+
+void platform_view::confirmRoutes(std::uint64_t Newest, boot_time AsOf,
+                                  store_era Era, routes_source Source) {
   if (Newest < Version)
     return;
   Version = Newest;
+  if (Era != History.era() ||
+      (Source == routes_source::Platform && AsOf < History.provesFrom()))
+    return;
   RoutesAsOf = std::max(RoutesAsOf, AsOf);
+  RoutesEra = Era;
 }
 
-void platform_view::confirmTargets(std::uint64_t Newest, boot_time AsOf) {
-  if (Newest < Revision)
+void platform_view::confirmTargets(std::uint64_t NewestRevision, boot_time AsOf,
+                                   store_era Era) {
+  const store_version Newest{Era, NewestRevision};
+  if (Newest < Revision || Era != History.era())
     return;
   // Parts that answer an earlier request start from another revision.
   if (Newest > Revision) {
@@ -90,20 +109,34 @@
     Change.Revision = At;
   Log.push_back(std::move(Change));
   while (Log.size() > MaxLoggedChanges) {
-    LogStart = std::max(LogStart, Log.front().Revision);
+    LogStart.Revision = std::max(LogStart.Revision, Log.front().Revision);
     Log.pop_front();
   }
 }
 
-void platform_view::truncateChangeLog(std::uint64_t At) {
-  LogStart = std::max(LogStart, At);
+void platform_view::truncateChangeLog(std::uint64_t At, store_era Era) {
+  LogStart = std::max(LogStart, store_version{Era, At});
   Log.clear();
 }
 
 void platform_view::setEvacuated(std::set<std::string> DataCentres,
-                                 boot_time AsOf) {
+                                 boot_time AsOf, store_era Era) {
+  if (Era != History.era())
+    return;
   Evacuated = std::move(DataCentres);
   EvacuatedAsOf = AsOf;
+  EvacuatedEra = Era;
+}
+
+void platform_view::keepEvacuated(std::set<std::string> DataCentres) {
+  KeptEvacuated.merge(DataCentres);
+}
+
+std::set<std::string> platform_view::evacuated(boot_time Now) const {
+  std::set<std::string> All = Evacuated;
+  if (History.isRewriting(Now))
+    All.insert(KeptEvacuated.begin(), KeptEvacuated.end());
+  return All;
 }
 
 bool platform_view::evacuationsDue(boot_time Now) const {
@@ -169,7 +202,7 @@
   AskedAt = Now;
   if (To == 0)
     MultiRequestAt = Now;
-  return {Now, Revision, Skip};
+  return {Now, Revision.Revision, Skip, Revision.Era};
 }
 
 /// True if a part before this one was lost.
@@ -184,12 +217,18 @@
   Reply.AskedAt = Request.AskedAt;
   Reply.Version = Version;
   Reply.Age = ageOf(RoutesAsOf, Now);
-  Reply.Revision = EvacuatedAsOf ? Revision : 0;
+  Reply.Era = History.era();
+  Reply.RoutesEra = RoutesEra;
+  Reply.TargetsEra = Revision.Era;
+  Reply.EvacuatedEra = EvacuatedEra;
+  Reply.Revision = EvacuatedAsOf ? Revision.Revision : 0;
   Reply.TargetsAge = ageOf(TargetsAsOf, Now);
-  Reply.Evacuated.assign(Evacuated.begin(), Evacuated.end());
+  const std::set<std::string> InForce = evacuated(Now);
+  Reply.Evacuated.assign(InForce.begin(), InForce.end());
   if (EvacuatedAsOf)
     Reply.EvacuatedAge = ageOf(*EvacuatedAsOf, Now);
-  Reply.ChangesUnknown = Request.Revision < LogStart;
+  Reply.ChangesUnknown =
+      store_version{Request.Era, Request.Revision} < LogStart;
   Reply.Skip = Request.Skip;
   if (Reply.ChangesUnknown || !EvacuatedAsOf)
     return Reply;
@@ -249,18 +288,30 @@
   reply_result Result;
   Result.FetchRoutes = Reply.Version > Version;
   Result.RoutesAsOf = Reply.AskedAt - Reply.Age;
+  Result.RoutesEra = Reply.RoutesEra;
   if (Reply.Version != 0 && Reply.Version == Version)
-    RoutesAsOf = std::max(RoutesAsOf, Result.RoutesAsOf);
+    confirmRoutes(Version, Result.RoutesAsOf, Reply.RoutesEra,
+                  routes_source::Peer);
   const boot_time EvacuatedAt = Reply.AskedAt - Reply.EvacuatedAge;
-  if (Reply.Revision != 0 && (!EvacuatedAsOf || EvacuatedAt > *EvacuatedAsOf)) {
-    setEvacuated({Reply.Evacuated.begin(), Reply.Evacuated.end()}, EvacuatedAt);
+  const bool NewerEvacuated = !EvacuatedAsOf ||
+                              Reply.EvacuatedEra > EvacuatedEra ||
+                              EvacuatedAt > *EvacuatedAsOf;
+  if (Reply.Revision != 0 && Reply.EvacuatedEra == History.era() &&
+      NewerEvacuated) {
+    setEvacuated({Reply.Evacuated.begin(), Reply.Evacuated.end()}, EvacuatedAt,
+                 Reply.EvacuatedEra);
     Result.Evacuated = Evacuated;
   }
   const boot_time AsOf = Reply.AskedAt - Reply.TargetsAge;
   // Changes need a base: the targets must have been read here once.
-  if (Revision == 0 || Reply.Revision < Revision || AsOf < TargetsAsOf)
+  const store_version Theirs{Reply.TargetsEra, Reply.Revision};
+  if (Revision == store_version() || Reply.TargetsEra != History.era() ||
+      Theirs < Revision || AsOf < TargetsAsOf)
     return Result;
   Result.Usable = true;
+  // Changes of the new era have no base here; a list is due already.
+  if (Revision.Era != Reply.TargetsEra)
+    return Result;
   const bool Expected = isExpected(Reply, From);
   if (Reply.More || (Reply.Skip != 0 && !Expected)) {
     if (Expected)
@@ -274,7 +325,7 @@
   Result.ReadTargets = Reply.ChangesUnknown;
   if (Reply.ChangesUnknown)
     return Result;
-  if (Reply.Revision > Revision) {
+  if (Theirs > Revision) {
     if (Reply.Skip != 0)
       Result.Changes = std::move(Parts);
     Result.Changes.insert(Result.Changes.end(), Reply.Changes.begin(),
@@ -282,7 +333,7 @@
     for (const target_change &Change : Result.Changes)
       logTargetChange(Reply.Revision, Change);
   }
-  confirmTargets(Reply.Revision, AsOf);
+  confirmTargets(Reply.Revision, AsOf, Reply.TargetsEra);
   Result.Current = true;
   return Result;
 }
--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Age of the oldest copy that the platform may come back from: several times
+/// the seconds that it may be old.
+constexpr std::chrono::minutes OldestCopy{1};
+
 /// True if \p Record is older than \p Known of the same target.
 bool isStale(const target_record &Record, const target_record &Known) {
   if (Record.StartedAtMs != Known.StartedAtMs)
@@ -41,6 +45,9 @@
     if (Entries[NextRow].Used)
       return;
   }
+  std::erase_if(Removed, [&](const removed_entry &Row) {
+    return Row.Name == Record.Name;
+  });
   Entries[NextRow] = {Record, Now + Record.ColdLeft, std::nullopt, true};
   Rows.insert_or_assign(Record.Name, NextRow);
   ++Revision;
@@ -55,7 +62,43 @@
   ++Revision;
 }
 
+bool target_registry::isRevived(const target_record &Record) const {
+  return std::any_of(RemovedBeforeLoss.begin(), RemovedBeforeLoss.end(),
+                     [&](const removed_entry &Row) {
+                       return Row.Name == Record.Name &&
+                              (Record.StartedAtMs < Row.StartedAtMs ||
+                               (Record.StartedAtMs == Row.StartedAtMs &&
+                                Record.Sequence <= Row.Sequence));
+                     });
+}
+
+void target_registry::noteRemoved(const target_record &Record,
+                                  steady_time Now) {
+  while (!Removed.empty() && (Removed.size() >= MaxTargets ||
+                              Now - Removed.front().RemovedAt > OldestCopy))
+    Removed.pop_front();
+  Removed.push_back({Now, Record.Name, Record.StartedAtMs, Record.Sequence});
+}
+
+void target_registry::removeEntry(std::string_view Name, steady_time Now) {
+  if (const entry *Known = find(Name))
+    noteRemoved(Known->Record, Now);
+  drop(Name);
+}
+
+void target_registry::historyLost(steady_time Now) {
+  RetainUntil = std::max(RetainUntil, Now + Settings.ReregistrationTime);
+  for (const removed_entry &Row : Removed)
+    if (Now - Row.RemovedAt <= OldestCopy)
+      RemovedBeforeLoss.push_back(Row);
+  Removed.clear();
+  while (RemovedBeforeLoss.size() > MaxTargets)
+    RemovedBeforeLoss.pop_front();
+}
+
 void target_registry::upsert(const target_record &Record, steady_time Now) {
+  if (isRevived(Record))
+    return;
   entry *Known = find(Record.Name);
   if (Known == nullptr)
     return add(Record, Now);
@@ -77,7 +120,7 @@
   if (Known == nullptr)
     return;
   if (Now >= RetainUntil)
-    return drop(Name);
+    return removeEntry(Name, Now);
   if (!Known->DropAt)
     Known->DropAt = RetainUntil;
 }
@@ -85,6 +128,8 @@
 /// True if \p Record is new, was missing or changes more than the sequence and
 /// the cold time.
 bool target_registry::isVisibleChange(const target_record &Record) {
+  if (isRevived(Record))
+    return false;
   const entry *Known = find(Record.Name);
   if (Known == nullptr || Known->DropAt)
     return true;
@@ -159,7 +204,7 @@
     if (Entry.Used && Entry.DropAt && Now >= *Entry.DropAt)
       Gone.push_back(Entry.Record.Name);
   for (const std::string &Name : Gone)
-    drop(Name);
+    removeEntry(Name, Now);
 }
 
 std::vector<target_record> target_registry::records(steady_time Now) const {
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -44,15 +44,66 @@
   NextPoll = NextList = NextRoutes = NextEvacuations = Now;
 }
 
+void platform_follower::hearPeerEra(store_era Era) {
+  if (Era > 0)
+    hearEra(Era, "peer");
+}
+
+/// What is in force stays; everything is read again.
+void platform_follower::hearEra(store_era Era, std::string_view Source) {
+  const store_era Before = View.history().era();
+  const bool Lost = View.hearEra(Era, Clock.boot());
+  Rewriting = View.history().isRewriting(Clock.boot());
+  if (!Lost)
+    return;
+  logEvent(log_level::Warning, "store_era_changed",
+           {{"era", Era},
+            {"before", Before},
+            {"source", Source},
+            {"revision", NewestRevision}});
+  const steady_time Now = Clock.now();
+  NewestRevision = NoObject;
+  Registry.historyLost(Now);
+  NextList = Now;
+  std::uniform_int_distribution<std::int64_t> Spread(
+      0, Settings.RelistSpread.count());
+  NextPoll = View.isReader() ? Now : Now + milliseconds(Spread(Random));
+  NextRoutes = NextEvacuations = NextPoll;
+  if (OnHistoryLost)
+    OnHistoryLost();
+}
+
+template <class T>
+bool platform_follower::isOfThisEra(const result<T> &Answer) {
+  if (!failed(Answer))
+    hearEra(valueOf(Answer).Era, "platform");
+  else if (Store.era() > 0)
+    hearEra(Store.era(), "platform");
+  return failed(Answer) || valueOf(Answer).Era == View.history().era();
+}
+
+/// Reads once more what was not proved, and drops evacuations that nobody wrote
+/// again.
+void platform_follower::endRewriting() {
+  Rewriting = false;
+  logEvent(log_level::Info, "store_era_settled",
+           {{"era", View.history().era()}, {"revision", NewestRevision}});
+  NextRoutes = NextEvacuations = Clock.now();
+  Registry.setEvacuated(View.evacuated(Clock.boot()), Clock.now());
+}
+
 void platform_follower::tick() {
   const steady_time Now = Clock.now();
   Registry.tick(Now);
+  if (Rewriting && !View.history().isRewriting(Clock.boot()))
+    endRewriting();
   if (TargetsRevision == NoObject && !ReadsAllowed)
     return;
   const bool ReadsForRegion =
       View.isReader() && Now - StartedAt >= Settings.SettleTime;
   if (!PollingTargets && Now >= NextPoll &&
       (ReadsForRegion || TargetsRevision == NoObject || MissedChanges ||
+       View.targetsEra() != View.history().era() ||
        View.targetsDue(Clock.boot())))
     pollTargets();
   // Anything read before or during the first list would have to be read again
@@ -60,7 +111,8 @@
   if (TargetsRevision == NoObject && !HaveRoutes)
     return;
   if (!ReadingRoutes && Now >= NextRoutes &&
-      (ReadsForRegion || !HaveRoutes || View.routesDue(Clock.boot())))
+      (ReadsForRegion || !HaveRoutes ||
+       (View.routesDue(Clock.boot()) && !Rewriting)))
     readRoutes();
   if (!ReadingEvacuations && Now >= NextEvacuations &&
       (ReadsForRegion || View.evacuationsDue(Clock.boot())))
@@ -68,8 +120,8 @@
 }
 
 view_reply platform_follower::snapshot(boot_time AskedAt) const {
-  view_reply Snapshot =
-      View.answer({AskedAt, View.revision(), 0}, Clock.boot());
+  view_reply Snapshot = View.answer(
+      {AskedAt, View.revision(), 0, View.targetsEra()}, Clock.boot());
   Snapshot.Changes.clear();
   for (target_record &Record : Registry.records(Clock.now()))
     Snapshot.Changes.push_back({std::move(Record), false, Snapshot.Revision});
@@ -78,7 +130,9 @@
 
 bool platform_follower::applySnapshot(const view_reply &Snapshot) {
   const boot_time AsOf = Snapshot.AskedAt - Snapshot.TargetsAge;
+  hearPeerEra(Snapshot.Era);
   if (TargetsRevision != NoObject || Snapshot.Revision == NoObject ||
+      Snapshot.TargetsEra != View.history().era() ||
       !View.isCurrent(AsOf, Clock.boot()))
     return false;
   const steady_time Now = Clock.now();
@@ -88,12 +142,17 @@
   Registry.platformAnswered(Now);
   Registry.replaceAll(Records, Now);
   TargetsRevision = Snapshot.Revision;
-  View.truncateChangeLog(TargetsRevision);
-  View.confirmTargets(TargetsRevision, AsOf);
+  View.truncateChangeLog(TargetsRevision, Snapshot.TargetsEra);
+  View.confirmTargets(TargetsRevision, AsOf, Snapshot.TargetsEra);
   std::set<std::string> Evacuated(Snapshot.Evacuated.begin(),
                                   Snapshot.Evacuated.end());
-  View.setEvacuated(Evacuated, Snapshot.AskedAt - Snapshot.EvacuatedAge);
-  Registry.setEvacuated(std::move(Evacuated), Now);
+  if (Snapshot.EvacuatedEra == View.history().era())
+    View.setEvacuated(std::move(Evacuated),
+                      Snapshot.AskedAt - Snapshot.EvacuatedAge,
+                      Snapshot.EvacuatedEra);
+  else
+    View.keepEvacuated(std::move(Evacuated));
+  Registry.setEvacuated(View.evacuated(Clock.boot()), Now);
   NewestRevision = TargetsRevision;
   NextList = Now + jittered(Settings.ListPeriod);
   // From here on, reads follow the usual schedule.
@@ -123,7 +182,7 @@
     else
       Registry.upsert(Change.Record, Now);
   if (Reply.Evacuated)
-    Registry.setEvacuated(*Reply.Evacuated, Now);
+    Registry.setEvacuated(View.evacuated(Clock.boot()), Now);
   if (!Reply.Current)
     return;
   TargetsRevision = View.revision();
@@ -192,7 +251,7 @@
                                              const result<object_list> &List) {
     PollingTargets = false;
     noteReadResult("targets", failed(List) ? &errorOf(List) : nullptr);
-    if (failed(List)) {
+    if (!isOfThisEra(List) || failed(List)) {
       NextPoll = Clock.now() + jittered(RetryPause);
       return;
     }
@@ -207,16 +266,18 @@
         logEvent(log_level::Warning, "target_unreadable",
                  {{"target", Name}, {"detail", errorOf(Read).Detail}});
     }
-    const bool First = View.revision() == 0;
+    // Peers that know an older era list themselves.
+    const bool First =
+        View.revision() == 0 || View.targetsEra() != valueOf(List).Era;
     std::vector<target_change> Changes =
         Registry.replaceAll(Records, Clock.now());
     TargetsRevision = valueOf(List).Revision;
     if (First)
-      View.truncateChangeLog(TargetsRevision);
+      View.truncateChangeLog(TargetsRevision, valueOf(List).Era);
     else
       for (target_change &Change : Changes)
         View.logTargetChange(TargetsRevision, std::move(Change));
-    View.confirmTargets(TargetsRevision, AsOf);
+    View.confirmTargets(TargetsRevision, AsOf, valueOf(List).Era);
     noteRevision(TargetsRevision);
     NextList = Clock.now() + jittered(Settings.ListPeriod);
   });
@@ -224,12 +285,13 @@
 
 void platform_follower::pollChanges() {
   const boot_time AsOf = Clock.boot();
-  Store.changes({Platform.targetsPrefix(), TargetsRevision, milliseconds(0)},
+  Store.changes({Platform.targetsPrefix(), TargetsRevision, milliseconds(0),
+                 View.targetsEra()},
                 [this, AsOf](const result<changes_answer> &Answer) {
                   PollingTargets = false;
                   noteReadResult("changes",
                                  failed(Answer) ? &errorOf(Answer) : nullptr);
-                  if (failed(Answer)) {
+                  if (!isOfThisEra(Answer) || failed(Answer)) {
                     NextPoll = Clock.now() + jittered(RetryPause);
                     return;
                   }
@@ -239,6 +301,10 @@
 
 void platform_follower::applyChanges(const changes_answer &Answer,
                                      boot_time AsOf) {
+  // The events are those since another revision of that number. A list follows
+  // already, as the era was heard of.
+  if (Answer.Era != View.targetsEra())
+    return;
   if (Answer.HistoryGone) {
     logEvent(log_level::Info, "history_gone", {{"since", TargetsRevision}});
     // The next poll lists all targets.
@@ -254,7 +320,7 @@
       updateTarget(Change.Object, Answer.Revision);
   }
   TargetsRevision = std::max(TargetsRevision, Answer.Revision);
-  View.confirmTargets(TargetsRevision, AsOf);
+  View.confirmTargets(TargetsRevision, AsOf, Answer.Era);
   noteRevision(Answer.Revision);
 }
 
@@ -269,6 +335,10 @@
                   failed(Object) &&
                   errorOf(Object).Kind != error_kind::NotFound;
               noteReadResult("routes", Unanswered ? &errorOf(Object) : nullptr);
+              if (!isOfThisEra(Object)) {
+                NextRoutes = Clock.now() + jittered(RetryPause);
+                return;
+              }
               if (failed(Object)) {
                 const milliseconds AbsentRetry =
                     StartedFromSnapshot && !View.isReader()
@@ -279,7 +349,9 @@
                 return;
               }
               HaveRoutes = true;
-              OnRoutes({valueOf(Object).Version, valueOf(Object).Value}, AsOf);
+              OnRoutes({valueOf(Object).Version, valueOf(Object).Value,
+                        valueOf(Object).Era},
+                       AsOf);
             });
 }
 
@@ -292,15 +364,15 @@
       [this, AsOf](const result<object_list> &List) {
         ReadingEvacuations = false;
         noteReadResult("evacuations", failed(List) ? &errorOf(List) : nullptr);
-        if (failed(List)) {
+        if (!isOfThisEra(List) || failed(List)) {
           NextEvacuations = Clock.now() + jittered(RetryPause);
           return;
         }
         std::set<std::string> Names;
         for (const stored_object &Object : valueOf(List).Objects)
           Names.insert(Object.Name.substr(Platform.evacuationsPrefix().size()));
-        View.setEvacuated(Names, AsOf);
-        Registry.setEvacuated(std::move(Names), Clock.now());
+        View.setEvacuated(std::move(Names), AsOf, valueOf(List).Era);
+        Registry.setEvacuated(View.evacuated(Clock.boot()), Clock.now());
       });
 }
 
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -20,6 +20,9 @@
 struct routes_object {
   object_version Version = NoObject;
   std::string Json;
+  /// The era of the answer, or of the peer's proof that it is current.
+  store_era Era = 0;
+  routes_source Source = routes_source::Platform;
 };
 
 struct follower_settings {
@@ -36,21 +39,32 @@
   /// An instance doesn't read for its region before it knows its regional
   /// peers: several rounds of heartbeats.
   std::chrono::milliseconds SettleTime{1000};
+  /// After a loss of the platform's history all instances list the targets,
+  /// those that don't read for their region spread over this time.
+  std::chrono::milliseconds RelistSpread{800};
 };
 
 class platform_follower {
 public:
   using routes_handler =
       std::function<void(const routes_object &Object, boot_time AsOf)>;
+  using history_handler = std::function<void()>;
 
   platform_follower(object_store &Store, const fleet_platform &Platform,
                     const clock &Clock, target_registry &Registry,
                     platform_view &View, const follower_settings &Settings,
                     std::uint64_t Seed, routes_handler OnRoutes);
 
+  /// \p Lost is called after the platform lost a part of its history.
+  void onHistoryLost(history_handler Lost) { OnHistoryLost = std::move(Lost); }
+
   /// Starts the reads that are due.
   void tick();
 
+  /// A peer's reply or snapshot names the era that it heard of; 0 may also mean
+  /// that it heard of none.
+  void hearPeerEra(store_era Era);
+
   /// Allows the first reads, when no peer has sent a snapshot.
   void allowReads() { ReadsAllowed = true; }
 
@@ -77,6 +91,10 @@
   void readRoutes();
   void readEvacuations();
   void noteRevision(object_version Revision);
+  void hearEra(store_era Era, std::string_view Source);
+  /// Hears the era of an answer; false if it is of an older one.
+  template <class T> bool isOfThisEra(const result<T> &Answer);
+  void endRewriting();
   void noteReadResult(std::string_view What, const error *Failure);
   void updateTarget(const stored_object &Object, object_version Revision);
   void removeTarget(const std::string &Name, object_version Revision);
@@ -89,6 +107,7 @@
   platform_view &View;
   follower_settings Settings;
   routes_handler OnRoutes;
+  history_handler OnHistoryLost;
   std::mt19937_64 Random;
   steady_time StartedAt;
   bool ReadsAllowed = false;
@@ -105,6 +124,8 @@
   bool ReadingRoutes = false;
   bool ReadingEvacuations = false;
   bool PlatformLost = false;
+  /// Operators and targets may still be writing again what was lost.
+  bool Rewriting = false;
   steady_time NextPoll;
   steady_time NextList;
   steady_time NextRoutes;
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -105,6 +105,10 @@
       });
   Gate.onQuarantine(
       [this](const suspect_report &Report) { Quarantines.save(Report); });
+  Follower.onHistoryLost([this] {
+    Members.historyLost();
+    Quarantines.historyLost();
+  });
   Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
 }
 
--- a/packages/daemon/src/gateway_p.h
+++ b/packages/daemon/src/gateway_p.h
@@ -72,8 +72,8 @@
   admin_answer readyPage(std::string_view Target) const;
   admin_answer peerPage(const admin_port::request &Request) const;
   void requestView();
-  /// The configuration in force at \p Peer was current at \p AsOf.
-  void fetchRoutes(const endpoint_address &Peer, boot_time AsOf);
+  /// The configuration in force at \p Peer was current at \p AsOf, in \p Era.
+  void fetchRoutes(const endpoint_address &Peer, boot_time AsOf, store_era Era);
   void bootstrapTargets(steady_time Now);
   std::vector<endpoint_address> startPeers() const;
   void requestSnapshot(const endpoint_address &Peer);
@@ -119,6 +119,8 @@
   route_index_ptr InForce;
   /// The object that InForce was read from.
   routes_object Source;
+  /// The era in which an older configuration than InForce was last logged.
+  store_era BehindLoggedIn = 0;
   bool Fetching = false;
   std::mt19937_64 Random{randomNumber()};
   std::uint64_t PublishedRevision = 0;
--- a/packages/daemon/src/gatewaypages.cpp
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -38,7 +38,10 @@
   const bool ConfigConfirmed =
       GateSettings.KeyedConfigMaxAge == milliseconds(0) ||
       Clock.boot() - View.routesConfirmedAt() < GateSettings.KeyedConfigMaxAge;
-  return InForce != nullptr && Registry.revision() > 0 && ConfigConfirmed;
+  // A starting instance may have read an older copy of the configuration.
+  const bool ConfigProven = View.routesConfirmedAt() != boot_time();
+  return InForce != nullptr && Registry.revision() > 0 && ConfigConfirmed &&
+         ConfigProven;
 }
 
 /// Instances for callers: of this data centre, else of the region, else of all;
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -86,6 +86,7 @@
   View.AnyPeerForTargets = fractionOf(Gateway.DrainBound, AnyPeerPart);
   View.EvacuationsLimit =
       fractionOf(Gateway.EvacuationBound, EvacuationsReadPart);
+  View.History.FirstStart = Gateway.FirstStart;
   return View;
 }
 
--- a/packages/daemon/src/gatewaystate.cpp
+++ b/packages/daemon/src/gatewaystate.cpp
@@ -20,8 +20,16 @@
     return;
   }
   const std::uint64_t Version = valueOf(Read).Version;
-  View.confirmRoutes(Version, AsOf);
+  View.confirmRoutes(Version, AsOf, Object.Era, Object.Source);
   Gate.setConfigConfirmed(View.routesConfirmedAt());
+  if (InForce != nullptr && Version < InForce->table().Version &&
+      BehindLoggedIn < Object.Era) {
+    BehindLoggedIn = Object.Era;
+    logEvent(log_level::Warning, "routes_behind",
+             {{"era", Object.Era},
+              {"stored", Version},
+              {"in_force", InForce->table().Version}});
+  }
   if (InForce != nullptr && Version <= InForce->table().Version)
     return;
   InForce = std::make_shared<route_index>(std::move(valueOf(Read)));
@@ -63,24 +71,27 @@
     sendTo(Members.members().find(Name), Request);
 }
 
-void gateway::fetchRoutes(const endpoint_address &Peer, boot_time AsOf) {
+void gateway::fetchRoutes(const endpoint_address &Peer, boot_time AsOf,
+                          store_era Era) {
   if (Fetching)
     return;
   Fetching = true;
-  fetchFromPeer(
-      Context, Clock, Secret, Peer, ConfigPath,
-      [this, From = textOf(Peer), AsOf](const result<std::string> &Fetched) {
-        Fetching = false;
-        logEvent(log_level::Info, "routes_fetched",
-                 {{"peer", From},
-                  {"detail", failed(Fetched) ? errorOf(Fetched).Detail
-                                             : std::string("ok")}});
-        if (failed(Fetched))
-          return;
-        applyRoutes({NoObject, valueOf(Fetched)}, AsOf);
-        if (InForce != nullptr)
-          Follower.setRoutesKnown();
-      });
+  fetchFromPeer(Context, Clock, Secret, Peer, ConfigPath,
+                [this, From = textOf(Peer), AsOf,
+                 Era](const result<std::string> &Fetched) {
+                  Fetching = false;
+                  logEvent(log_level::Info, "routes_fetched",
+                           {{"peer", From},
+                            {"detail", failed(Fetched) ? errorOf(Fetched).Detail
+                                                       : std::string("ok")}});
+                  if (failed(Fetched))
+                    return;
+                  applyRoutes(
+                      {NoObject, valueOf(Fetched), Era, routes_source::Peer},
+                      AsOf);
+                  if (InForce != nullptr)
+                    Follower.setRoutesKnown();
+                });
 }
 
 /// Until the targets are known: requests snapshots from peers, or reads the
@@ -156,7 +167,7 @@
             {"revision", Snapshot.Revision},
             {"age_ms", Snapshot.TargetsAge.count()}});
   if (Snapshot.Version != 0 && InForce == nullptr)
-    fetchRoutes(Peer, RequestedAt - Snapshot.Age);
+    fetchRoutes(Peer, RequestedAt - Snapshot.Age, Snapshot.RoutesEra);
 }
 
 /// Requests per second that this instance may send to a cold target; 0 for a
@@ -190,12 +201,13 @@
 }
 
 void gateway::applyViewReply(std::uint64_t Sender, const view_reply &Reply) {
+  Follower.hearPeerEra(Reply.Era);
   const platform_view::reply_result Result = View.applyReply(Reply, Sender);
   Follower.applyReply(Result);
   Gate.setConfigConfirmed(View.routesConfirmedAt());
   const auto Row = Members.members().findIncarnation(Sender);
   if (Result.FetchRoutes && Row)
-    fetchRoutes(Row->Identity.Internal, Result.RoutesAsOf);
+    fetchRoutes(Row->Identity.Internal, Result.RoutesAsOf, Result.RoutesEra);
   if (Result.RequestNextPart)
     sendTo(Row, View.makeRequest(Clock.boot(), Sender));
 }
--- a/packages/daemon/src/membersys.cpp
+++ b/packages/daemon/src/membersys.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <memory>
+#include <utility>
 
 namespace magnoliaspread {
 
@@ -27,6 +28,10 @@
 /// which start in groups.
 constexpr milliseconds ListPause{1500};
 constexpr milliseconds RegisterRetry{2000};
+/// All instances register again after a loss of the platform's history, spread
+/// over this time, and list each other after ListAfterLoss.
+constexpr milliseconds RegisterSpread{2000};
+constexpr milliseconds ListAfterLoss{5000};
 constexpr milliseconds ProbePeriod{500};
 constexpr milliseconds ProbeTimeout{1000};
 
@@ -81,7 +86,7 @@
     : Context(Context), Store(Store), Port(Port), Clock(Clock),
       Settings(Settings), Members(Identity, Seed, Clock.now()),
       OnDeath(std::move(OnDeath)), NextList(Clock.now()),
-      NextRegister(Clock.now()), NextProbe(Clock.now()),
+      NextRegister(Clock.now()), NextProbe(Clock.now()), Random(Seed),
       FirstStart(Settings.Gateway && Settings.Gateway->FirstStart) {
   if (FirstStart)
     NextList = Clock.now() + FirstListAfter;
@@ -141,7 +146,7 @@
     Registering = false;
     const bool Conflict =
         failed(Answer) && errorOf(Answer).Kind == error_kind::VersionConflict;
-    Registered = !failed(Answer);
+    Registered = !failed(Answer) && !std::exchange(RegisterAgain, false);
     NextRegister = Clock.now() + (Conflict ? milliseconds(0) : RegisterRetry);
     // Of two instances that register at the same time, one sees the other in a
     // list that is read after its own registration.
@@ -162,6 +167,17 @@
          json::parse(Own->Value, Failure) == Record && !Failure;
 }
 
+void member_system::historyLost() {
+  std::uniform_int_distribution<std::int64_t> Spread(0, RegisterSpread.count());
+  const milliseconds Wait(Spread(Random));
+  Registered = false;
+  NextRegister = Clock.now() + Wait;
+  NextList = Clock.now() + ListAfterLoss + Wait;
+  DropList = Listing;
+  // A write in progress may have been made before the loss.
+  RegisterAgain = Registering;
+}
+
 void member_system::listSoon() {
   NextList = std::min(NextList, std::max(Clock.now(), ListedAt + ListPause));
 }
@@ -170,6 +186,8 @@
   Listing = true;
   Store.list({InstancePrefix}, [this](const result<object_list> &Answer) {
     Listing = false;
+    if (std::exchange(DropList, false))
+      return;
     NextList = Clock.now() + (failed(Answer) ? ListRetry : ListPeriod);
     if (failed(Answer))
       return;
--- a/packages/daemon/src/membersys_p.h
+++ b/packages/daemon/src/membersys_p.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -53,6 +54,10 @@
     return Registrations;
   }
 
+  /// The platform lost a part of its history: registers again, and lists the
+  /// instances once the others have registered again.
+  void historyLost();
+
   /// Lists the instances again soon, when more are alive than are listed.
   void listSoon();
 
@@ -91,6 +96,10 @@
   bool Registered = false;
   bool Registering = false;
   bool Listing = false;
+  /// The list in progress may lack instances that register again.
+  bool DropList = false;
+  bool RegisterAgain = false;
+  std::mt19937_64 Random;
   bool Leaving = false;
   /// No instance has registered before this start of the fleet.
   bool FirstStart = false;
--- a/packages/daemon/src/quarantinestore.cpp
+++ b/packages/daemon/src/quarantinestore.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
+#include <iterator>
 
 namespace magnoliaspread {
 
@@ -102,7 +103,7 @@
               if (!failed(Answer)) {
                 logEvent(log_level::Info, "quarantine_kept",
                          {{"object", Unsaved.front().Name}});
-                Unsaved.pop_front();
+                noteSaved();
                 return writeNext();
               }
               NextWrite = Clock.now() + RetryPause;
@@ -112,6 +113,28 @@
             });
 }
 
+/// Moves the first unsaved object to the saved ones.
+void quarantine_store::noteSaved() {
+  std::erase_if(Saved, [&](const unsaved &Row) {
+    return Row.Name == Unsaved.front().Name;
+  });
+  Saved.push_back(std::move(Unsaved.front()));
+  Unsaved.pop_front();
+  if (Saved.size() > MaxUnsaved)
+    Saved.pop_front();
+}
+
+void quarantine_store::historyLost() {
+  std::erase_if(Saved, [&](const unsaved &Old) {
+    return std::any_of(
+        Unsaved.begin(), Unsaved.end(),
+        [&](const unsaved &Newer) { return Newer.Name == Old.Name; });
+  });
+  std::move(Saved.begin(), Saved.end(), std::back_inserter(Unsaved));
+  Saved.clear();
+  writeNext();
+}
+
 void quarantine_store::load() {
   LoadRequested = true;
   tick();
--- a/packages/daemon/src/quarantinestore_p.h
+++ b/packages/daemon/src/quarantinestore_p.h
@@ -35,6 +35,10 @@
   /// Reads the stored quarantines; further calls do nothing.
   void load();
 
+  /// The platform lost a part of its history: what this instance stored is
+  /// stored again.
+  void historyLost();
+
   /// Retries failed reads and writes.
   void tick();
 
@@ -45,12 +49,15 @@
   };
 
   void writeNext();
+  void noteSaved();
   void applyList(const object_list &List);
 
   object_store &Store;
   const clock &Clock;
   update_handler OnLoaded;
   std::deque<unsaved> Unsaved;
+  /// Stored by this instance; the latest ones.
+  std::deque<unsaved> Saved;
   bool Saving = false;
   bool LoadRequested = false;
   bool Loading = false;
--- a/packages/platform/include/magnoliaspread/http_store.h
+++ b/packages/platform/include/magnoliaspread/http_store.h
@@ -52,6 +52,7 @@
   void changes(changes_request Request,
                completion<changes_answer> Done) override;
   bool reachable() const override;
+  store_era era() const override;
   std::optional<wall_time> platformTimeAtLeast() const override;
   const platform_counters &counters() const override;
 
--- a/packages/platform/include/magnoliaspread/platform.h
+++ b/packages/platform/include/magnoliaspread/platform.h
@@ -6,6 +6,7 @@
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
+#include <magnoliaspread/storeversion.h>
 
 #include <array>
 #include <chrono>
@@ -34,6 +35,8 @@
   object_version Version = NoObject;
   /// JSON text.
   std::string Value;
+  /// The era of the answer.
+  store_era Era = 0;
 };
 
 struct get_request {
@@ -46,6 +49,8 @@
   std::string Value;
   /// The version to replace; NoObject creates, empty replaces any.
   std::optional<object_version> IfVersion;
+  /// The era in which IfVersion was read; empty when it isn't checked.
+  std::optional<store_era> IfEra = std::nullopt;
 };
 
 struct put_answer {
@@ -71,6 +76,8 @@
   /// The platform's revision at the first page of the list, to request changes
   /// from; NoObject when the platform sends none.
   object_version Revision = NoObject;
+  /// The era of all pages.
+  store_era Era = 0;
 };
 
 struct changes_request {
@@ -80,6 +87,8 @@
   object_version Since = NoObject;
   /// Longest wait for a change; zero returns at once.
   std::chrono::milliseconds Wait{0};
+  /// The era of Since.
+  store_era Era = 0;
 };
 
 struct object_change {
@@ -91,8 +100,9 @@
   std::vector<object_change> Changes;
   /// The Since of the next request.
   object_version Revision = NoObject;
-  /// The platform has discarded changes since the requested revision: list
-  /// again.
+  store_era Era = 0;
+  /// The platform doesn't have the changes since the requested revision, or
+  /// not the revision itself: list again.
   bool HistoryGone = false;
 };
 
@@ -190,6 +200,9 @@
   /// False from the first failed call until the next answered one.
   virtual bool reachable() const = 0;
 
+  /// The highest era in an answer so far.
+  virtual store_era era() const { return 0; }
+
   /// Lower bound of the platform's time; empty before the first answer.
   virtual std::optional<wall_time> platformTimeAtLeast() const = 0;
 
--- a/packages/platform/include/magnoliaspread/store_protocol.h
+++ b/packages/platform/include/magnoliaspread/store_protocol.h
@@ -9,6 +9,7 @@
 #include <boost/json/value.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace magnoliaspread {
@@ -53,6 +54,14 @@
   store_protocol &operator=(const store_protocol &) = delete;
   virtual ~store_protocol() = default;
 
+  /// Name of the header field with the era; empty when there is none.
+  virtual std::string_view eraField() const { return {}; }
+  /// \p Text is the field's value, empty without the field. Empty when it is
+  /// malformed.
+  virtual std::optional<store_era> readEra(std::string_view /*Text*/) const {
+    return 0;
+  }
+
   virtual store_call get(const std::string &Name) const = 0;
   /// \p Value is the JSON text to store, envelope included.
   virtual store_call put(const put_request &Request,
--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -1,5 +1,8 @@
 #include "http_exchange_p.h"
 
+#include <magnoliaspread/log.h>
+
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -182,6 +185,20 @@
     Sleeper.cancel();
 }
 
+store_era http_exchange::noteEra(const http_response &Response) {
+  const beast::string_view Text = Response[Settings.Protocol->eraField()];
+  const std::optional<store_era> Read =
+      Settings.Protocol->readEra({Text.data(), Text.size()});
+  if (!Read && !MalformedEraLogged)
+    logEvent(log_level::Warning, "store_era_malformed",
+             {{"text", std::string(Text)}});
+  MalformedEraLogged = !Read;
+  if (!Read)
+    return Era;
+  Era = std::max(Era, *Read);
+  return *Read;
+}
+
 awaitable<exchange_reply>
 http_exchange::exchangeOn(connection_id Id, const http_request &Request,
                           std::chrono::milliseconds Timeout) {
@@ -201,16 +218,21 @@
     co_return exchange_reply{WasClosed ? exchange_outcome::ClosedWhileIdle
                                        : exchange_outcome::NoAnswer,
                              0,
-                             {}};
+                             {},
+                             Era};
   }
   http_response Response = Parser.release();
   release(Id, Response.keep_alive());
   if (isServerError(Response.result_int()))
     co_return exchange_reply{
-        exchange_outcome::NoAnswer, Response.result_int(), {}};
+        exchange_outcome::NoAnswer, Response.result_int(), {}, Era};
+  const store_era AnswerEra = noteEra(Response);
   recordAnswer(Response);
+  if (AnswerEra < Era)
+    co_return exchange_reply{
+        exchange_outcome::OlderEra, Response.result_int(), {}, AnswerEra};
   co_return exchange_reply{exchange_outcome::Answered, Response.result_int(),
-                           std::move(Response.body())};
+                           std::move(Response.body()), AnswerEra};
 }
 
 awaitable<exchange_reply> http_exchange::call(exchange_request Request,
@@ -226,7 +248,7 @@
     Id = co_await openConnection();
   if (Id == 0) {
     recordFailure(Kind, StartedAt);
-    co_return exchange_reply{exchange_outcome::NotSent, 0, {}};
+    co_return exchange_reply{exchange_outcome::NotSent, 0, {}, Era};
   }
   ++Counters.of(Kind).Sent;
   exchange_reply Reply = co_await exchangeOn(Id, Message, Timeout);
--- a/packages/platform/src/http_exchange_p.h
+++ b/packages/platform/src/http_exchange_p.h
@@ -34,6 +34,9 @@
   /// As NoAnswer, on a reused connection that the server closed while it was
   /// idle; not counted as a failure of the server.
   ClosedWhileIdle,
+  /// The answer is of an era before the highest one heard. Its call may have
+  /// had an effect that is lost.
+  OlderEra,
   /// Not sent: the pacer allows no call before the deadline.
   OutOfTime,
 };
@@ -43,6 +46,7 @@
   /// HTTP status code.
   unsigned Status = 0;
   std::string Body;
+  store_era Era = 0;
 };
 
 class http_exchange {
@@ -61,6 +65,8 @@
 
   bool stopped() const { return Stopped; }
   bool reachable() const { return Reachable; }
+  /// The highest era in an answer so far.
+  store_era era() const { return Era; }
   /// Lower bound on the server's current time; empty while no answer has
   /// reported one.
   std::optional<wall_time> serverTimeAtLeast() const;
@@ -104,6 +110,8 @@
   void closeIdle();
   void recordFailure(call_kind Kind, steady_time StartedAt);
   void recordAnswer(const http_response &Response);
+  /// The era of \p Response.
+  store_era noteEra(const http_response &Response);
   /// Moves the body out of \p Call.
   http_request makeRequest(store_call &Call) const;
 
@@ -115,6 +123,8 @@
   connection_id LastConnection = 0;
   std::list<boost::asio::steady_timer> Sleepers;
   std::optional<server_time> ServerTime;
+  store_era Era = 0;
+  bool MalformedEraLogged = false;
   bool Reachable = true;
   bool Stopped = false;
 };
--- a/packages/platform/src/http_store.cpp
+++ b/packages/platform/src/http_store.cpp
@@ -35,7 +35,8 @@
 /// Sent without an answer: the call may have taken effect.
 bool isAnswerLost(const exchange_reply &Reply) {
   return Reply.Outcome == exchange_outcome::NoAnswer ||
-         Reply.Outcome == exchange_outcome::ClosedWhileIdle;
+         Reply.Outcome == exchange_outcome::ClosedWhileIdle ||
+         Reply.Outcome == exchange_outcome::OlderEra;
 }
 
 bool answeredWith(const exchange_reply &Reply, unsigned Status) {
@@ -63,6 +64,12 @@
   return Error ? json::value() : Parsed;
 }
 
+error lostBaseError(const std::string &Name) {
+  return {error_kind::OutcomeUnknown,
+          "the platform lost the version that a write of " + Name + " replaces",
+          {}};
+}
+
 /// An object as read, without its envelope.
 struct read_object {
   stored_object Object;
@@ -91,6 +98,8 @@
   /// The write that created IfVersion, or the last version seen when IfVersion
   /// is empty; empty when not known.
   std::string BaseWriteId;
+  /// The era in which IfVersion was read, and in which it names that version.
+  store_era Era = 0;
 };
 
 enum class write_effect : std::uint8_t {
@@ -202,6 +211,9 @@
   std::vector<std::string> lineageOf(const std::string &Name,
                                      object_version Version) const;
   std::string newWriteId();
+  void forgetOlderEra();
+  /// The version that \p Write replaces is of an era that is over.
+  bool baseLost(const pending_write &Write) const;
 
   asio::io_context &Io;
   http_store_settings Settings;
@@ -210,6 +222,7 @@
   http_exchange Exchange;
   std::list<waiting_operation> Queue;
   std::unordered_map<std::string, known_write> KnownWrites;
+  store_era KnownEra = 0;
 };
 
 template <class T>
@@ -307,8 +320,22 @@
   return Id;
 }
 
+/// Versions of another era name other writes.
+void http_store::operations::forgetOlderEra() {
+  if (KnownEra == Exchange.era())
+    return;
+  KnownEra = Exchange.era();
+  KnownWrites.clear();
+}
+
+bool http_store::operations::baseLost(const pending_write &Write) const {
+  return Write.IfVersion && Write.IfVersion != NoObject &&
+         Write.Era < Exchange.era();
+}
+
 void http_store::operations::cacheWrite(const std::string &Name,
                                         known_write Known) {
+  forgetOlderEra();
   if (KnownWrites.size() >= MaxKnownWrites && !KnownWrites.contains(Name))
     KnownWrites.clear();
   known_write &Row = KnownWrites[Name];
@@ -375,6 +402,7 @@
   if (!Read)
     co_return unavailableError("malformed object");
   cacheWrite(*Read);
+  Read->Object.Era = Reply.Era;
   co_return std::move(Read->Object);
 }
 
@@ -392,6 +420,13 @@
         Settings.Protocol->readPage(parseJson(Reply.Body), Request.Prefix);
     if (!Page)
       co_return unavailableError("malformed list");
+    // The pages of two eras don't belong together.
+    if (!After.empty() && Reply.Era != List.Era) {
+      List = {};
+      After.clear();
+      continue;
+    }
+    List.Era = Reply.Era;
     if (After.empty())
       List.Revision = Page->Revision;
     More = Page->More && !Page->Objects.empty();
@@ -410,7 +445,11 @@
                               Request.Wait + Settings.WatchSlack};
   const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
   changes_answer Answer;
-  Answer.HistoryGone = answeredWith(Reply, Gone);
+  Answer.Era = Exchange.era();
+  // Events since a revision of another era are of other changes.
+  Answer.HistoryGone = answeredWith(Reply, Gone) ||
+                       Reply.Outcome == exchange_outcome::OlderEra ||
+                       (answeredWith(Reply, Ok) && Reply.Era != Request.Era);
   if (Answer.HistoryGone)
     co_return Answer;
   if (!answeredWith(Reply, Ok))
@@ -456,7 +495,11 @@
 }
 
 pending_write http_store::operations::beginWrite(const put_request &Request) {
-  pending_write Write{newWriteId(), Request.IfVersion, {}};
+  forgetOlderEra();
+  pending_write Write{newWriteId(),
+                      Request.IfVersion,
+                      {},
+                      Request.IfEra.value_or(Exchange.era())};
   const auto Known = KnownWrites.find(Request.Name);
   if (Known == KnownWrites.end())
     return Write;
@@ -541,7 +584,13 @@
     co_return error{error_kind::BadRequest, "value too large", {}};
   bool MayHaveRun = false;
   while (true) {
+    if (!MayHaveRun && baseLost(Write))
+      co_return error{error_kind::VersionConflict, Request.Name, {}};
     const exchange_reply Reply = co_await Exchange.call(Call, Deadline);
+    // It may have replaced another version to which the new era gave the number
+    // of the base.
+    if (answeredWith(Reply, Ok) && baseLost(Write))
+      co_return lostBaseError(Request.Name);
     if (answeredWith(Reply, Ok))
       co_return recordWritten(Request, Write, Reply);
     const bool Conflicts = answeredWith(Reply, Conflicting);
@@ -563,6 +612,8 @@
     if (std::optional<result<put_answer>> Final =
             readBackResult(Request, Write, Found))
       co_return std::move(*Final);
+    if (baseLost(Write))
+      co_return lostBaseError(Request.Name);
   }
 }
 
@@ -656,6 +707,8 @@
       });
 }
 
+store_era http_store::era() const { return Operations->exchange().era(); }
+
 bool http_store::reachable() const {
   return Operations->exchange().reachable();
 }
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -4125,6 +4125,10 @@
 void ViewAsk::__set_skip(const int32_t val) {
   this->skip = val;
 }
+
+void ViewAsk::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewAsk& obj)
 {
   obj.printTo(out);
@@ -4177,6 +4181,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4206,6 +4218,10 @@
   xfer += oprot->writeI32(this->skip);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4216,6 +4232,7 @@
   swap(a.askedAtNs, b.askedAtNs);
   swap(a.revision, b.revision);
   swap(a.skip, b.skip);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4223,12 +4240,14 @@
   askedAtNs = other126.askedAtNs;
   revision = other126.revision;
   skip = other126.skip;
+  era = other126.era;
   __isset = other126.__isset;
 }
 ViewAsk& ViewAsk::operator=(const ViewAsk& other127) noexcept {
   askedAtNs = other127.askedAtNs;
   revision = other127.revision;
   skip = other127.skip;
+  era = other127.era;
   __isset = other127.__isset;
   return *this;
 }
@@ -4238,6 +4257,7 @@
   out << "askedAtNs=" << to_string(askedAtNs);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "skip=" << to_string(skip);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
@@ -4605,6 +4625,22 @@
 void ViewReply::__set_evacuatedAgeMs(const int64_t val) {
   this->evacuatedAgeMs = val;
 }
+
+void ViewReply::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void ViewReply::__set_targetsEra(const int64_t val) {
+  this->targetsEra = val;
+}
+
+void ViewReply::__set_routesEra(const int64_t val) {
+  this->routesEra = val;
+}
+
+void ViewReply::__set_evacuatedEra(const int64_t val) {
+  this->evacuatedEra = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -4753,6 +4789,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsEra);
+          this->__isset.targetsEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routesEra);
+          this->__isset.routesEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuatedEra);
+          this->__isset.evacuatedEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4834,6 +4902,22 @@
   xfer += oprot->writeI64(this->evacuatedAgeMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetsEra", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->targetsEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routesEra", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->routesEra);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuatedEra", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->evacuatedEra);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4853,6 +4937,10 @@
   swap(a.more, b.more);
   swap(a.follows, b.follows);
   swap(a.evacuatedAgeMs, b.evacuatedAgeMs);
+  swap(a.era, b.era);
+  swap(a.targetsEra, b.targetsEra);
+  swap(a.routesEra, b.routesEra);
+  swap(a.evacuatedEra, b.evacuatedEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -4869,6 +4957,10 @@
   more = other142.more;
   follows = other142.follows;
   evacuatedAgeMs = other142.evacuatedAgeMs;
+  era = other142.era;
+  targetsEra = other142.targetsEra;
+  routesEra = other142.routesEra;
+  evacuatedEra = other142.evacuatedEra;
   __isset = other142.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other143) {
@@ -4884,6 +4976,10 @@
   more = other143.more;
   follows = other143.follows;
   evacuatedAgeMs = other143.evacuatedAgeMs;
+  era = other143.era;
+  targetsEra = other143.targetsEra;
+  routesEra = other143.routesEra;
+  evacuatedEra = other143.evacuatedEra;
   __isset = other143.__isset;
   return *this;
 }
@@ -4902,6 +4998,10 @@
   out << ", " << "more=" << to_string(more);
   out << ", " << "follows=" << to_string(follows);
   out << ", " << "evacuatedAgeMs=" << to_string(evacuatedAgeMs);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "targetsEra=" << to_string(targetsEra);
+  out << ", " << "routesEra=" << to_string(routesEra);
+  out << ", " << "evacuatedEra=" << to_string(evacuatedEra);
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1716,10 +1716,11 @@
 std::ostream& operator<<(std::ostream& out, const ObjectNews& obj);
 
 typedef struct _ViewAsk__isset {
-  _ViewAsk__isset() : askedAtNs(false), revision(false), skip(false) {}
+  _ViewAsk__isset() : askedAtNs(false), revision(false), skip(false), era(false) {}
   bool askedAtNs :1;
   bool revision :1;
   bool skip :1;
+  bool era :1;
 } _ViewAsk__isset;
 
 class ViewAsk : public virtual ::apache::thrift::TBase {
@@ -1730,13 +1731,15 @@
   ViewAsk() noexcept
           : askedAtNs(0),
             revision(0),
-            skip(0) {
+            skip(0),
+            era(0) {
   }
 
   virtual ~ViewAsk() noexcept;
   int64_t askedAtNs;
   int64_t revision;
   int32_t skip;
+  int64_t era;
 
   _ViewAsk__isset __isset;
 
@@ -1746,6 +1749,8 @@
 
   void __set_skip(const int32_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const ViewAsk & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -1754,6 +1759,8 @@
       return false;
     if (!(skip == rhs.skip))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const ViewAsk &rhs) const {
@@ -1893,7 +1900,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false), evacuatedAgeMs(false) {}
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false), evacuatedAgeMs(false), era(false), targetsEra(false), routesEra(false), evacuatedEra(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
@@ -1906,6 +1913,10 @@
   bool more :1;
   bool follows :1;
   bool evacuatedAgeMs :1;
+  bool era :1;
+  bool targetsEra :1;
+  bool routesEra :1;
+  bool evacuatedEra :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1923,7 +1934,11 @@
               skip(0),
               more(0),
               follows(0),
-              evacuatedAgeMs(0) {
+              evacuatedAgeMs(0),
+              era(0),
+              targetsEra(0),
+              routesEra(0),
+              evacuatedEra(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1939,6 +1954,10 @@
   bool more;
   bool follows;
   int64_t evacuatedAgeMs;
+  int64_t era;
+  int64_t targetsEra;
+  int64_t routesEra;
+  int64_t evacuatedEra;
 
   _ViewReply__isset __isset;
 
@@ -1966,6 +1985,14 @@
 
   void __set_evacuatedAgeMs(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_targetsEra(const int64_t val);
+
+  void __set_routesEra(const int64_t val);
+
+  void __set_evacuatedEra(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -1992,6 +2019,14 @@
       return false;
     if (!(evacuatedAgeMs == rhs.evacuatedAgeMs))
       return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(targetsEra == rhs.targetsEra))
+      return false;
+    if (!(routesEra == rhs.routesEra))
+      return false;
+    if (!(evacuatedEra == rhs.evacuatedEra))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -187,6 +187,7 @@
   1: i64 askedAtNs
   2: i64 revision
   3: i32 skip
+  4: i64 era
 }
 
 struct TargetChange {
@@ -217,6 +218,10 @@
   10: bool more
   11: bool follows
   12: i64 evacuatedAgeMs
+  13: i64 era
+  14: i64 targetsEra
+  15: i64 routesEra
+  16: i64 evacuatedEra
 }
 
 /// The rate limit of a target; without a rate it was withdrawn.
--- a/packages/wire/src/viewcodec.cpp
+++ b/packages/wire/src/viewcodec.cpp
@@ -74,6 +74,7 @@
   To.askedAtNs = Request.AskedAt.time_since_epoch().count();
   To.revision = static_cast<std::int64_t>(Request.Revision);
   To.skip = static_cast<std::int32_t>(Request.Skip);
+  To.era = static_cast<std::int64_t>(Request.Era);
   Body.__set_viewAsk(To);
 }
 
@@ -92,6 +93,10 @@
   To.partial = Reply.ChangesUnknown;
   To.evacuated = Reply.Evacuated;
   To.evacuatedAgeMs = Reply.EvacuatedAge.count();
+  To.era = static_cast<std::int64_t>(Reply.Era);
+  To.targetsEra = static_cast<std::int64_t>(Reply.TargetsEra);
+  To.routesEra = static_cast<std::int64_t>(Reply.RoutesEra);
+  To.evacuatedEra = static_cast<std::int64_t>(Reply.EvacuatedEra);
   Body.__set_viewReply(To);
 }
 
@@ -109,7 +114,8 @@
 view_request readViewRequest(const idl::ViewAsk &From) {
   return {boot_time(nanoseconds(From.askedAtNs)),
           static_cast<std::uint64_t>(From.revision),
-          readNumber<std::uint32_t>(From.skip)};
+          readNumber<std::uint32_t>(From.skip),
+          static_cast<store_era>(From.era)};
 }
 
 view_reply readViewReply(const idl::ViewReply &From) {
@@ -126,6 +132,10 @@
   Reply.Follows = From.follows;
   Reply.ChangesUnknown = From.partial;
   Reply.EvacuatedAge = readAge(From.evacuatedAgeMs);
+  Reply.Era = static_cast<store_era>(From.era);
+  Reply.TargetsEra = static_cast<store_era>(From.targetsEra);
+  Reply.RoutesEra = static_cast<store_era>(From.routesEra);
+  Reply.EvacuatedEra = static_cast<store_era>(From.evacuatedEra);
   for (const std::string &Name : From.evacuated)
     Reply.Evacuated.push_back(readName(Name));
   return Reply;
