--- a/packages/coordination/include/magnoliaspread/platformview.h
+++ b/packages/coordination/include/magnoliaspread/platformview.h
@@ -102,11 +102,12 @@
   /// Sets the data centres that were evacuated at \p AsOf.
   void setEvacuated(std::set<std::string> DataCentres, boot_time AsOf,
                     store_era Era = 0);
-  /// Counts these as evacuated until the time to write again is over.
+  /// Counts these as evacuated until a list was read after the time to write
+  /// again.
   void keepEvacuated(std::set<std::string> DataCentres);
-  /// Those of the newest list, and those that were evacuated before the loss
-  /// of history until the time to write again is over.
-  std::set<std::string> evacuated(boot_time Now) const;
+  /// Those of the newest list, and those that were evacuated before a loss of
+  /// history until a list was read after the time to write again.
+  std::set<std::string> evacuated() const;
 
   bool targetsDue(boot_time Now) const;
   /// True if targets last confirmed at \p AsOf needn't be read yet.
--- a/packages/coordination/include/magnoliaspread/registry.h
+++ b/packages/coordination/include/magnoliaspread/registry.h
@@ -96,14 +96,16 @@
     std::string Name;
     std::int64_t StartedAtMs = 0;
     std::uint64_t Sequence = 0;
+    /// Sequence is that of an entry seen since the loss.
+    bool SeenSinceLoss = false;
   };
 
   entry *find(std::string_view Name);
-  /// True for an entry that an older copy brought back.
-  bool isRevived(const target_record &Record) const;
+  /// True for an entry that an older copy brought back, or may have.
+  bool isRevived(const target_record &Record, steady_time Now);
   void noteRemoved(const target_record &Record, steady_time Now);
   bool isLeaving(const target_record &Record) const;
-  bool isVisibleChange(const target_record &Record);
+  bool isVisibleChange(const target_record &Record, steady_time Now);
   void add(const target_record &Record, steady_time Now);
   void drop(std::string_view Name);
   void removeEntry(std::string_view Name, steady_time Now);
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -57,7 +57,7 @@
 }
 
 bool platform_view::hearEra(store_era Era, boot_time Now) {
-  std::set<std::string> InForce = evacuated(Now);
+  std::set<std::string> InForce = evacuated();
   if (!History.hear(Era, Now))
     return false;
   KeptEvacuated = std::move(InForce);
@@ -123,6 +123,9 @@
                                  boot_time AsOf, store_era Era) {
   if (Era != History.era())
     return;
+  // Of two lists that prove nothing yet neither replaces the other.
+  if (AsOf < History.provesFrom())
+    KeptEvacuated.insert(DataCentres.begin(), DataCentres.end());
   Evacuated = std::move(DataCentres);
   EvacuatedAsOf = AsOf;
   EvacuatedEra = Era;
@@ -132,9 +135,9 @@
   KeptEvacuated.merge(DataCentres);
 }
 
-std::set<std::string> platform_view::evacuated(boot_time Now) const {
+std::set<std::string> platform_view::evacuated() const {
   std::set<std::string> All = Evacuated;
-  if (History.isRewriting(Now))
+  if (!EvacuatedAsOf || *EvacuatedAsOf < History.provesFrom())
     All.insert(KeptEvacuated.begin(), KeptEvacuated.end());
   return All;
 }
@@ -223,7 +226,7 @@
   Reply.EvacuatedEra = EvacuatedEra;
   Reply.Revision = EvacuatedAsOf ? Revision.Revision : 0;
   Reply.TargetsAge = ageOf(TargetsAsOf, Now);
-  const std::set<std::string> InForce = evacuated(Now);
+  const std::set<std::string> InForce = evacuated();
   Reply.Evacuated.assign(InForce.begin(), InForce.end());
   if (EvacuatedAsOf)
     Reply.EvacuatedAge = ageOf(*EvacuatedAsOf, Now);
--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -62,14 +62,21 @@
   ++Revision;
 }
 
-bool target_registry::isRevived(const target_record &Record) const {
-  return std::any_of(RemovedBeforeLoss.begin(), RemovedBeforeLoss.end(),
-                     [&](const removed_entry &Row) {
-                       return Row.Name == Record.Name &&
-                              (Record.StartedAtMs < Row.StartedAtMs ||
-                               (Record.StartedAtMs == Row.StartedAtMs &&
-                                Record.Sequence <= Row.Sequence));
-                     });
+/// The first entry since the loss can be one that this instance hadn't seen
+/// before the target left; a live target reports again, with a higher sequence.
+bool target_registry::isRevived(const target_record &Record, steady_time Now) {
+  for (removed_entry &Row : RemovedBeforeLoss) {
+    if (Row.Name != Record.Name || Record.StartedAtMs > Row.StartedAtMs)
+      continue;
+    if (Record.StartedAtMs < Row.StartedAtMs || Record.Sequence <= Row.Sequence)
+      return true;
+    if (Row.SeenSinceLoss || Now >= RetainUntil)
+      continue;
+    Row.SeenSinceLoss = true;
+    Row.Sequence = Record.Sequence;
+    return true;
+  }
+  return false;
 }
 
 void target_registry::noteRemoved(const target_record &Record,
@@ -92,12 +99,17 @@
     if (Now - Row.RemovedAt <= OldestCopy)
       RemovedBeforeLoss.push_back(Row);
   Removed.clear();
+  // Missing already, and about to be dropped.
+  for (const entry &Row : Entries)
+    if (Row.Used && Row.DropAt)
+      RemovedBeforeLoss.push_back(
+          {Now, Row.Record.Name, Row.Record.StartedAtMs, Row.Record.Sequence});
   while (RemovedBeforeLoss.size() > MaxTargets)
     RemovedBeforeLoss.pop_front();
 }
 
 void target_registry::upsert(const target_record &Record, steady_time Now) {
-  if (isRevived(Record))
+  if (isRevived(Record, Now))
     return;
   entry *Known = find(Record.Name);
   if (Known == nullptr)
@@ -127,8 +139,9 @@
 
 /// True if \p Record is new, was missing or changes more than the sequence and
 /// the cold time.
-bool target_registry::isVisibleChange(const target_record &Record) {
-  if (isRevived(Record))
+bool target_registry::isVisibleChange(const target_record &Record,
+                                      steady_time Now) {
+  if (isRevived(Record, Now))
     return false;
   const entry *Known = find(Record.Name);
   if (Known == nullptr || Known->DropAt)
@@ -148,7 +161,7 @@
   std::set<std::string_view> Listed;
   for (const target_record &Record : Records) {
     Listed.insert(Record.Name);
-    if (isVisibleChange(Record))
+    if (isVisibleChange(Record, Now))
       Changes.push_back({Record, false});
     upsert(Record, Now);
   }
--- a/packages/daemon/src/follower.cpp
+++ b/packages/daemon/src/follower.cpp
@@ -44,9 +44,9 @@
   NextPoll = NextList = NextRoutes = NextEvacuations = Now;
 }
 
-void platform_follower::hearPeerEra(store_era Era) {
-  if (Era > 0)
-    hearEra(Era, "peer");
+void platform_follower::hearPeerEra(const view_reply &Reply) {
+  if (Reply.Era > 0 || Reply.Revision != NoObject)
+    hearEra(Reply.Era, "peer");
 }
 
 /// What is in force stays; everything is read again.
@@ -89,7 +89,7 @@
   logEvent(log_level::Info, "store_era_settled",
            {{"era", View.history().era()}, {"revision", NewestRevision}});
   NextRoutes = NextEvacuations = Clock.now();
-  Registry.setEvacuated(View.evacuated(Clock.boot()), Clock.now());
+  Registry.setEvacuated(View.evacuated(), Clock.now());
 }
 
 void platform_follower::tick() {
@@ -130,7 +130,7 @@
 
 bool platform_follower::applySnapshot(const view_reply &Snapshot) {
   const boot_time AsOf = Snapshot.AskedAt - Snapshot.TargetsAge;
-  hearPeerEra(Snapshot.Era);
+  hearPeerEra(Snapshot);
   if (TargetsRevision != NoObject || Snapshot.Revision == NoObject ||
       Snapshot.TargetsEra != View.history().era() ||
       !View.isCurrent(AsOf, Clock.boot()))
@@ -152,7 +152,7 @@
                       Snapshot.EvacuatedEra);
   else
     View.keepEvacuated(std::move(Evacuated));
-  Registry.setEvacuated(View.evacuated(Clock.boot()), Now);
+  Registry.setEvacuated(View.evacuated(), Now);
   NewestRevision = TargetsRevision;
   NextList = Now + jittered(Settings.ListPeriod);
   // From here on, reads follow the usual schedule.
@@ -182,7 +182,7 @@
     else
       Registry.upsert(Change.Record, Now);
   if (Reply.Evacuated)
-    Registry.setEvacuated(View.evacuated(Clock.boot()), Now);
+    Registry.setEvacuated(View.evacuated(), Now);
   if (!Reply.Current)
     return;
   TargetsRevision = View.revision();
@@ -372,7 +372,7 @@
         for (const stored_object &Object : valueOf(List).Objects)
           Names.insert(Object.Name.substr(Platform.evacuationsPrefix().size()));
         View.setEvacuated(std::move(Names), AsOf, valueOf(List).Era);
-        Registry.setEvacuated(View.evacuated(Clock.boot()), Clock.now());
+        Registry.setEvacuated(View.evacuated(), Clock.now());
       });
 }
 
--- a/packages/daemon/src/follower_p.h
+++ b/packages/daemon/src/follower_p.h
@@ -61,9 +61,9 @@
   /// Starts the reads that are due.
   void tick();
 
-  /// A peer's reply or snapshot names the era that it heard of; 0 may also mean
-  /// that it heard of none.
-  void hearPeerEra(store_era Era);
+  /// A peer's reply or snapshot names the era that it heard of. Without targets
+  /// an era of 0 may also mean that it heard of none.
+  void hearPeerEra(const view_reply &Reply);
 
   /// Allows the first reads, when no peer has sent a snapshot.
   void allowReads() { ReadsAllowed = true; }
--- a/packages/daemon/src/gatewaystate.cpp
+++ b/packages/daemon/src/gatewaystate.cpp
@@ -201,7 +201,7 @@
 }
 
 void gateway::applyViewReply(std::uint64_t Sender, const view_reply &Reply) {
-  Follower.hearPeerEra(Reply.Era);
+  Follower.hearPeerEra(Reply);
   const platform_view::reply_result Result = View.applyReply(Reply, Sender);
   Follower.applyReply(Result);
   Gate.setConfigConfirmed(View.routesConfirmedAt());
