--- a/packages/daemon/src/peerfetch.cpp
+++ b/packages/daemon/src/peerfetch.cpp
@@ -1,6 +1,7 @@
 #include "peerfetch_p.h"
 
 #include <magnoliaspread/confsync.h>
+#include <magnoliaspread/silence.h>
 #include <magnoliaspread/traffic.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -68,6 +69,7 @@
       co_await Stream.async_connect(tcp::endpoint(Address, Peer.Port), Awaited);
   if (Failure)
     co_return unreachable(Failure);
+  limitSilence(Stream.socket().native_handle(), connection_kind::Peer);
   auto [WriteFailure, Written] =
       co_await http::async_write(Stream, Request, Awaited);
   if (WriteFailure)
--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http_exchange_p.h"
 
 #include <magnoliaspread/log.h>
+#include <magnoliaspread/silence.h>
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -148,6 +149,9 @@
   Connection.Stream.expires_after(Settings.CallTimeout);
   co_await Connection.Stream.async_connect(
       Endpoint, redirect_error(use_awaitable, Error));
+  if (!Error)
+    limitSilence(Connection.Stream.socket().native_handle(),
+                 connection_kind::Store);
   if (!Error && !Stopped)
     co_return Id;
   Connections.erase(Id);
--- a/packages/traffic/src/gate_session.cpp
+++ b/packages/traffic/src/gate_session.cpp
@@ -2,6 +2,7 @@
 #include "sockets_p.h"
 #include "timers_p.h"
 
+#include <magnoliaspread/silence.h>
 #include <magnoliaspread/log.h>
 
 #include <algorithm>
@@ -597,6 +598,7 @@
 asio::awaitable<void> gate_session::run() {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  limitSilence(Socket.native_handle(), connection_kind::Caller);
   while (co_await readRequest()) {
     const bool Keep = co_await serve();
     // Idle connections must not hold body memory.
--- a/packages/traffic/src/pool.cpp
+++ b/packages/traffic/src/pool.cpp
@@ -1,5 +1,7 @@
 #include "pool_p.h"
 
+#include <magnoliaspread/silence.h>
+
 #include "sockets_p.h"
 #include "timers_p.h"
 
@@ -67,6 +69,8 @@
   const bool Refused = Failure == asio::error::connection_refused;
   if (!Failure)
     Socket.set_option(tcp::no_delay(true), Failure);
+  if (!Failure)
+    limitSilence(Socket.native_handle(), connection_kind::Target);
   if (Failure)
     co_return error{Refused ? error_kind::TargetDown
                             : error_kind::TargetUnreachable,
--- a/packages/traffic/src/session.cpp
+++ b/packages/traffic/src/session.cpp
@@ -5,6 +5,7 @@
 #include "relay_p.h"
 #include "timers_p.h"
 
+#include <magnoliaspread/silence.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/lookup.h>
 #include <magnoliaspread/traffic.h>
@@ -496,6 +497,7 @@
 asio::awaitable<void> session::run() {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  limitSilence(Socket.native_handle(), connection_kind::Caller);
   while (co_await readHead())
     if (!co_await serveRequest())
       break;
