--- a/packages/base/include/magnoliaspread/storeversion.h
+++ b/packages/base/include/magnoliaspread/storeversion.h
@@ -2,8 +2,8 @@
 #ifndef MAGNOLIASPREAD_STOREVERSION_H
 #define MAGNOLIASPREAD_STOREVERSION_H
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace magnoliaspread {
 
@@ -17,7 +17,10 @@
   store_era Era = 0;
   std::uint64_t Revision = 0;
 
-  auto operator<=>(const store_version &) const = default;
+  bool operator==(const store_version &) const = default;
+  bool operator<(const store_version &Other) const {
+    return std::tie(Era, Revision) < std::tie(Other.Era, Other.Revision);
+  }
 };
 
 } // namespace magnoliaspread
--- a/packages/coordination/src/platformview.cpp
+++ b/packages/coordination/src/platformview.cpp
@@ -86,7 +86,7 @@
   if (Newest < Revision || Era != History.era())
     return;
   // Parts that answer an earlier request start from another revision.
-  if (Newest > Revision) {
+  if (Revision < Newest) {
     Skip = 0;
     AskedAt = {};
   }
@@ -328,7 +328,7 @@
   Result.ReadTargets = Reply.ChangesUnknown;
   if (Reply.ChangesUnknown)
     return Result;
-  if (Theirs > Revision) {
+  if (Revision < Theirs) {
     if (Reply.Skip != 0)
       Result.Changes = std::move(Parts);
     Result.Changes.insert(Result.Changes.end(), Reply.Changes.begin(),
