--- a/packages/coordination/src/registry.cpp
+++ b/packages/coordination/src/registry.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Age of the oldest copy that the platform may come back from: several times
+/// the seconds that it may be old.
+constexpr std::chrono::minutes OldestCopy{1};
+
 /// True if \p Record is older than \p Known of the same target.
 bool isStale(const target_record &Record, const target_record &Known) {
   if (Record.StartedAtMs != Known.StartedAtMs)
@@ -41,6 +45,9 @@
     if (Entries[NextRow].Used)
       return;
   }
+  std::erase_if(Removed, [&](const removed_entry &Row) {
+    return Row.Name == Record.Name;
+  });
   Entries[NextRow] = {Record, Now + Record.ColdLeft, std::nullopt, true};
   Rows.insert_or_assign(Record.Name, NextRow);
   ++Revision;
@@ -55,7 +62,55 @@
   ++Revision;
 }
 
+/// The first entry since the loss can be one that this instance hadn't seen
+/// before the target left; a live target reports again, with a higher sequence.
+bool target_registry::isRevived(const target_record &Record, steady_time Now) {
+  for (removed_entry &Row : RemovedBeforeLoss) {
+    if (Row.Name != Record.Name || Record.StartedAtMs > Row.StartedAtMs)
+      continue;
+    if (Record.StartedAtMs < Row.StartedAtMs || Record.Sequence <= Row.Sequence)
+      return true;
+    if (Row.SeenSinceLoss || Now >= RetainUntil)
+      continue;
+    Row.SeenSinceLoss = true;
+    Row.Sequence = Record.Sequence;
+    return true;
+  }
+  return false;
+}
+
+void target_registry::noteRemoved(const target_record &Record,
+                                  steady_time Now) {
+  while (!Removed.empty() && (Removed.size() >= MaxTargets ||
+                              Now - Removed.front().RemovedAt > OldestCopy))
+    Removed.pop_front();
+  Removed.push_back({Now, Record.Name, Record.StartedAtMs, Record.Sequence});
+}
+
+void target_registry::removeEntry(std::string_view Name, steady_time Now) {
+  if (const entry *Known = find(Name))
+    noteRemoved(Known->Record, Now);
+  drop(Name);
+}
+
+void target_registry::historyLost(steady_time Now) {
+  RetainUntil = std::max(RetainUntil, Now + Settings.ReregistrationTime);
+  for (const removed_entry &Row : Removed)
+    if (Now - Row.RemovedAt <= OldestCopy)
+      RemovedBeforeLoss.push_back(Row);
+  Removed.clear();
+  // Missing already, and about to be dropped.
+  for (const entry &Row : Entries)
+    if (Row.Used && Row.DropAt)
+      RemovedBeforeLoss.push_back(
+          {Now, Row.Record.Name, Row.Record.StartedAtMs, Row.Record.Sequence});
+  while (RemovedBeforeLoss.size() > MaxTargets)
+    RemovedBeforeLoss.pop_front();
+}
+
 void target_registry::upsert(const target_record &Record, steady_time Now) {
+  if (isRevived(Record, Now))
+    return;
   entry *Known = find(Record.Name);
   if (Known == nullptr)
     return add(Record, Now);
@@ -77,14 +132,17 @@
   if (Known == nullptr)
     return;
   if (Now >= RetainUntil)
-    return drop(Name);
+    return removeEntry(Name, Now);
   if (!Known->DropAt)
     Known->DropAt = RetainUntil;
 }
 
 /// True if \p Record is new, was missing or changes more than the sequence and
 /// the cold time.
-bool target_registry::isVisibleChange(const target_record &Record) {
+bool target_registry::isVisibleChange(const target_record &Record,
+                                      steady_time Now) {
+  if (isRevived(Record, Now))
+    return false;
   const entry *Known = find(Record.Name);
   if (Known == nullptr || Known->DropAt)
     return true;
@@ -103,7 +161,7 @@
   std::set<std::string_view> Listed;
   for (const target_record &Record : Records) {
     Listed.insert(Record.Name);
-    if (isVisibleChange(Record))
+    if (isVisibleChange(Record, Now))
       Changes.push_back({Record, false});
     upsert(Record, Now);
   }
@@ -159,7 +217,7 @@
     if (Entry.Used && Entry.DropAt && Now >= *Entry.DropAt)
       Gone.push_back(Entry.Record.Name);
   for (const std::string &Name : Gone)
-    drop(Name);
+    removeEntry(Name, Now);
 }
 
 std::vector<target_record> target_registry::records(steady_time Now) const {
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -91,6 +91,7 @@
   View.AnyPeerForTargets = fractionOf(Gateway.DrainBound, AnyPeerPart);
   View.EvacuationsLimit =
       fractionOf(Gateway.EvacuationBound, EvacuationsReadPart);
+  View.History.FirstStart = Gateway.FirstStart;
   return View;
 }
 
--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/pipeline.h>
+#include <magnoliaspread/silence.h>
 
 #include <algorithm>
 #include <map>
@@ -474,6 +475,7 @@
 asio::awaitable<void> gate_connection::run() {
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  limitSilence(Socket.native_handle(), connection_kind::Caller);
   for (bool Reads = true; Reads && !Order.closed();)
     Reads = co_await readRequest();
   while (!Order.empty())
