--- a/packages/coordination/include/magnoliaspread/membermsg.h
+++ b/packages/coordination/include/magnoliaspread/membermsg.h
@@ -3,6 +3,7 @@
 #ifndef MAGNOLIASPREAD_MEMBERMSG_H
 #define MAGNOLIASPREAD_MEMBERMSG_H
 
+#include <magnoliaspread/servicedemand.h>
 #include <magnoliaspread/settings.h>
 
 #include <cstdint>
@@ -23,6 +24,8 @@
   std::uint32_t Capacity = 0;
   /// Requests per second that it receives.
   std::uint32_t Rate = 0;
+  /// What its callers ask of each service, as a forecast.
+  demand_list Demand = {};
 
   bool operator==(const load_summary &) const = default;
 };
--- a/packages/coordination/src/memberdigest.cpp
+++ b/packages/coordination/src/memberdigest.cpp
@@ -18,9 +18,11 @@
 constexpr std::size_t RowsBudgetBytes = 900;
 /// Fixed part of an encoded row: numbers, field headers and ports.
 constexpr std::size_t RowFixedBytes = 64;
+/// Largest encoded size of a service's demand.
+constexpr std::size_t DemandRowBytes = 8;
 /// Bytes of rows relayed to each local peer with one heartbeat.
 constexpr std::size_t RelayBudgetBytes = 200;
-constexpr std::size_t SummariesPerDatagram = 8;
+constexpr std::size_t SummariesPerDatagram = 5;
 constexpr std::size_t MaxUrgentSummaries = 4;
 /// Bytes for the names of silent data centres in a heartbeat.
 constexpr std::size_t SilentNamesBudgetBytes = 400;
@@ -56,7 +58,8 @@
 
 std::size_t rowBytes(const member_row &Row) {
   const member_identity &Identity = Row.Identity;
-  return RowFixedBytes + Identity.Name.size() + Identity.DataCentre.size() +
+  return RowFixedBytes + DemandRowBytes * Row.Report.Load.Demand.size() +
+         Identity.Name.size() + Identity.DataCentre.size() +
          Identity.Region.size() + addressBytes(Identity.Internal) +
          addressBytes(Identity.Public);
 }
@@ -298,6 +301,7 @@
     Summary.Load.QueueLength += Report.Load.QueueLength;
     Summary.Load.Capacity += Report.Load.Capacity;
     Summary.Load.Rate += Report.Load.Rate;
+    addDemand(Summary.Load.Demand, Report.Load.Demand);
     Summary.PlatformReachable |= Report.PlatformReachable;
     if (Report.Config.Version != 0)
       Summary.LowestVersion =
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -127,6 +127,7 @@
   Gauges.Suspects = Counts.Suspects;
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
+  Gauges.SpilledPart = Counts.SpilledPart;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -76,6 +76,7 @@
         std::max(milliseconds(1), RevocationBound - RevocationMargin);
   Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryAllowancePart;
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
+  Gate.MaxRegionShift = Settings.Gateway->MaxRegionShift;
   return Gate;
 }
 
--- a/packages/daemon/src/gatewaypeers.cpp
+++ b/packages/daemon/src/gatewaypeers.cpp
@@ -1,6 +1,7 @@
 /// The gateway's exchange with other instances.
 #include "gateway_p.h"
 
+#include <magnoliaspread/demandview.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
 
@@ -92,6 +93,10 @@
   View.setRemotePeers(std::move(RemotePeers));
   ColdShares.setRegionalPeers(regionCandidates(), Now);
   TargetLimits.setPeers(Peers);
+  Load.Demand = Gate.demand();
+  Members.members().setLoad(Load);
+  Gate.setDemand(
+      regionDemands(Members.members(), Settings.Gateway->Regions, Now));
   Limiter.setReachable(std::move(Names));
   std::vector<limiter_instance> Instances = limiterInstances(Now);
   Gate.setInstances(Instances.size());
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,6 +41,9 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// Largest part of a service's objects that the plan by demand places in
+  /// other regions.
+  double SpilledPart = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -62,6 +62,7 @@
   prometheus::Gauge &Suspects;
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
+  prometheus::Gauge &SpilledPart;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -102,7 +103,10 @@
                            "Requests that are refused for the targets that "
                            "died of them")),
       LimitedTargets(addGauge(Registry, "magnoliaspread_limited_targets",
-                              "Targets that announced a rate limit")) {
+                              "Targets that announced a rate limit")),
+      SpilledPart(addGauge(Registry, "magnoliaspread_spilled_part",
+                           "Largest part of a service's objects that is placed "
+                           "in other regions by their demand")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -171,6 +175,7 @@
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
+  State->SpilledPart.Set(Gauges.SpilledPart);
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -67,6 +67,9 @@
   double CpuCores = 0;
   /// Bandwidth of its link, megabits per second; 0 is unknown.
   double LinkMbps = 0;
+  /// Places objects by the demand of all regions and moves at most this part
+  /// of a region's requests from one window of 2 s to the next; 0 is off.
+  double MaxRegionShift = 0;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -137,6 +137,18 @@
   }
 }
 
+void readDemand(object_reader &Reader, gateway_settings &Gateway,
+                read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("demand", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("demand"), Fault);
+  Nested(numberField("max_shift", presence::Required, 0, 1),
+         Gateway.MaxRegionShift);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -174,6 +186,7 @@
          Gateway.CpuCores);
   Nested(numberField("link_mbps", presence::Optional, 0, MaxLinkMbps),
          Gateway.LinkMbps);
+  readDemand(Nested, Gateway, Fault);
   Nested.finish();
 }
 
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -62,6 +62,27 @@
   });
 }
 
+// The bound on shifts between regions has to come from the deployment.
+STORY(placement_by_demand_is_off_unless_set) {
+  const auto With = [](const std::string &Fields) {
+    return validSettingsWith(
+        "\"traffic_threads\":1",
+        R"("gateway":{"directory":"127.0.0.1:1","ready":"127.0.0.1:2",
+"data_centres":{"porto-1":"porto"})" +
+            Fields + R"(},"traffic_threads":1)");
+  };
+  const auto ShiftOf = [](const std::string &Json) {
+    const auto Read = parseSettings(Json, "porto.json");
+    CPPUNIT_ASSERT_MESSAGE(failed(Read) ? errorOf(Read).Detail : "",
+                           !failed(Read));
+    return valueOf(Read).Gateway->MaxRegionShift;
+  };
+  CPPUNIT_ASSERT_EQUAL(0.0, ShiftOf(With("")));
+  CPPUNIT_ASSERT_EQUAL(0.15, ShiftOf(With(R"(,"demand":{"max_shift":0.15})")));
+  expectFault(With(R"(,"demand":{"max_shift":1.5})"), {"max_shift", "1.5"});
+  expectFault(With(R"(,"demand":{})"), {"max_shift", "missing"});
+}
+
 STORY(wrong_settings_name_their_file_and_field) {
   section("types and ranges", [&] {
     expectFault(validSettingsWith("\"port\":21000", "\"port\":70000"),
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -16,11 +16,13 @@
 #define MAGNOLIASPREAD_PLACER_H
 
 #include <magnoliaspread/clock.h>
+#include <magnoliaspread/demandmeter.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
 #include <magnoliaspread/pushback.h>
 #include <magnoliaspread/sendpermits.h>
+#include <magnoliaspread/spillplan.h>
 
 #include <array>
 #include <bitset>
@@ -107,6 +109,14 @@
   /// Objects whose holders are tracked.
   std::size_t MaxObjects = 16384;
   std::size_t MaxWaiting = 512;
+  demand_meter_settings Demand;
+  /// Placement by the demand of all regions; off by default.
+  spill_settings Spill;
+  /// Number of the own region in the settings.
+  std::uint8_t OwnRegion = 0;
+  /// A holder in the region to which the plan moved the object is preferred
+  /// unless its expected answer, travel apart, is later by this much.
+  std::chrono::milliseconds RegionMargin{60};
 };
 
 /// Configuration and membership state of a target.
@@ -255,6 +265,21 @@
   /// Load reports of busy targets since the last call, for the region's peers.
   std::vector<load_row> takeLoadReports();
 
+  /// Slots that this instance's callers will need of the service; see
+  /// demand_meter::forecast().
+  double demand(service_handle Service, steady_time Now) const;
+  /// Updates the plan of a service. \p Demand is by region number, empty for
+  /// regions whose demand isn't known. Call a few times a second.
+  void updateSpill(service_handle Service,
+                   const std::vector<std::optional<double>> &Demand,
+                   steady_time Now);
+  /// The plan of a service; null before its first update.
+  const spill_plan *spill(service_handle Service) const;
+  /// Open slots of a service in a region, less those that limits and cold
+  /// targets leave unused.
+  double slotsIn(service_handle Service, std::size_t Region,
+                 steady_time Now) const;
+
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
@@ -306,6 +331,8 @@
     double LocalSlots = 0;
     double RemoteSlots = 0;
     std::set<std::uint8_t> Regions;
+    /// Of open targets, by region.
+    std::array<double, MaxRegions> RegionSlots{};
   };
 
   /// What a queued request waits for.
@@ -320,6 +347,22 @@
     wait_reason Wait;
   };
 
+  struct service_spill {
+    spill_plan Plan;
+    /// Counts changes of the plan and of the targets.
+    std::uint64_t Revision = 0;
+    /// Parts without the plan.
+    region_parts Fixed{};
+  };
+
+  /// The region in which the plan places an object.
+  struct object_region {
+    std::uint64_t Revision = 0;
+    std::uint8_t Region = 0;
+    /// It differs, or once differed, from that of the fixed parts.
+    bool Moved = false;
+  };
+
   struct candidate {
     target_handle Target;
     double Score = 0;
@@ -337,15 +380,38 @@
               steady_time Now) const;
   bool coldAllowed(const target_state &Target, steady_time Now) const;
   double weight(const target_state &Target, bool Large) const;
-  void listCandidates(const place_request &Request, steady_time Now);
+  /// Weight of a slot of the target by the part that its region has of the
+  /// own region's objects.
+  double regionWeight(const target_state &Target, bool Large) const;
+  /// Part of the own region's objects that it keeps, by slots alone.
+  double fixedLocalPart(const service_capacity &Capacity) const;
+  region_parts fixedParts(const service_capacity &Capacity) const;
+  /// The region to which the plan has moved the request's object.
+  std::optional<std::uint8_t> movedRegion(const place_request &Request);
+  object_region planObject(const place_request &Request,
+                           const service_spill &Spill) const;
+  bool hasHolderIn(std::uint64_t Object, std::uint8_t Region) const;
+  /// What a holder's cost is lowered by, in seconds, in the object's region.
+  double regionBonus(const target_state &Target,
+                     std::optional<std::uint8_t> Region) const;
+  /// A target in the region to which the plan has moved the object, if the
+  /// object has no holder there and one is free.
+  std::optional<choice> moveToRegion(const place_request &Request,
+                                     std::uint8_t Region, steady_time Now);
+  /// Candidates of \p Region only, if it is given.
+  void listCandidates(const place_request &Request,
+                      std::optional<std::uint8_t> Region, steady_time Now);
   double waitSeconds(const target_state &Target, double ServiceSeconds,
                      steady_time Now) const;
   double expected(const target_state &Target, const place_request &Request,
                   double ServiceSeconds, steady_time Now) const;
   std::optional<choice> bestHolder(const place_request &Request,
+                                   std::optional<std::uint8_t> Region,
                                    steady_time Now);
   std::optional<choice> bestOther(const place_request &Request,
-                                  const choice *Holder, steady_time Now);
+                                  const choice *Holder,
+                                  std::optional<std::uint8_t> Region,
+                                  steady_time Now);
   bool isWarm(target_handle Target, std::uint64_t Object,
               steady_time Now) const;
   holder *holderOf(std::uint64_t Object, target_handle Target);
@@ -389,6 +455,10 @@
   std::vector<service_capacity> Capacities;
   /// Mean service time in seconds by service; 0 is unknown.
   std::vector<double> MeanService;
+  demand_meter Demand{Policy.Demand};
+  /// By service handle; empty before the first update.
+  std::vector<std::optional<service_spill>> Spills;
+  std::unordered_map<std::uint64_t, object_region> ObjectRegions;
   /// Targets with requests that wait only for permits.
   std::vector<target_handle> AwaitedPermits;
   std::unordered_map<std::uint64_t, target_handle> ById;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -171,6 +171,8 @@
 }
 
 placement_verdict placer::place(const place_request &Request, steady_time Now) {
+  if (Request.Tried.empty())
+    Demand.count(Request.Service, serviceSeconds(Request, true), Now);
   wait_reason Wait;
   placement_verdict Verdict = decide(Request, Now, Wait);
   if (!std::holds_alternative<place_wait>(Verdict))
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -21,12 +21,6 @@
 /// Extra time of a target with failure score 1, in latency targets.
 constexpr double FailurePenalty = 2.5;
 
-/// Uniform over (0, 1].
-double unit(std::uint64_t Bits) {
-  constexpr double Scale = 1.0 / 9007199254740992.0;
-  return (static_cast<double>(Bits >> 11U) + 1) * Scale;
-}
-
 } // namespace
 
 double placer::serviceSeconds(const place_request &Request, bool Warm) const {
@@ -77,30 +71,18 @@
              seconds(Request.GoodUntil - Request.Arrived);
 }
 
-/// Rendezvous weight of a target for an object without a holder. Each region
-/// places as many of its objects in its own targets as their slots can serve.
+/// Rendezvous weight of a target for an object without a holder.
 double placer::weight(const target_state &Target, bool Large) const {
-  const service_capacity &Capacity = Capacities[Target.Info.Service.Index];
-  const double Slots = usableSlots(Target);
-  if (Target.Info.Distance == target_distance::Remote)
-    return Slots;
-  const double All = Capacity.LocalSlots + Capacity.RemoteSlots;
-  const double Regions =
-      static_cast<double>(std::max<std::size_t>(1, Capacity.Regions.size()));
-  const double Part =
-      std::clamp(Policy.RegionFill * Capacity.LocalSlots * Regions / All,
-                 Policy.LeastLocal, Policy.MostLocal);
-  double Weight = Part / (1 - Part) * std::max(1.0, Capacity.RemoteSlots) /
-                  std::max(1.0, Capacity.LocalSlots) * Slots;
-  if (Large)
-    Weight *= Policy.LargeRegionFactor;
+  double Weight = usableSlots(Target) * regionWeight(Target, Large);
   if (Target.Info.Distance == target_distance::DataCentre)
     Weight *= Large ? Policy.LargeNearFactor : Policy.NearFactor;
   return Weight;
 }
 
 /// The best targets by weighted rendezvous hash.
-void placer::listCandidates(const place_request &Request, steady_time Now) {
+void placer::listCandidates(const place_request &Request,
+                            std::optional<std::uint8_t> Region,
+                            steady_time Now) {
   Candidates.clear();
   if (Request.Service.Index >= ByService.size())
     return;
@@ -113,10 +95,12 @@
   };
   for (const target_handle Handle : ByService[Request.Service.Index]) {
     const target_state &State = Targets[Handle.Index];
-    if (!usable(State, Request, Now))
+    if ((Region && State.Info.Region != *Region) ||
+        !usable(State, Request, Now))
       continue;
-    const double Score = -std::log(unit(rendezvousScore(Key, State.Info.Id))) /
-                         weight(State, Large);
+    const double Score =
+        -std::log(unitOf(rendezvousScore(Key, State.Info.Id))) /
+        weight(State, Large);
     if (Candidates.size() == MaxCandidates && Score >= Candidates.back().Score)
       continue;
     if (Candidates.size() == MaxCandidates)
@@ -129,8 +113,9 @@
 }
 
 /// The holder with the earliest expected answer.
-std::optional<placer::choice> placer::bestHolder(const place_request &Request,
-                                                 steady_time Now) {
+std::optional<placer::choice>
+placer::bestHolder(const place_request &Request,
+                   std::optional<std::uint8_t> Region, steady_time Now) {
   const auto Found = Objects.find(Request.Object);
   if (Request.Object == 0 || Found == Objects.end())
     return std::nullopt;
@@ -154,8 +139,9 @@
             : 0;
     const double Expected = expected(*State, Request, Warm + Left, Now);
     const bool Limited = permitOf(Row.Target) != permit_state::Unlimited;
-    const double Cost =
-        Expected - (Limited ? seconds(Policy.LimitedMargin) : 0);
+    const double Cost = Expected -
+                        (Limited ? seconds(Policy.LimitedMargin) : 0) -
+                        regionBonus(*State, Region);
     if (Best && LeastCost <= Cost)
       continue;
     LeastCost = Cost;
@@ -169,10 +155,10 @@
 
 /// The best target that isn't a holder. If there is a holder, only a target
 /// with spare slots whose expected answer is earlier by the leave margin.
-std::optional<placer::choice> placer::bestOther(const place_request &Request,
-                                                const choice *Holder,
-                                                steady_time Now) {
-  listCandidates(Request, Now);
+std::optional<placer::choice>
+placer::bestOther(const place_request &Request, const choice *Holder,
+                  std::optional<std::uint8_t> Region, steady_time Now) {
+  listCandidates(Request, Region, Now);
   const double Service = serviceSeconds(Request, Request.Object == 0);
   const double Margin = seconds(Policy.LeaveMargin);
   std::optional<choice> Best;
@@ -200,14 +186,18 @@
 
 std::optional<placer::choice> placer::chooseTarget(const place_request &Request,
                                                    steady_time Now) {
-  const std::optional<choice> Holder = bestHolder(Request, Now);
+  const std::optional<std::uint8_t> Region = movedRegion(Request);
+  if (Region && !hasHolderIn(Request.Object, *Region))
+    if (auto Moved = moveToRegion(Request, *Region, Now))
+      return Moved;
+  const std::optional<choice> Holder = bestHolder(Request, Region, Now);
   if (!Holder)
-    return bestOther(Request, nullptr, Now);
+    return bestOther(Request, nullptr, std::nullopt, Now);
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
   // If both answers are late, another holder would only use up slots.
-  const std::optional<choice> Other = bestOther(Request, &*Holder, Now);
+  const std::optional<choice> Other = bestOther(Request, &*Holder, Region, Now);
   const double Left = seconds(Request.Deadline - Now);
   const bool UseOther = Other && (Other->Expected <= Good ||
                                   Holder->Expected > Left * Policy.LatePart);
--- a/packages/steering/src/placermath_p.h
+++ b/packages/steering/src/placermath_p.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cmath>
+#include <cstdint>
 
 namespace magnoliaspread {
 
@@ -16,6 +17,12 @@
   return std::chrono::duration<double>(Time).count();
 }
 
+/// Uniform over (0, 1].
+inline double unitOf(std::uint64_t Bits) {
+  constexpr double Scale = 1.0 / 9007199254740992.0;
+  return (static_cast<double>(Bits >> 11U) + 1) * Scale;
+}
+
 inline double decayFactor(steady_time::duration Age,
                           std::chrono::milliseconds HalfLife) {
   return std::exp2(-seconds(Age) / seconds(HalfLife));
--- a/packages/steering/src/placerpermits.cpp
+++ b/packages/steering/src/placerpermits.cpp
@@ -48,7 +48,12 @@
       (State.Info.Distance == target_distance::Remote ? Capacity.RemoteSlots
                                                       : Capacity.LocalSlots) +=
           usableSlots(State);
+      Capacity.RegionSlots[State.Info.Region % MaxRegions] +=
+          usableSlots(State);
     }
+  for (std::optional<service_spill> &Spill : Spills)
+    if (Spill)
+      ++Spill->Revision;
 }
 
 void placer::updatePermitRequests() {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -13,6 +13,7 @@
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/routes.h>
+#include <magnoliaspread/servicedemand.h>
 #include <magnoliaspread/targetlimits.h>
 #include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
@@ -39,6 +40,10 @@
   fleet_retry_settings Retries;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
+  /// Placement by the demand of the regions: the largest part of a region's
+  /// requests that may change region from one window of 2 s to the next; 0 is
+  /// off.
+  double MaxRegionShift = 0;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -59,6 +64,9 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// Largest part of a service's objects that the plan by demand places in
+  /// other regions; 0 without one.
+  double SpilledPart = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
@@ -134,6 +142,13 @@
   /// Pending affinity and load updates for the peers of the region.
   std::vector<object_update> takeUpdates();
 
+  /// What this instance's callers ask, for the other instances; empty when
+  /// placement by demand is off.
+  demand_list demand() const;
+  /// Adapts the placement to the demand of the regions; those missing are
+  /// unknown. Call a few times a second.
+  void setDemand(const std::vector<region_demand> &Regions);
+
   gate_counts counts() const;
 
   /// Shared with the connections; private to the package.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -56,6 +56,15 @@
   return Numbers;
 }
 
+placer_policy placerPolicy(const gate_settings &Settings) {
+  placer_policy Policy;
+  Policy.Spill.MaxShift = Settings.MaxRegionShift;
+  const name_map<std::size_t> Numbers = numberRegions(Settings.Regions);
+  if (const auto Own = Numbers.find(Settings.Region); Own != Numbers.end())
+    Policy.OwnRegion = static_cast<std::uint8_t>(Own->second);
+  return Policy;
+}
+
 } // namespace
 
 gate::state::state(asio::io_context &Context, const gate_settings &Settings,
@@ -65,6 +74,7 @@
     : Context(Context), Settings(Settings), Clock(Clock), Dialect(Dialect),
       Tokens(Context, Clock, Tokens), Metrics(Metrics),
       Permits(Clock, {Settings.Name, Settings.Region}, Seed),
+      Placer(placerPolicy(Settings), &Permits),
       Pool(Context, Clock, reuseSettings()),
       Quarantine(quarantineSettings(Seed)),
       RegionNumbers(numberRegions(Settings.Regions)), Retries(Settings.Retries),
@@ -504,6 +514,7 @@
   Counts.Suspects = State->Quarantine.suspects();
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
+  Counts.SpilledPart = State->spilledPart();
   Counts.Requests = State->Requests;
   return Counts;
 }
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -6,6 +6,7 @@
 #include "names_p.h"
 #include "net_p.h"
 #include "pool_p.h"
+#include "spilllog_p.h"
 #include "target_call_p.h"
 #include "targetpermits_p.h"
 #include "tokens_p.h"
@@ -83,6 +84,7 @@
   home_regions homesOf(const route_row &Route,
                        const routed_workspace *Workspace) const;
   bool keysCurrent() const;
+  double spilledPart() const;
 
   struct place_waiter {
     explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
@@ -103,7 +105,7 @@
   token_gate Tokens;
   instance_metrics &Metrics;
   target_permits Permits;
-  placer Placer{placer_policy{}, &Permits};
+  placer Placer;
   connection_pool Pool;
   quarantine Quarantine;
   route_index_ptr Routes;
@@ -111,6 +113,7 @@
   bool Leaving = false;
   stable_names<service_handle> Services{MaxServices};
   name_map<std::size_t> RegionNumbers;
+  spill_log SpillLog;
   /// By target handle.
   std::vector<target_process> Targets;
   /// By target name.
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -257,6 +257,11 @@
 void Load::__set_rate(const int32_t val) {
   this->rate = val;
 }
+
+void Load::__set_demand(const std::vector<int32_t> & val) {
+  this->demand = val;
+__isset.demand = true;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -317,6 +322,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->demand.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += iprot->readI32(this->demand[_i8]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -350,6 +375,19 @@
   xfer += oprot->writeI32(this->rate);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.demand) {
+    xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demand.size()));
+      std::vector<int32_t> ::const_iterator _iter9;
+      for (_iter9 = this->demand.begin(); _iter9 != this->demand.end(); ++_iter9)
+      {
+        xfer += oprot->writeI32((*_iter9));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -361,22 +399,25 @@
   swap(a.queueLength, b.queueLength);
   swap(a.capacity, b.capacity);
   swap(a.rate, b.rate);
+  swap(a.demand, b.demand);
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other4) noexcept {
-  freeSlots = other4.freeSlots;
-  queueLength = other4.queueLength;
-  capacity = other4.capacity;
-  rate = other4.rate;
-  __isset = other4.__isset;
+Load::Load(const Load& other10) {
+  freeSlots = other10.freeSlots;
+  queueLength = other10.queueLength;
+  capacity = other10.capacity;
+  rate = other10.rate;
+  demand = other10.demand;
+  __isset = other10.__isset;
 }
-Load& Load::operator=(const Load& other5) noexcept {
-  freeSlots = other5.freeSlots;
-  queueLength = other5.queueLength;
-  capacity = other5.capacity;
-  rate = other5.rate;
-  __isset = other5.__isset;
+Load& Load::operator=(const Load& other11) {
+  freeSlots = other11.freeSlots;
+  queueLength = other11.queueLength;
+  capacity = other11.capacity;
+  rate = other11.rate;
+  demand = other11.demand;
+  __isset = other11.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -386,6 +427,7 @@
   out << ", " << "queueLength=" << to_string(queueLength);
   out << ", " << "capacity=" << to_string(capacity);
   out << ", " << "rate=" << to_string(rate);
+  out << ", " << "demand="; (__isset.demand ? (out << to_string(demand)) : (out << "<null>"));
   out << ")";
 }
 
@@ -567,25 +609,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Identity::Identity(const Identity& other6) {
-  name = other6.name;
-  dataCentre = other6.dataCentre;
-  region = other6.region;
-  incarnation = other6.incarnation;
-  epoch = other6.epoch;
-  internal = other6.internal;
-  publicAddress = other6.publicAddress;
-  __isset = other6.__isset;
-}
-Identity& Identity::operator=(const Identity& other7) {
-  name = other7.name;
-  dataCentre = other7.dataCentre;
-  region = other7.region;
-  incarnation = other7.incarnation;
-  epoch = other7.epoch;
-  internal = other7.internal;
-  publicAddress = other7.publicAddress;
-  __isset = other7.__isset;
+Identity::Identity(const Identity& other12) {
+  name = other12.name;
+  dataCentre = other12.dataCentre;
+  region = other12.region;
+  incarnation = other12.incarnation;
+  epoch = other12.epoch;
+  internal = other12.internal;
+  publicAddress = other12.publicAddress;
+  __isset = other12.__isset;
+}
+Identity& Identity::operator=(const Identity& other13) {
+  name = other13.name;
+  dataCentre = other13.dataCentre;
+  region = other13.region;
+  incarnation = other13.incarnation;
+  epoch = other13.epoch;
+  internal = other13.internal;
+  publicAddress = other13.publicAddress;
+  __isset = other13.__isset;
   return *this;
 }
 void Identity::printTo(std::ostream& out) const {
@@ -745,21 +787,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other8) noexcept {
-  sequence = other8.sequence;
-  state = other8.state;
-  config = other8.config;
-  load = other8.load;
-  platformReachable = other8.platformReachable;
-  __isset = other8.__isset;
-}
-Report& Report::operator=(const Report& other9) noexcept {
-  sequence = other9.sequence;
-  state = other9.state;
-  config = other9.config;
-  load = other9.load;
-  platformReachable = other9.platformReachable;
-  __isset = other9.__isset;
+Report::Report(const Report& other14) {
+  sequence = other14.sequence;
+  state = other14.state;
+  config = other14.config;
+  load = other14.load;
+  platformReachable = other14.platformReachable;
+  __isset = other14.__isset;
+}
+Report& Report::operator=(const Report& other15) {
+  sequence = other15.sequence;
+  state = other15.state;
+  config = other15.config;
+  load = other15.load;
+  platformReachable = other15.platformReachable;
+  __isset = other15.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -866,15 +908,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Row::Row(const Row& other10) {
-  identity = other10.identity;
-  report = other10.report;
-  __isset = other10.__isset;
+Row::Row(const Row& other16) {
+  identity = other16.identity;
+  report = other16.report;
+  __isset = other16.__isset;
 }
-Row& Row::operator=(const Row& other11) {
-  identity = other11.identity;
-  report = other11.report;
-  __isset = other11.__isset;
+Row& Row::operator=(const Row& other17) {
+  identity = other17.identity;
+  report = other17.report;
+  __isset = other17.__isset;
   return *this;
 }
 void Row::printTo(std::ostream& out) const {
@@ -1099,29 +1141,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Summary::Summary(const Summary& other12) {
-  dataCentre = other12.dataCentre;
-  rowsHash = other12.rowsHash;
-  speaker = other12.speaker;
-  sequence = other12.sequence;
-  lowestVersion = other12.lowestVersion;
-  config = other12.config;
-  alive = other12.alive;
-  load = other12.load;
-  platformReachable = other12.platformReachable;
-  __isset = other12.__isset;
-}
-Summary& Summary::operator=(const Summary& other13) {
-  dataCentre = other13.dataCentre;
-  rowsHash = other13.rowsHash;
-  speaker = other13.speaker;
-  sequence = other13.sequence;
-  lowestVersion = other13.lowestVersion;
-  config = other13.config;
-  alive = other13.alive;
-  load = other13.load;
-  platformReachable = other13.platformReachable;
-  __isset = other13.__isset;
+Summary::Summary(const Summary& other18) {
+  dataCentre = other18.dataCentre;
+  rowsHash = other18.rowsHash;
+  speaker = other18.speaker;
+  sequence = other18.sequence;
+  lowestVersion = other18.lowestVersion;
+  config = other18.config;
+  alive = other18.alive;
+  load = other18.load;
+  platformReachable = other18.platformReachable;
+  __isset = other18.__isset;
+}
+Summary& Summary::operator=(const Summary& other19) {
+  dataCentre = other19.dataCentre;
+  rowsHash = other19.rowsHash;
+  speaker = other19.speaker;
+  sequence = other19.sequence;
+  lowestVersion = other19.lowestVersion;
+  config = other19.config;
+  alive = other19.alive;
+  load = other19.load;
+  platformReachable = other19.platformReachable;
+  __isset = other19.__isset;
   return *this;
 }
 void Summary::printTo(std::ostream& out) const {
@@ -1223,14 +1265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->summaries.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->summaries.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->summaries[_i18].read(iprot);
+              xfer += this->summaries[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1243,14 +1285,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silentCentres.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->silentCentres.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->silentCentres.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += iprot->readString(this->silentCentres[_i23]);
+              xfer += iprot->readString(this->silentCentres[_i29]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1294,10 +1336,10 @@
     xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-      std::vector<Summary> ::const_iterator _iter24;
-      for (_iter24 = this->summaries.begin(); _iter24 != this->summaries.end(); ++_iter24)
+      std::vector<Summary> ::const_iterator _iter30;
+      for (_iter30 = this->summaries.begin(); _iter30 != this->summaries.end(); ++_iter30)
       {
-        xfer += (*_iter24).write(oprot);
+        xfer += (*_iter30).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1307,10 +1349,10 @@
     xfer += oprot->writeFieldBegin("silentCentres", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->silentCentres.size()));
-      std::vector<std::string> ::const_iterator _iter25;
-      for (_iter25 = this->silentCentres.begin(); _iter25 != this->silentCentres.end(); ++_iter25)
+      std::vector<std::string> ::const_iterator _iter31;
+      for (_iter31 = this->silentCentres.begin(); _iter31 != this->silentCentres.end(); ++_iter31)
       {
-        xfer += oprot->writeString((*_iter25));
+        xfer += oprot->writeString((*_iter31));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1331,21 +1373,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other26) {
-  incarnation = other26.incarnation;
-  report = other26.report;
-  speaker = other26.speaker;
-  summaries = other26.summaries;
-  silentCentres = other26.silentCentres;
-  __isset = other26.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other27) {
-  incarnation = other27.incarnation;
-  report = other27.report;
-  speaker = other27.speaker;
-  summaries = other27.summaries;
-  silentCentres = other27.silentCentres;
-  __isset = other27.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other32) {
+  incarnation = other32.incarnation;
+  report = other32.report;
+  speaker = other32.speaker;
+  summaries = other32.summaries;
+  silentCentres = other32.silentCentres;
+  __isset = other32.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other33) {
+  incarnation = other33.incarnation;
+  report = other33.report;
+  speaker = other33.speaker;
+  summaries = other33.summaries;
+  silentCentres = other33.silentCentres;
+  __isset = other33.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1411,14 +1453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->changed.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->changed.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->changed[_i32].read(iprot);
+              xfer += this->changed[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1451,10 +1493,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<Row> ::const_iterator _iter33;
-    for (_iter33 = this->changed.begin(); _iter33 != this->changed.end(); ++_iter33)
+    std::vector<Row> ::const_iterator _iter39;
+    for (_iter39 = this->changed.begin(); _iter39 != this->changed.end(); ++_iter39)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1472,15 +1514,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SummaryNews::SummaryNews(const SummaryNews& other34) {
-  summary = other34.summary;
-  changed = other34.changed;
-  __isset = other34.__isset;
+SummaryNews::SummaryNews(const SummaryNews& other40) {
+  summary = other40.summary;
+  changed = other40.changed;
+  __isset = other40.__isset;
 }
-SummaryNews& SummaryNews::operator=(const SummaryNews& other35) {
-  summary = other35.summary;
-  changed = other35.changed;
-  __isset = other35.__isset;
+SummaryNews& SummaryNews::operator=(const SummaryNews& other41) {
+  summary = other41.summary;
+  changed = other41.changed;
+  __isset = other41.__isset;
   return *this;
 }
 void SummaryNews::printTo(std::ostream& out) const {
@@ -1535,14 +1577,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->rows.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->rows.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->rows[_i40].read(iprot);
+              xfer += this->rows[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1579,10 +1621,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<Row> ::const_iterator _iter41;
-    for (_iter41 = this->rows.begin(); _iter41 != this->rows.end(); ++_iter41)
+    std::vector<Row> ::const_iterator _iter47;
+    for (_iter47 = this->rows.begin(); _iter47 != this->rows.end(); ++_iter47)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1604,15 +1646,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Rows::Rows(const Rows& other42) {
-  rows = other42.rows;
-  relayed = other42.relayed;
-  __isset = other42.__isset;
+Rows::Rows(const Rows& other48) {
+  rows = other48.rows;
+  relayed = other48.relayed;
+  __isset = other48.__isset;
 }
-Rows& Rows::operator=(const Rows& other43) {
-  rows = other43.rows;
-  relayed = other43.relayed;
-  __isset = other43.__isset;
+Rows& Rows::operator=(const Rows& other49) {
+  rows = other49.rows;
+  relayed = other49.relayed;
+  __isset = other49.__isset;
   return *this;
 }
 void Rows::printTo(std::ostream& out) const {
@@ -1716,15 +1758,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RowsRequest::RowsRequest(const RowsRequest& other44) {
-  sender = other44.sender;
-  dataCentre = other44.dataCentre;
-  __isset = other44.__isset;
+RowsRequest::RowsRequest(const RowsRequest& other50) {
+  sender = other50.sender;
+  dataCentre = other50.dataCentre;
+  __isset = other50.__isset;
 }
-RowsRequest& RowsRequest::operator=(const RowsRequest& other45) {
-  sender = other45.sender;
-  dataCentre = other45.dataCentre;
-  __isset = other45.__isset;
+RowsRequest& RowsRequest::operator=(const RowsRequest& other51) {
+  sender = other51.sender;
+  dataCentre = other51.dataCentre;
+  __isset = other51.__isset;
   return *this;
 }
 void RowsRequest::printTo(std::ostream& out) const {
@@ -1879,21 +1921,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AskRow::AskRow(const AskRow& other46) noexcept {
-  limit = other46.limit;
-  want = other46.want;
-  urgent = other46.urgent;
-  held = other46.held;
-  returned = other46.returned;
-  __isset = other46.__isset;
-}
-AskRow& AskRow::operator=(const AskRow& other47) noexcept {
-  limit = other47.limit;
-  want = other47.want;
-  urgent = other47.urgent;
-  held = other47.held;
-  returned = other47.returned;
-  __isset = other47.__isset;
+AskRow::AskRow(const AskRow& other52) noexcept {
+  limit = other52.limit;
+  want = other52.want;
+  urgent = other52.urgent;
+  held = other52.held;
+  returned = other52.returned;
+  __isset = other52.__isset;
+}
+AskRow& AskRow::operator=(const AskRow& other53) noexcept {
+  limit = other53.limit;
+  want = other53.want;
+  urgent = other53.urgent;
+  held = other53.held;
+  returned = other53.returned;
+  __isset = other53.__isset;
   return *this;
 }
 void AskRow::printTo(std::ostream& out) const {
@@ -1983,14 +2025,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->rows.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->rows.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->rows[_i52].read(iprot);
+              xfer += this->rows[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2031,10 +2073,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<AskRow> ::const_iterator _iter53;
-    for (_iter53 = this->rows.begin(); _iter53 != this->rows.end(); ++_iter53)
+    std::vector<AskRow> ::const_iterator _iter59;
+    for (_iter59 = this->rows.begin(); _iter59 != this->rows.end(); ++_iter59)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2054,19 +2096,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenAsk::TokenAsk(const TokenAsk& other54) {
-  incarnation = other54.incarnation;
-  sequence = other54.sequence;
-  accepted = other54.accepted;
-  rows = other54.rows;
-  __isset = other54.__isset;
+TokenAsk::TokenAsk(const TokenAsk& other60) {
+  incarnation = other60.incarnation;
+  sequence = other60.sequence;
+  accepted = other60.accepted;
+  rows = other60.rows;
+  __isset = other60.__isset;
 }
-TokenAsk& TokenAsk::operator=(const TokenAsk& other55) {
-  incarnation = other55.incarnation;
-  sequence = other55.sequence;
-  accepted = other55.accepted;
-  rows = other55.rows;
-  __isset = other55.__isset;
+TokenAsk& TokenAsk::operator=(const TokenAsk& other61) {
+  incarnation = other61.incarnation;
+  sequence = other61.sequence;
+  accepted = other61.accepted;
+  rows = other61.rows;
+  __isset = other61.__isset;
   return *this;
 }
 void TokenAsk::printTo(std::ostream& out) const {
@@ -2223,21 +2265,21 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantRow::GrantRow(const GrantRow& other56) noexcept {
-  limit = other56.limit;
-  tokens = other56.tokens;
-  left = other56.left;
-  sparePerSecond = other56.sparePerSecond;
-  mintedPerSecond = other56.mintedPerSecond;
-  __isset = other56.__isset;
-}
-GrantRow& GrantRow::operator=(const GrantRow& other57) noexcept {
-  limit = other57.limit;
-  tokens = other57.tokens;
-  left = other57.left;
-  sparePerSecond = other57.sparePerSecond;
-  mintedPerSecond = other57.mintedPerSecond;
-  __isset = other57.__isset;
+GrantRow::GrantRow(const GrantRow& other62) noexcept {
+  limit = other62.limit;
+  tokens = other62.tokens;
+  left = other62.left;
+  sparePerSecond = other62.sparePerSecond;
+  mintedPerSecond = other62.mintedPerSecond;
+  __isset = other62.__isset;
+}
+GrantRow& GrantRow::operator=(const GrantRow& other63) noexcept {
+  limit = other63.limit;
+  tokens = other63.tokens;
+  left = other63.left;
+  sparePerSecond = other63.sparePerSecond;
+  mintedPerSecond = other63.mintedPerSecond;
+  __isset = other63.__isset;
   return *this;
 }
 void GrantRow::printTo(std::ostream& out) const {
@@ -2339,14 +2381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->rows.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->rows.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->rows[_i62].read(iprot);
+              xfer += this->rows[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2391,10 +2433,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<GrantRow> ::const_iterator _iter63;
-    for (_iter63 = this->rows.begin(); _iter63 != this->rows.end(); ++_iter63)
+    std::vector<GrantRow> ::const_iterator _iter69;
+    for (_iter69 = this->rows.begin(); _iter69 != this->rows.end(); ++_iter69)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2415,21 +2457,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenGrant::TokenGrant(const TokenGrant& other64) {
-  incarnation = other64.incarnation;
-  sequence = other64.sequence;
-  configVersion = other64.configVersion;
-  shares = other64.shares;
-  rows = other64.rows;
-  __isset = other64.__isset;
-}
-TokenGrant& TokenGrant::operator=(const TokenGrant& other65) {
-  incarnation = other65.incarnation;
-  sequence = other65.sequence;
-  configVersion = other65.configVersion;
-  shares = other65.shares;
-  rows = other65.rows;
-  __isset = other65.__isset;
+TokenGrant::TokenGrant(const TokenGrant& other70) {
+  incarnation = other70.incarnation;
+  sequence = other70.sequence;
+  configVersion = other70.configVersion;
+  shares = other70.shares;
+  rows = other70.rows;
+  __isset = other70.__isset;
+}
+TokenGrant& TokenGrant::operator=(const TokenGrant& other71) {
+  incarnation = other71.incarnation;
+  sequence = other71.sequence;
+  configVersion = other71.configVersion;
+  shares = other71.shares;
+  rows = other71.rows;
+  __isset = other71.__isset;
   return *this;
 }
 void TokenGrant::printTo(std::ostream& out) const {
@@ -2536,15 +2578,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Mate::Mate(const Mate& other66) {
-  name = other66.name;
-  incarnation = other66.incarnation;
-  __isset = other66.__isset;
+Mate::Mate(const Mate& other72) {
+  name = other72.name;
+  incarnation = other72.incarnation;
+  __isset = other72.__isset;
 }
-Mate& Mate::operator=(const Mate& other67) {
-  name = other67.name;
-  incarnation = other67.incarnation;
-  __isset = other67.__isset;
+Mate& Mate::operator=(const Mate& other73) {
+  name = other73.name;
+  incarnation = other73.incarnation;
+  __isset = other73.__isset;
   return *this;
 }
 void Mate::printTo(std::ostream& out) const {
@@ -2648,15 +2690,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PromiseRow::PromiseRow(const PromiseRow& other68) noexcept {
-  index = other68.index;
-  version = other68.version;
-  __isset = other68.__isset;
+PromiseRow::PromiseRow(const PromiseRow& other74) noexcept {
+  index = other74.index;
+  version = other74.version;
+  __isset = other74.__isset;
 }
-PromiseRow& PromiseRow::operator=(const PromiseRow& other69) noexcept {
-  index = other69.index;
-  version = other69.version;
-  __isset = other69.__isset;
+PromiseRow& PromiseRow::operator=(const PromiseRow& other75) noexcept {
+  index = other75.index;
+  version = other75.version;
+  __isset = other75.__isset;
   return *this;
 }
 void PromiseRow::printTo(std::ostream& out) const {
@@ -2731,14 +2773,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->rows.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->rows.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->rows[_i74].read(iprot);
+              xfer += this->rows[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2775,10 +2817,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<PromiseRow> ::const_iterator _iter75;
-    for (_iter75 = this->rows.begin(); _iter75 != this->rows.end(); ++_iter75)
+    std::vector<PromiseRow> ::const_iterator _iter81;
+    for (_iter81 = this->rows.begin(); _iter81 != this->rows.end(); ++_iter81)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2797,17 +2839,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PromiseRequest::PromiseRequest(const PromiseRequest& other76) {
-  sender = other76.sender;
-  sequence = other76.sequence;
-  rows = other76.rows;
-  __isset = other76.__isset;
+PromiseRequest::PromiseRequest(const PromiseRequest& other82) {
+  sender = other82.sender;
+  sequence = other82.sequence;
+  rows = other82.rows;
+  __isset = other82.__isset;
 }
-PromiseRequest& PromiseRequest::operator=(const PromiseRequest& other77) {
-  sender = other77.sender;
-  sequence = other77.sequence;
-  rows = other77.rows;
-  __isset = other77.__isset;
+PromiseRequest& PromiseRequest::operator=(const PromiseRequest& other83) {
+  sender = other83.sender;
+  sequence = other83.sequence;
+  rows = other83.rows;
+  __isset = other83.__isset;
   return *this;
 }
 void PromiseRequest::printTo(std::ostream& out) const {
@@ -2883,14 +2925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->indexes.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->indexes.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->indexes.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readI32(this->indexes[_i82]);
+              xfer += iprot->readI32(this->indexes[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2927,10 +2969,10 @@
   xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->indexes.size()));
-    std::vector<int32_t> ::const_iterator _iter83;
-    for (_iter83 = this->indexes.begin(); _iter83 != this->indexes.end(); ++_iter83)
+    std::vector<int32_t> ::const_iterator _iter89;
+    for (_iter89 = this->indexes.begin(); _iter89 != this->indexes.end(); ++_iter89)
     {
-      xfer += oprot->writeI32((*_iter83));
+      xfer += oprot->writeI32((*_iter89));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2949,17 +2991,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PromiseReply::PromiseReply(const PromiseReply& other84) {
-  sender = other84.sender;
-  sequence = other84.sequence;
-  indexes = other84.indexes;
-  __isset = other84.__isset;
+PromiseReply::PromiseReply(const PromiseReply& other90) {
+  sender = other90.sender;
+  sequence = other90.sequence;
+  indexes = other90.indexes;
+  __isset = other90.__isset;
 }
-PromiseReply& PromiseReply::operator=(const PromiseReply& other85) {
-  sender = other85.sender;
-  sequence = other85.sequence;
-  indexes = other85.indexes;
-  __isset = other85.__isset;
+PromiseReply& PromiseReply::operator=(const PromiseReply& other91) {
+  sender = other91.sender;
+  sequence = other91.sequence;
+  indexes = other91.indexes;
+  __isset = other91.__isset;
   return *this;
 }
 void PromiseReply::printTo(std::ostream& out) const {
@@ -3098,19 +3140,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other86) noexcept {
-  target = other86.target;
-  sentAgoMs = other86.sentAgoMs;
-  diedAgoMs = other86.diedAgoMs;
-  alone = other86.alone;
-  __isset = other86.__isset;
+CrashReport::CrashReport(const CrashReport& other92) noexcept {
+  target = other92.target;
+  sentAgoMs = other92.sentAgoMs;
+  diedAgoMs = other92.diedAgoMs;
+  alone = other92.alone;
+  __isset = other92.__isset;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other87) noexcept {
-  target = other87.target;
-  sentAgoMs = other87.sentAgoMs;
-  diedAgoMs = other87.diedAgoMs;
-  alone = other87.alone;
-  __isset = other87.__isset;
+CrashReport& CrashReport::operator=(const CrashReport& other93) noexcept {
+  target = other93.target;
+  sentAgoMs = other93.sentAgoMs;
+  diedAgoMs = other93.diedAgoMs;
+  alone = other93.alone;
+  __isset = other93.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -3200,14 +3242,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->crashes.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->crashes.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->crashes[_i92].read(iprot);
+              xfer += this->crashes[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3249,10 +3291,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter93;
-    for (_iter93 = this->crashes.begin(); _iter93 != this->crashes.end(); ++_iter93)
+    std::vector<CrashReport> ::const_iterator _iter99;
+    for (_iter99 = this->crashes.begin(); _iter99 != this->crashes.end(); ++_iter99)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3272,19 +3314,19 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectReport::SuspectReport(const SuspectReport& other94) {
-  fingerprint = other94.fingerprint;
-  succeededAgoMs = other94.succeededAgoMs;
-  rounds = other94.rounds;
-  crashes = other94.crashes;
-  __isset = other94.__isset;
+SuspectReport::SuspectReport(const SuspectReport& other100) {
+  fingerprint = other100.fingerprint;
+  succeededAgoMs = other100.succeededAgoMs;
+  rounds = other100.rounds;
+  crashes = other100.crashes;
+  __isset = other100.__isset;
 }
-SuspectReport& SuspectReport::operator=(const SuspectReport& other95) {
-  fingerprint = other95.fingerprint;
-  succeededAgoMs = other95.succeededAgoMs;
-  rounds = other95.rounds;
-  crashes = other95.crashes;
-  __isset = other95.__isset;
+SuspectReport& SuspectReport::operator=(const SuspectReport& other101) {
+  fingerprint = other101.fingerprint;
+  succeededAgoMs = other101.succeededAgoMs;
+  rounds = other101.rounds;
+  crashes = other101.crashes;
+  __isset = other101.__isset;
   return *this;
 }
 void SuspectReport::printTo(std::ostream& out) const {
@@ -3337,14 +3379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->suspects.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->suspects.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->suspects[_i100].read(iprot);
+              xfer += this->suspects[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3373,10 +3415,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectReport> ::const_iterator _iter101;
-    for (_iter101 = this->suspects.begin(); _iter101 != this->suspects.end(); ++_iter101)
+    std::vector<SuspectReport> ::const_iterator _iter107;
+    for (_iter107 = this->suspects.begin(); _iter107 != this->suspects.end(); ++_iter107)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3393,13 +3435,13 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineNews::QuarantineNews(const QuarantineNews& other102) {
-  suspects = other102.suspects;
-  __isset = other102.__isset;
+QuarantineNews::QuarantineNews(const QuarantineNews& other108) {
+  suspects = other108.suspects;
+  __isset = other108.__isset;
 }
-QuarantineNews& QuarantineNews::operator=(const QuarantineNews& other103) {
-  suspects = other103.suspects;
-  __isset = other103.__isset;
+QuarantineNews& QuarantineNews::operator=(const QuarantineNews& other109) {
+  suspects = other109.suspects;
+  __isset = other109.__isset;
   return *this;
 }
 void QuarantineNews::printTo(std::ostream& out) const {
@@ -3519,17 +3561,17 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditAsk::CreditAsk(const CreditAsk& other104) noexcept {
-  serviceId = other104.serviceId;
-  wanted = other104.wanted;
-  sequence = other104.sequence;
-  __isset = other104.__isset;
+CreditAsk::CreditAsk(const CreditAsk& other110) noexcept {
+  serviceId = other110.serviceId;
+  wanted = other110.wanted;
+  sequence = other110.sequence;
+  __isset = other110.__isset;
 }
-CreditAsk& CreditAsk::operator=(const CreditAsk& other105) noexcept {
-  serviceId = other105.serviceId;
-  wanted = other105.wanted;
-  sequence = other105.sequence;
-  __isset = other105.__isset;
+CreditAsk& CreditAsk::operator=(const CreditAsk& other111) noexcept {
+  serviceId = other111.serviceId;
+  wanted = other111.wanted;
+  sequence = other111.sequence;
+  __isset = other111.__isset;
   return *this;
 }
 void CreditAsk::printTo(std::ostream& out) const {
@@ -3685,21 +3727,21 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditGrant::CreditGrant(const CreditGrant& other106) noexcept {
-  serviceId = other106.serviceId;
-  count = other106.count;
-  id = other106.id;
-  sequence = other106.sequence;
-  lifetimeMs = other106.lifetimeMs;
-  __isset = other106.__isset;
-}
-CreditGrant& CreditGrant::operator=(const CreditGrant& other107) noexcept {
-  serviceId = other107.serviceId;
-  count = other107.count;
-  id = other107.id;
-  sequence = other107.sequence;
-  lifetimeMs = other107.lifetimeMs;
-  __isset = other107.__isset;
+CreditGrant::CreditGrant(const CreditGrant& other112) noexcept {
+  serviceId = other112.serviceId;
+  count = other112.count;
+  id = other112.id;
+  sequence = other112.sequence;
+  lifetimeMs = other112.lifetimeMs;
+  __isset = other112.__isset;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other113) noexcept {
+  serviceId = other113.serviceId;
+  count = other113.count;
+  id = other113.id;
+  sequence = other113.sequence;
+  lifetimeMs = other113.lifetimeMs;
+  __isset = other113.__isset;
   return *this;
 }
 void CreditGrant::printTo(std::ostream& out) const {
@@ -3823,17 +3865,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectRow::ObjectRow(const ObjectRow& other108) noexcept {
-  object = other108.object;
-  target = other108.target;
-  warm = other108.warm;
-  __isset = other108.__isset;
+ObjectRow::ObjectRow(const ObjectRow& other114) noexcept {
+  object = other114.object;
+  target = other114.target;
+  warm = other114.warm;
+  __isset = other114.__isset;
 }
-ObjectRow& ObjectRow::operator=(const ObjectRow& other109) noexcept {
-  object = other109.object;
-  target = other109.target;
-  warm = other109.warm;
-  __isset = other109.__isset;
+ObjectRow& ObjectRow::operator=(const ObjectRow& other115) noexcept {
+  object = other115.object;
+  target = other115.target;
+  warm = other115.warm;
+  __isset = other115.__isset;
   return *this;
 }
 void ObjectRow::printTo(std::ostream& out) const {
@@ -3938,15 +3980,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadRow::LoadRow(const LoadRow& other110) noexcept {
-  target = other110.target;
-  busy = other110.busy;
-  __isset = other110.__isset;
+LoadRow::LoadRow(const LoadRow& other116) noexcept {
+  target = other116.target;
+  busy = other116.busy;
+  __isset = other116.__isset;
 }
-LoadRow& LoadRow::operator=(const LoadRow& other111) noexcept {
-  target = other111.target;
-  busy = other111.busy;
-  __isset = other111.__isset;
+LoadRow& LoadRow::operator=(const LoadRow& other117) noexcept {
+  target = other117.target;
+  busy = other117.busy;
+  __isset = other117.__isset;
   return *this;
 }
 void LoadRow::printTo(std::ostream& out) const {
@@ -4001,14 +4043,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->rows.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->rows.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->rows[_i116].read(iprot);
+              xfer += this->rows[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4021,14 +4063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->loads.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->loads.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->loads[_i121].read(iprot);
+              xfer += this->loads[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4057,10 +4099,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ObjectRow> ::const_iterator _iter122;
-    for (_iter122 = this->rows.begin(); _iter122 != this->rows.end(); ++_iter122)
+    std::vector<ObjectRow> ::const_iterator _iter128;
+    for (_iter128 = this->rows.begin(); _iter128 != this->rows.end(); ++_iter128)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4069,10 +4111,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadRow> ::const_iterator _iter123;
-    for (_iter123 = this->loads.begin(); _iter123 != this->loads.end(); ++_iter123)
+    std::vector<LoadRow> ::const_iterator _iter129;
+    for (_iter129 = this->loads.begin(); _iter129 != this->loads.end(); ++_iter129)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4090,15 +4132,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectNews::ObjectNews(const ObjectNews& other124) {
-  rows = other124.rows;
-  loads = other124.loads;
-  __isset = other124.__isset;
+ObjectNews::ObjectNews(const ObjectNews& other130) {
+  rows = other130.rows;
+  loads = other130.loads;
+  __isset = other130.__isset;
 }
-ObjectNews& ObjectNews::operator=(const ObjectNews& other125) {
-  rows = other125.rows;
-  loads = other125.loads;
-  __isset = other125.__isset;
+ObjectNews& ObjectNews::operator=(const ObjectNews& other131) {
+  rows = other131.rows;
+  loads = other131.loads;
+  __isset = other131.__isset;
   return *this;
 }
 void ObjectNews::printTo(std::ostream& out) const {
@@ -4219,17 +4261,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewAsk::ViewAsk(const ViewAsk& other126) noexcept {
-  askedAtNs = other126.askedAtNs;
-  revision = other126.revision;
-  skip = other126.skip;
-  __isset = other126.__isset;
+ViewAsk::ViewAsk(const ViewAsk& other132) noexcept {
+  askedAtNs = other132.askedAtNs;
+  revision = other132.revision;
+  skip = other132.skip;
+  __isset = other132.__isset;
 }
-ViewAsk& ViewAsk::operator=(const ViewAsk& other127) noexcept {
-  askedAtNs = other127.askedAtNs;
-  revision = other127.revision;
-  skip = other127.skip;
-  __isset = other127.__isset;
+ViewAsk& ViewAsk::operator=(const ViewAsk& other133) noexcept {
+  askedAtNs = other133.askedAtNs;
+  revision = other133.revision;
+  skip = other133.skip;
+  __isset = other133.__isset;
   return *this;
 }
 void ViewAsk::printTo(std::ostream& out) const {
@@ -4504,35 +4546,35 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetChange::TargetChange(const TargetChange& other128) {
-  name = other128.name;
-  address = other128.address;
-  port = other128.port;
-  serviceName = other128.serviceName;
-  dataCentre = other128.dataCentre;
-  slots = other128.slots;
-  draining = other128.draining;
-  coldLeftMs = other128.coldLeftMs;
-  sequence = other128.sequence;
-  startedAtMs = other128.startedAtMs;
-  removed = other128.removed;
-  revision = other128.revision;
-  __isset = other128.__isset;
-}
-TargetChange& TargetChange::operator=(const TargetChange& other129) {
-  name = other129.name;
-  address = other129.address;
-  port = other129.port;
-  serviceName = other129.serviceName;
-  dataCentre = other129.dataCentre;
-  slots = other129.slots;
-  draining = other129.draining;
-  coldLeftMs = other129.coldLeftMs;
-  sequence = other129.sequence;
-  startedAtMs = other129.startedAtMs;
-  removed = other129.removed;
-  revision = other129.revision;
-  __isset = other129.__isset;
+TargetChange::TargetChange(const TargetChange& other134) {
+  name = other134.name;
+  address = other134.address;
+  port = other134.port;
+  serviceName = other134.serviceName;
+  dataCentre = other134.dataCentre;
+  slots = other134.slots;
+  draining = other134.draining;
+  coldLeftMs = other134.coldLeftMs;
+  sequence = other134.sequence;
+  startedAtMs = other134.startedAtMs;
+  removed = other134.removed;
+  revision = other134.revision;
+  __isset = other134.__isset;
+}
+TargetChange& TargetChange::operator=(const TargetChange& other135) {
+  name = other135.name;
+  address = other135.address;
+  port = other135.port;
+  serviceName = other135.serviceName;
+  dataCentre = other135.dataCentre;
+  slots = other135.slots;
+  draining = other135.draining;
+  coldLeftMs = other135.coldLeftMs;
+  sequence = other135.sequence;
+  startedAtMs = other135.startedAtMs;
+  removed = other135.removed;
+  revision = other135.revision;
+  __isset = other135.__isset;
   return *this;
 }
 void TargetChange::printTo(std::ostream& out) const {
@@ -4677,14 +4719,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->changes.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->changes.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->changes[_i134].read(iprot);
+              xfer += this->changes[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4705,14 +4747,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuated.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->evacuated.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->evacuated.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += iprot->readString(this->evacuated[_i139]);
+              xfer += iprot->readString(this->evacuated[_i145]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4793,10 +4835,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<TargetChange> ::const_iterator _iter140;
-    for (_iter140 = this->changes.begin(); _iter140 != this->changes.end(); ++_iter140)
+    std::vector<TargetChange> ::const_iterator _iter146;
+    for (_iter146 = this->changes.begin(); _iter146 != this->changes.end(); ++_iter146)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4809,10 +4851,10 @@
   xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated.size()));
-    std::vector<std::string> ::const_iterator _iter141;
-    for (_iter141 = this->evacuated.begin(); _iter141 != this->evacuated.end(); ++_iter141)
+    std::vector<std::string> ::const_iterator _iter147;
+    for (_iter147 = this->evacuated.begin(); _iter147 != this->evacuated.end(); ++_iter147)
     {
-      xfer += oprot->writeString((*_iter141));
+      xfer += oprot->writeString((*_iter147));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4856,35 +4898,35 @@
   swap(a.__isset, b.__isset);
 }
 
-ViewReply::ViewReply(const ViewReply& other142) {
-  askedAtNs = other142.askedAtNs;
-  version = other142.version;
-  ageMs = other142.ageMs;
-  revision = other142.revision;
-  targetsAgeMs = other142.targetsAgeMs;
-  changes = other142.changes;
-  partial = other142.partial;
-  evacuated = other142.evacuated;
-  skip = other142.skip;
-  more = other142.more;
-  follows = other142.follows;
-  evacuatedAgeMs = other142.evacuatedAgeMs;
-  __isset = other142.__isset;
-}
-ViewReply& ViewReply::operator=(const ViewReply& other143) {
-  askedAtNs = other143.askedAtNs;
-  version = other143.version;
-  ageMs = other143.ageMs;
-  revision = other143.revision;
-  targetsAgeMs = other143.targetsAgeMs;
-  changes = other143.changes;
-  partial = other143.partial;
-  evacuated = other143.evacuated;
-  skip = other143.skip;
-  more = other143.more;
-  follows = other143.follows;
-  evacuatedAgeMs = other143.evacuatedAgeMs;
-  __isset = other143.__isset;
+ViewReply::ViewReply(const ViewReply& other148) {
+  askedAtNs = other148.askedAtNs;
+  version = other148.version;
+  ageMs = other148.ageMs;
+  revision = other148.revision;
+  targetsAgeMs = other148.targetsAgeMs;
+  changes = other148.changes;
+  partial = other148.partial;
+  evacuated = other148.evacuated;
+  skip = other148.skip;
+  more = other148.more;
+  follows = other148.follows;
+  evacuatedAgeMs = other148.evacuatedAgeMs;
+  __isset = other148.__isset;
+}
+ViewReply& ViewReply::operator=(const ViewReply& other149) {
+  askedAtNs = other149.askedAtNs;
+  version = other149.version;
+  ageMs = other149.ageMs;
+  revision = other149.revision;
+  targetsAgeMs = other149.targetsAgeMs;
+  changes = other149.changes;
+  partial = other149.partial;
+  evacuated = other149.evacuated;
+  skip = other149.skip;
+  more = other149.more;
+  follows = other149.follows;
+  evacuatedAgeMs = other149.evacuatedAgeMs;
+  __isset = other149.__isset;
   return *this;
 }
 void ViewReply::printTo(std::ostream& out) const {
@@ -5017,17 +5059,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitReport::LimitReport(const LimitReport& other144) noexcept {
-  target = other144.target;
-  perSecond = other144.perSecond;
-  ageMs = other144.ageMs;
-  __isset = other144.__isset;
+LimitReport::LimitReport(const LimitReport& other150) noexcept {
+  target = other150.target;
+  perSecond = other150.perSecond;
+  ageMs = other150.ageMs;
+  __isset = other150.__isset;
 }
-LimitReport& LimitReport::operator=(const LimitReport& other145) noexcept {
-  target = other145.target;
-  perSecond = other145.perSecond;
-  ageMs = other145.ageMs;
-  __isset = other145.__isset;
+LimitReport& LimitReport::operator=(const LimitReport& other151) noexcept {
+  target = other151.target;
+  perSecond = other151.perSecond;
+  ageMs = other151.ageMs;
+  __isset = other151.__isset;
   return *this;
 }
 void LimitReport::printTo(std::ostream& out) const {
@@ -5079,14 +5121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->limits.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->limits.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->limits[_i150].read(iprot);
+              xfer += this->limits[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5115,10 +5157,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<LimitReport> ::const_iterator _iter151;
-    for (_iter151 = this->limits.begin(); _iter151 != this->limits.end(); ++_iter151)
+    std::vector<LimitReport> ::const_iterator _iter157;
+    for (_iter157 = this->limits.begin(); _iter157 != this->limits.end(); ++_iter157)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5135,13 +5177,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitNews::LimitNews(const LimitNews& other152) {
-  limits = other152.limits;
-  __isset = other152.__isset;
+LimitNews::LimitNews(const LimitNews& other158) {
+  limits = other158.limits;
+  __isset = other158.__isset;
 }
-LimitNews& LimitNews::operator=(const LimitNews& other153) {
-  limits = other153.limits;
-  __isset = other153.__isset;
+LimitNews& LimitNews::operator=(const LimitNews& other159) {
+  limits = other159.limits;
+  __isset = other159.__isset;
   return *this;
 }
 void LimitNews::printTo(std::ostream& out) const {
@@ -5261,17 +5303,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitAsk::PermitAsk(const PermitAsk& other154) noexcept {
-  sequence = other154.sequence;
-  count = other154.count;
-  limit = other154.limit;
-  __isset = other154.__isset;
+PermitAsk::PermitAsk(const PermitAsk& other160) noexcept {
+  sequence = other160.sequence;
+  count = other160.count;
+  limit = other160.limit;
+  __isset = other160.__isset;
 }
-PermitAsk& PermitAsk::operator=(const PermitAsk& other155) noexcept {
-  sequence = other155.sequence;
-  count = other155.count;
-  limit = other155.limit;
-  __isset = other155.__isset;
+PermitAsk& PermitAsk::operator=(const PermitAsk& other161) noexcept {
+  sequence = other161.sequence;
+  count = other161.count;
+  limit = other161.limit;
+  __isset = other161.__isset;
   return *this;
 }
 void PermitAsk::printTo(std::ostream& out) const {
@@ -5410,19 +5452,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitGrant::PermitGrant(const PermitGrant& other156) noexcept {
-  sequence = other156.sequence;
-  count = other156.count;
-  waitMs = other156.waitMs;
-  limit = other156.limit;
-  __isset = other156.__isset;
+PermitGrant::PermitGrant(const PermitGrant& other162) noexcept {
+  sequence = other162.sequence;
+  count = other162.count;
+  waitMs = other162.waitMs;
+  limit = other162.limit;
+  __isset = other162.__isset;
 }
-PermitGrant& PermitGrant::operator=(const PermitGrant& other157) noexcept {
-  sequence = other157.sequence;
-  count = other157.count;
-  waitMs = other157.waitMs;
-  limit = other157.limit;
-  __isset = other157.__isset;
+PermitGrant& PermitGrant::operator=(const PermitGrant& other163) noexcept {
+  sequence = other163.sequence;
+  count = other163.count;
+  waitMs = other163.waitMs;
+  limit = other163.limit;
+  __isset = other163.__isset;
   return *this;
 }
 void PermitGrant::printTo(std::ostream& out) const {
@@ -5817,45 +5859,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other158) {
-  heartbeat = other158.heartbeat;
-  summary = other158.summary;
-  rows = other158.rows;
-  rowsRequest = other158.rowsRequest;
-  tokenAsk = other158.tokenAsk;
-  tokenGrant = other158.tokenGrant;
-  promiseRequest = other158.promiseRequest;
-  promiseReply = other158.promiseReply;
-  creditAsk = other158.creditAsk;
-  creditGrant = other158.creditGrant;
-  objectNews = other158.objectNews;
-  viewAsk = other158.viewAsk;
-  viewReply = other158.viewReply;
-  quarantine = other158.quarantine;
-  limitNews = other158.limitNews;
-  permitAsk = other158.permitAsk;
-  permitGrant = other158.permitGrant;
-  __isset = other158.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other159) {
-  heartbeat = other159.heartbeat;
-  summary = other159.summary;
-  rows = other159.rows;
-  rowsRequest = other159.rowsRequest;
-  tokenAsk = other159.tokenAsk;
-  tokenGrant = other159.tokenGrant;
-  promiseRequest = other159.promiseRequest;
-  promiseReply = other159.promiseReply;
-  creditAsk = other159.creditAsk;
-  creditGrant = other159.creditGrant;
-  objectNews = other159.objectNews;
-  viewAsk = other159.viewAsk;
-  viewReply = other159.viewReply;
-  quarantine = other159.quarantine;
-  limitNews = other159.limitNews;
-  permitAsk = other159.permitAsk;
-  permitGrant = other159.permitGrant;
-  __isset = other159.__isset;
+Datagram::Datagram(const Datagram& other164) {
+  heartbeat = other164.heartbeat;
+  summary = other164.summary;
+  rows = other164.rows;
+  rowsRequest = other164.rowsRequest;
+  tokenAsk = other164.tokenAsk;
+  tokenGrant = other164.tokenGrant;
+  promiseRequest = other164.promiseRequest;
+  promiseReply = other164.promiseReply;
+  creditAsk = other164.creditAsk;
+  creditGrant = other164.creditGrant;
+  objectNews = other164.objectNews;
+  viewAsk = other164.viewAsk;
+  viewReply = other164.viewReply;
+  quarantine = other164.quarantine;
+  limitNews = other164.limitNews;
+  permitAsk = other164.permitAsk;
+  permitGrant = other164.permitGrant;
+  __isset = other164.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other165) {
+  heartbeat = other165.heartbeat;
+  summary = other165.summary;
+  rows = other165.rows;
+  rowsRequest = other165.rowsRequest;
+  tokenAsk = other165.tokenAsk;
+  tokenGrant = other165.tokenGrant;
+  promiseRequest = other165.promiseRequest;
+  promiseReply = other165.promiseReply;
+  creditAsk = other165.creditAsk;
+  creditGrant = other165.creditGrant;
+  objectNews = other165.objectNews;
+  viewAsk = other165.viewAsk;
+  viewReply = other165.viewReply;
+  quarantine = other165.quarantine;
+  limitNews = other165.limitNews;
+  permitAsk = other165.permitAsk;
+  permitGrant = other165.permitGrant;
+  __isset = other165.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -192,18 +192,19 @@
 std::ostream& operator<<(std::ostream& out, const ConfigStamp& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : freeSlots(false), queueLength(false), capacity(false), rate(false) {}
+  _Load__isset() : freeSlots(false), queueLength(false), capacity(false), rate(false), demand(false) {}
   bool freeSlots :1;
   bool queueLength :1;
   bool capacity :1;
   bool rate :1;
+  bool demand :1;
 } _Load__isset;
 
 class Load : public virtual ::apache::thrift::TBase {
  public:
 
-  Load(const Load&) noexcept;
-  Load& operator=(const Load&) noexcept;
+  Load(const Load&);
+  Load& operator=(const Load&);
   Load() noexcept
        : freeSlots(0),
          queueLength(0),
@@ -216,6 +217,7 @@
   int32_t queueLength;
   int32_t capacity;
   int32_t rate;
+  std::vector<int32_t>  demand;
 
   _Load__isset __isset;
 
@@ -227,6 +229,8 @@
 
   void __set_rate(const int32_t val);
 
+  void __set_demand(const std::vector<int32_t> & val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(freeSlots == rhs.freeSlots))
@@ -237,6 +241,10 @@
       return false;
     if (!(rate == rhs.rate))
       return false;
+    if (__isset.demand != rhs.__isset.demand)
+      return false;
+    else if (__isset.demand && !(demand == rhs.demand))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
@@ -350,8 +358,8 @@
 class Report : public virtual ::apache::thrift::TBase {
  public:
 
-  Report(const Report&) noexcept;
-  Report& operator=(const Report&) noexcept;
+  Report(const Report&);
+  Report& operator=(const Report&);
   Report() noexcept
          : sequence(0),
            state(0),
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -17,6 +17,8 @@
   2: i32 queueLength
   3: i32 capacity
   4: i32 rate
+  /// Id and units of each service by turns.
+  5: optional list<i32> demand
 }
 
 struct Identity {
--- a/packages/wire/src/membercodec.cpp
+++ b/packages/wire/src/membercodec.cpp
@@ -28,13 +28,29 @@
   To.queueLength = static_cast<std::int32_t>(From.QueueLength);
   To.capacity = static_cast<std::int32_t>(From.Capacity);
   To.rate = static_cast<std::int32_t>(From.Rate);
+  if (From.Demand.empty())
+    return;
+  for (const service_demand &Row : From.Demand) {
+    To.demand.push_back(Row.Service);
+    To.demand.push_back(static_cast<std::int32_t>(Row.Units));
+  }
+  To.__isset.demand = true;
 }
 
 load_summary read(const idl::Load &From) {
-  return {static_cast<std::uint32_t>(From.freeSlots),
-          static_cast<std::uint32_t>(From.queueLength),
-          static_cast<std::uint32_t>(From.capacity),
-          static_cast<std::uint32_t>(From.rate)};
+  load_summary To{static_cast<std::uint32_t>(From.freeSlots),
+                  static_cast<std::uint32_t>(From.queueLength),
+                  static_cast<std::uint32_t>(From.capacity),
+                  static_cast<std::uint32_t>(From.rate)};
+  if (From.demand.size() % 2 != 0 || From.demand.size() > 2 * MaxDemandServices)
+    throw malformed_message("demand of the wrong length");
+  for (std::size_t I = 0; I < From.demand.size(); I += 2) {
+    if (From.demand[I + 1] < 0)
+      throw malformed_message("negative demand");
+    To.Demand.push_back({readNumber<std::uint16_t>(From.demand[I]),
+                         static_cast<std::uint32_t>(From.demand[I + 1])});
+  }
+  return To;
 }
 
 void write(const member_identity &From, idl::Identity &To) {
--- a/packages/wire/tests/sizes.cpp
+++ b/packages/wire/tests/sizes.cpp
@@ -24,6 +24,13 @@
 
 const std::string LongAddress = "1111:2222:3333:4444:5555:6666:255.255.255.255";
 
+demand_list longDemand() {
+  demand_list Rows;
+  for (std::size_t I = 0; I < MaxDemandServices; ++I)
+    Rows.push_back({static_cast<std::uint16_t>(0xffff - I), 0x7fffffff});
+  return Rows;
+}
+
 member_row longRow(std::size_t Centre, std::size_t Index) {
   member_row Row;
   const std::string Suffix =
@@ -37,7 +44,8 @@
   Row.Identity.Public = {LongAddress, 65535};
   Row.Report.Sequence = 1ull << 61;
   Row.Report.Config = {1ull << 62, 0xffffffff};
-  Row.Report.Load = {0xffffffff, 0x7fffffff, 0x7fffffff, 0x7fffffff};
+  Row.Report.Load = {0xffffffff, 0x7fffffff, 0x7fffffff, 0x7fffffff,
+                     longDemand()};
   return Row;
 }
 
@@ -58,7 +66,7 @@
   Summary.Sequence = 1ull << 62;
   Summary.LowestVersion = 1ull << 62;
   Summary.Config = {1ull << 62, 0x7fffffff};
-  Summary.Load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff};
+  Summary.Load = {0xffffffff, 0xffffffff, 0xffffffff, 0xffffffff, longDemand()};
   return Summary;
 }
 
