--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -85,7 +85,7 @@
 
   /// The configuration in force has changed.
   void setConfig(steady_time Now, config_stamp Config);
-  void setLoad(load_summary Load) { Own.Load = Load; }
+  void setLoad(load_summary Load) { Own.Load = std::move(Load); }
   void setPlatformReachable(bool Reachable) {
     Own.PlatformReachable = Reachable;
   }
