--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -139,6 +139,7 @@
   Gauges.RegionCrossed = Counts.Crossings.bytesFrom(target_distance::Remote);
   Gauges.NearHolders = Counts.Crossings.NearHolders;
   Gauges.SlowTargets = Counts.SlowTargets;
+  Gauges.SpilledPart = Counts.SpilledPart;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -81,6 +81,7 @@
   Gate.Pipelining.Bytes = Settings.Gateway->PipelinedBytes;
   Gate.Crossing = {Settings.Gateway->DataCentreCrossing,
                    Settings.Gateway->RegionCrossing};
+  Gate.MaxRegionShift = Settings.Gateway->MaxRegionShift;
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -53,6 +53,9 @@
   std::uint64_t NearHolders = 0;
   /// Targets that report that their work takes longer than usual.
   std::size_t SlowTargets = 0;
+  /// Largest part of a service's objects that the plan by demand places in
+  /// other regions.
+  double SpilledPart = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -68,6 +68,7 @@
   prometheus::Gauge &RegionCrossed;
   prometheus::Gauge &NearHolders;
   prometheus::Gauge &SlowTargets;
+  prometheus::Gauge &SpilledPart;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -124,7 +125,10 @@
                            "Holders added so that answers don't cross")),
       SlowTargets(addGauge(Registry, "magnoliaspread_slow_targets",
                            "Targets that report that their work takes longer "
-                           "than usual")) {
+                           "than usual")),
+      SpilledPart(addGauge(Registry, "magnoliaspread_spilled_part",
+                           "Largest part of a service's objects that is placed "
+                           "in other regions by their demand")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -199,6 +203,7 @@
   State->RegionCrossed.Set(static_cast<double>(Gauges.RegionCrossed));
   State->NearHolders.Set(static_cast<double>(Gauges.NearHolders));
   State->SlowTargets.Set(static_cast<double>(Gauges.SlowTargets));
+  State->SpilledPart.Set(Gauges.SpilledPart);
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -78,6 +78,9 @@
   /// centres of a region, and between regions.
   std::chrono::milliseconds DataCentreCrossing{0};
   std::chrono::milliseconds RegionCrossing{0};
+  /// Places objects by the demand of all regions and moves at most this part
+  /// of a region's requests from one window of 2 s to the next; 0 is off.
+  double MaxRegionShift = 0;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -168,6 +168,18 @@
   Nested.finish();
 }
 
+void readDemand(object_reader &Reader, gateway_settings &Gateway,
+                read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("demand", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("demand"), Fault);
+  Nested(numberField("max_shift", presence::Required, 0, 1),
+         Gateway.MaxRegionShift);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -208,6 +220,7 @@
          Gateway.LinkMbps);
   Nested(choiceField("detect_broken_path"), Gateway.DetectBrokenPath);
   readPipelining(Nested, Gateway, Fault);
+  readDemand(Nested, Gateway, Fault);
   Nested.finish();
 }
 
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -22,12 +22,6 @@
 /// Extra time of a target with failure score 1, in latency targets.
 constexpr double FailurePenalty = 2.5;
 
-/// Uniform over (0, 1].
-double unit(std::uint64_t Bits) {
-  constexpr double Scale = 1.0 / 9007199254740992.0;
-  return (static_cast<double>(Bits >> 11U) + 1) * Scale;
-}
-
 } // namespace
 
 double placer::serviceSeconds(const place_request &Request, bool Warm) const {
@@ -79,36 +73,22 @@
              seconds(Request.GoodUntil - Request.Arrived);
 }
 
-/// Part of the objects that the region places in its own targets: as many as
-/// their slots can serve.
-double placer::localPart(const service_capacity &Capacity) const {
-  const double All = Capacity.LocalSlots + Capacity.RemoteSlots;
-  const double Regions =
-      static_cast<double>(std::max<std::size_t>(1, Capacity.Regions.size()));
-  return std::clamp(Policy.RegionFill * Capacity.LocalSlots * Regions / All,
-                    Policy.LeastLocal, Policy.MostLocal);
-}
-
 /// Rendezvous weight of a target for an object without a holder.
 double placer::weight(const target_state &Target,
                       const distance_factors &Factors) const {
-  const service_capacity &Capacity = Capacities[Target.Info.Service.Index];
-  const double Slots = usableSlots(Target);
+  double Weight = usableSlots(Target) * regionWeight(Target);
   if (Target.Info.Distance == target_distance::Remote)
-    return Slots;
-  const double Part = localPart(Capacity);
-  double Weight = Part / (1 - Part) * std::max(1.0, Capacity.RemoteSlots) /
-                  std::max(1.0, Capacity.LocalSlots) * Slots;
+    return Weight;
   if (Target.Info.Distance == target_distance::DataCentre)
     Weight *= Factors.DataCentre;
-  return Weight * regionFactor(Capacity, Factors);
+  return Weight * regionFactor(Capacities[Target.Info.Service.Index], Factors);
 }
 
 /// Weight factor of the own region. A region short of slots keeps its part of
 /// the objects whatever their answers cost.
 double placer::regionFactor(const service_capacity &Capacity,
                             const distance_factors &Factors) const {
-  if (Factors.IsLargeBody || localPart(Capacity) >= Policy.MostLocal)
+  if (Factors.IsLargeBody || fixedLocalPart(Capacity) >= Policy.MostLocal)
     return Factors.Region;
   const double Near = Capacity.DataCentreSlots;
   const double Other = Capacity.LocalSlots - Near;
@@ -142,7 +122,9 @@
 }
 
 /// The best targets by weighted rendezvous hash.
-void placer::listCandidates(const place_request &Request, steady_time Now) {
+void placer::listCandidates(const place_request &Request,
+                            std::optional<std::uint8_t> Region,
+                            steady_time Now) {
   Candidates.clear();
   if (Request.Service.Index >= ByService.size())
     return;
@@ -158,11 +140,13 @@
   };
   for (const target_handle Handle : ByService[Request.Service.Index]) {
     const target_state &State = Targets[Handle.Index];
-    if (!usable(State, Request, Now))
+    if ((Region && State.Info.Region != *Region) ||
+        !usable(State, Request, Now))
       continue;
     const bool Full = Crossing.enabled() && !hasRoom(Handle, Now);
-    const double Score = -std::log(unit(rendezvousScore(Key, State.Info.Id))) /
-                         weight(State, Full ? FullFactors : Factors);
+    const double Score =
+        -std::log(unitOf(rendezvousScore(Key, State.Info.Id))) /
+        weight(State, Full ? FullFactors : Factors);
     if (Candidates.size() == MaxCandidates && Score >= Candidates.back().Score)
       continue;
     if (Candidates.size() == MaxCandidates)
@@ -176,8 +160,9 @@
 
 /// The holder with the earliest expected answer. If crossing has a price, those
 /// that answer in good time come first, and then the price counts as well.
-std::optional<placer::choice> placer::bestHolder(const place_request &Request,
-                                                 steady_time Now) {
+std::optional<placer::choice>
+placer::bestHolder(const place_request &Request,
+                   std::optional<std::uint8_t> Region, steady_time Now) {
   const auto Found = Objects.find(Request.Object);
   if (Request.Object == 0 || Found == Objects.end())
     return std::nullopt;
@@ -207,7 +192,8 @@
     const std::pair<bool, double> Cost(
         Crossing.enabled() && Expected > Good,
         Expected + seconds(Price.at(State->Info.Distance)) -
-            (Limited ? seconds(Policy.LimitedMargin) : 0));
+            (Limited ? seconds(Policy.LimitedMargin) : 0) -
+            regionBonus(*State, Region));
     if (Best && LeastCost <= Cost)
       continue;
     LeastCost = Cost;
@@ -219,10 +205,10 @@
 
 /// The best target that isn't a holder. If there is a holder, only a target
 /// with spare slots whose expected answer is earlier by the leave margin.
-std::optional<placer::choice> placer::bestOther(const place_request &Request,
-                                                const choice *Holder,
-                                                steady_time Now) {
-  listCandidates(Request, Now);
+std::optional<placer::choice>
+placer::bestOther(const place_request &Request, const choice *Holder,
+                  std::optional<std::uint8_t> Region, steady_time Now) {
+  listCandidates(Request, Region, Now);
   const double Service = serviceSeconds(Request, Request.Object == 0);
   const double Margin = seconds(Policy.LeaveMargin);
   const crossing_price Price =
@@ -265,7 +251,8 @@
   // answers are fetched back, and only by a region with slots for all.
   const service_capacity &Capacity = Capacities[Request.Service.Index];
   if (From == target_distance::Remote &&
-      (Price < Policy.LeaveMargin || localPart(Capacity) < Policy.MostLocal))
+      (Price < Policy.LeaveMargin ||
+       fixedLocalPart(Capacity) < Policy.MostLocal))
     return std::nullopt;
   const double Cold = serviceSeconds(Request, false);
   const double Extra = Cold - serviceSeconds(Request, true);
@@ -277,7 +264,7 @@
     if (const target_state *State = find(Row.Target);
         State != nullptr && State->Info.Distance < From)
       return std::nullopt;
-  listCandidates(Request, Now);
+  listCandidates(Request, std::nullopt, Now);
   for (const candidate &Row : Candidates) {
     const target_state &State = Targets[Row.Target.Index];
     if (State.Info.Distance >= From || !hasSpareSlots(Row.Target, Now))
@@ -299,16 +286,20 @@
 
 std::optional<placer::choice> placer::chooseTarget(const place_request &Request,
                                                    steady_time Now) {
-  const std::optional<choice> Holder = bestHolder(Request, Now);
+  const std::optional<std::uint8_t> Region = movedRegion(Request);
+  if (Region && !hasHolderIn(Request.Object, *Region))
+    if (auto Moved = moveToRegion(Request, *Region, Now))
+      return Moved;
+  const std::optional<choice> Holder = bestHolder(Request, Region, Now);
   if (!Holder)
-    return bestOther(Request, nullptr, Now);
+    return bestOther(Request, nullptr, std::nullopt, Now);
   if (const std::optional<choice> Near = nearHolder(Request, *Holder, Now))
     return Near;
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
   // If both answers are late, another holder would only use up slots.
-  const std::optional<choice> Other = bestOther(Request, &*Holder, Now);
+  const std::optional<choice> Other = bestOther(Request, &*Holder, Region, Now);
   const double Left = seconds(Request.Deadline - Now);
   const bool UseOther = Other && (Other->Expected <= Good ||
                                   Holder->Expected > Left * Policy.LatePart);
--- a/packages/steering/src/placerpermits.cpp
+++ b/packages/steering/src/placerpermits.cpp
@@ -50,7 +50,12 @@
           usableSlots(State);
       if (State.Info.Distance == target_distance::DataCentre)
         Capacity.DataCentreSlots += usableSlots(State);
+      Capacity.RegionSlots[State.Info.Region % MaxRegions] +=
+          usableSlots(State);
     }
+  for (std::optional<service_spill> &Spill : Spills)
+    if (Spill)
+      ++Spill->Revision;
 }
 
 void placer::updatePermitRequests() {
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -16,6 +16,7 @@
 #include <magnoliaspread/registry.h>
 #include <magnoliaspread/retry.h>
 #include <magnoliaspread/routes.h>
+#include <magnoliaspread/servicedemand.h>
 #include <magnoliaspread/targetlimits.h>
 #include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
@@ -47,6 +48,10 @@
   std::size_t MaxBodyMemory = 32u << 20;
   /// Bounds of the requests of one connection that run at once.
   pipeline_limits Pipelining;
+  /// Placement by the demand of the regions: the largest part of a region's
+  /// requests that may change region from one window of 2 s to the next; 0 is
+  /// off.
+  double MaxRegionShift = 0;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -72,6 +77,9 @@
   crossing_counts Crossings;
   /// Targets that report that their work takes longer than usual.
   std::size_t SlowTargets = 0;
+  /// Largest part of a service's objects that the plan by demand places in
+  /// other regions; 0 without one.
+  double SpilledPart = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
 };
@@ -155,6 +163,12 @@
   /// This instance reaches no targets and peers do. New connections to targets
   /// fail at once, and connections of callers are closed after each answer.
   bool pathBroken() const;
+  /// What this instance's callers ask, for the other instances; empty when
+  /// placement by demand is off.
+  demand_list demand() const;
+  /// Adapts the placement to the demand of the regions; those missing are
+  /// unknown. Call a few times a second.
+  void setDemand(const std::vector<region_demand> &Regions);
 
   gate_counts counts() const;
 
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -51,12 +51,6 @@
   return Path;
 }
 
-placer_policy placerPolicy(const gate_settings &Settings) {
-  placer_policy Policy;
-  Policy.Crossing = Settings.Crossing;
-  return Policy;
-}
-
 /// Numbers the regions in the order of their names.
 name_map<std::size_t> numberRegions(const name_map<std::string> &Regions) {
   std::set<std::string> Names;
@@ -68,6 +62,16 @@
   return Numbers;
 }
 
+placer_policy placerPolicy(const gate_settings &Settings) {
+  placer_policy Policy;
+  Policy.Crossing = Settings.Crossing;
+  Policy.Spill.MaxShift = Settings.MaxRegionShift;
+  const name_map<std::size_t> Numbers = numberRegions(Settings.Regions);
+  if (const auto Own = Numbers.find(Settings.Region); Own != Numbers.end())
+    Policy.OwnRegion = static_cast<std::uint8_t>(Own->second);
+  return Policy;
+}
+
 } // namespace
 
 gate::state::state(asio::io_context &Context, const gate_settings &Settings,
@@ -536,6 +540,7 @@
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
   Counts.Crossings = State->Placer.crossings();
   Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
+  Counts.SpilledPart = State->spilledPart();
   Counts.Requests = State->Requests;
   return Counts;
 }
