Holders of an object by its demand, gain measured by kind, bounded load

A popular object overloaded its holder until answers were late, every kind was taken to gain from a warm target, and no holder was given back before 30 s of rest. Each kind's gain is now measured, an object has as many holders as its demand over the region's instances needs, and holders are given back. Off by default; then the placement is as before.

--- a/packages/steering/include/magnoliaspread/objectmsg.h
+++ b/packages/steering/include/magnoliaspread/objectmsg.h
@@ -20,6 +20,11 @@
   std::uint64_t Target = 0;
   /// False while the first request about the object runs on the target.
   bool Warm = false;
+  /// Slot time of the object that the sender has used since it last told,
+  /// in milliseconds; see affinity.h.
+  std::uint32_t DemandMs = 0;
+  /// The target is no longer a holder: the object has more than it needs.
+  bool Released = false;
 
   bool operator==(const object_row &) const = default;
 };
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -15,6 +15,7 @@
 #ifndef MAGNOLIASPREAD_PLACER_H
 #define MAGNOLIASPREAD_PLACER_H
 
+#include <magnoliaspread/affinity.h>
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
@@ -107,6 +108,8 @@
   /// Objects whose holders are tracked.
   std::size_t MaxObjects = 16384;
   std::size_t MaxWaiting = 512;
+  /// Holders by demand; off by default.
+  affinity_policy Affinity;
 };
 
 /// Configuration and membership state of a target.
@@ -205,11 +208,22 @@
   std::optional<std::chrono::milliseconds> PauseFor;
 };
 
+/// An object has gained or given back a holder by its demand.
+struct holder_change {
+  std::uint64_t Object = 0;
+  target_handle Target;
+  bool Gained = false;
+  /// Holders after the change.
+  std::size_t Holders = 0;
+  /// Demand in slots, over the instances of the region.
+  double Demand = 0;
+};
+
 class placer {
 public:
   /// \p Permits outlives the placer; null if targets have no rate limits.
   explicit placer(const placer_policy &Policy, send_permits *Permits = nullptr)
-      : Policy(Policy), Permits(Permits) {}
+      : Policy(Policy), Permits(Permits), Affinity(Policy.Affinity) {}
 
   /// Replaces all targets. The state of a handle is retained while its Id
   /// stays the same.
@@ -258,6 +272,13 @@
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
 
+  /// Holder changes by demand since the last call, oldest first; the number
+  /// left out is added to \p Omitted.
+  std::vector<holder_change> takeHolderChanges(std::uint64_t &Omitted);
+  /// Holders of all objects.
+  std::size_t holders() const;
+  const affinity &affinityState() const { return Affinity; }
+
 private:
   struct target_state {
     placer_target Info;
@@ -301,6 +322,13 @@
     std::optional<steady_time> WarmingSince;
   };
 
+  /// A holder that was given back.
+  struct released_holder {
+    std::uint64_t Object = 0;
+    target_handle Target;
+    steady_time At;
+  };
+
   /// Slots of a service, used to weight its targets.
   struct service_capacity {
     double LocalSlots = 0;
@@ -352,6 +380,41 @@
   double serviceSeconds(const place_request &Request, bool Warm) const;
   std::optional<choice> chooseTarget(const place_request &Request,
                                      steady_time Now);
+  bool followsAffinity(const place_request &Request) const;
+  bool isIdleProbe(const place_request &Request,
+                   const std::optional<choice> &Holder, steady_time Now) const;
+  std::optional<choice> chooseFreely(const place_request &Request,
+                                     steady_time Now);
+  std::optional<choice> additionalHolder(const place_request &Request,
+                                         const choice &Holder, steady_time Now);
+  /// Warm holders of the request's object that may take it now.
+  std::vector<target_handle> warmHolders(const place_request &Request,
+                                         steady_time Now);
+  target_handle preferredHolder(const place_request &Request, steady_time Now);
+  void listReleased(const place_request &Request, steady_time Now);
+  double newHolderSeconds(const place_request &Request,
+                          target_handle Target) const;
+  double holderBias(const place_request &Request, target_handle Target,
+                    target_handle Preferred) const;
+  double crowding(const place_request &Request, target_handle Target,
+                  double ServiceSeconds, steady_time Now) const;
+  void releaseHolder(const place_request &Request, target_handle Sent,
+                     steady_time Now);
+  void noteReleased(std::uint64_t Object, target_handle Target,
+                    steady_time Now);
+  bool isReleased(std::uint64_t Object, target_handle Target,
+                  steady_time Now) const;
+  void noteChange(std::uint64_t Object, target_handle Target, bool Gained,
+                  std::size_t Holders, steady_time Now);
+  void noteStart(const place_request &Request, target_handle Target,
+                 steady_time Now);
+  void noteEnd(const target_state &Target, const target_outcome &End,
+               steady_time Now);
+  void recordRun(std::uint64_t Object, std::uint64_t Kind, target_handle Target,
+                 bool Warm, steady_time Now);
+  bool receiveAffinity(const object_row &Row, target_handle Target,
+                       steady_time Now);
+  void updatePlan(steady_time Now);
   placement_verdict decide(const place_request &Request, steady_time Now,
                            wait_reason &Wait);
   void start(const place_request &Request, target_handle Target,
@@ -366,7 +429,7 @@
                     steady_time Now);
   void cancelWarming(std::uint64_t Object, target_handle Target);
   /// Queues an update for peers; drops it if the queue is full.
-  void queueUpdate(std::uint64_t Object, target_handle Target, bool Warm);
+  void queueUpdate(const object_row &Row);
   permit_state permitOf(target_handle Target) const;
   /// Whether the request may use or wait for a permit of the target.
   bool permitAllows(target_handle Target, const place_request &Request,
@@ -397,6 +460,10 @@
   std::vector<target_handle> UnsentLoads;
   std::vector<waiting_request> Waiting;
   std::vector<candidate> Candidates;
+  affinity Affinity;
+  std::vector<released_holder> Released;
+  std::vector<holder_change> Changes;
+  std::uint64_t ChangesOmitted = 0;
   std::size_t InFlight = 0;
   /// Varies the hash key of requests without an object.
   std::uint64_t Draws = 0;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -54,6 +54,7 @@
     target_state &State = Targets[Row.Handle.Index];
     if (State.Info.Id != Row.Id) {
       Pushback.forget(Row.Handle);
+      Affinity.forget(Row.Handle);
       State = target_state();
       State.DecayedAt = Now;
       State.ReportedAt = Now;
@@ -160,8 +161,9 @@
   ++InFlight;
   if (Permits != nullptr)
     Permits->spend(Target);
+  noteStart(Request, Target, Now);
   if (Request.Object != 0 && holderOf(Request.Object, Target) == nullptr)
-    recordHolder(Request.Object, Target, false, Now);
+    recordRun(Request.Object, Request.Kind, Target, false, Now);
   if (State.Info.ColdUntil <= Now)
     return;
   const double Gained =
@@ -171,6 +173,7 @@
 }
 
 placement_verdict placer::place(const place_request &Request, steady_time Now) {
+  updatePlan(Now);
   wait_reason Wait;
   placement_verdict Verdict = decide(Request, Now, Wait);
   if (!std::holds_alternative<place_wait>(Verdict))
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -139,8 +139,10 @@
   std::erase_if(Found->second, [&](const holder &Row) {
     const double Age = seconds(Now - Row.WarmingSince.value_or(Now));
     return Now - Row.Used >= Policy.WarmTime ||
+           !Affinity.remembers(Row.Target, Request.Object) ||
            Age >= Cold * Policy.WarmingPatience;
   });
+  const target_handle Preferred = preferredHolder(Request, Now);
   std::optional<choice> Best;
   double LeastCost = 0;
   for (const holder &Row : Found->second) {
@@ -154,8 +156,9 @@
             : 0;
     const double Expected = expected(*State, Request, Warm + Left, Now);
     const bool Limited = permitOf(Row.Target) != permit_state::Unlimited;
-    const double Cost =
-        Expected - (Limited ? seconds(Policy.LimitedMargin) : 0);
+    const double Cost = Expected -
+                        (Limited ? seconds(Policy.LimitedMargin) : 0) +
+                        holderBias(Request, Row.Target, Preferred);
     if (Best && LeastCost <= Cost)
       continue;
     LeastCost = Cost;
@@ -173,7 +176,8 @@
                                                 const choice *Holder,
                                                 steady_time Now) {
   listCandidates(Request, Now);
-  const double Service = serviceSeconds(Request, Request.Object == 0);
+  if (Holder != nullptr)
+    listReleased(Request, Now);
   const double Margin = seconds(Policy.LeaveMargin);
   std::optional<choice> Best;
   double CostToBeat = Holder == nullptr ? 0 : Holder->Expected - Margin;
@@ -184,12 +188,14 @@
     if (Holder != nullptr && (holderOf(Request.Object, Row.Target) != nullptr ||
                               Load + 1 > Slots * Policy.SparePart))
       continue;
+    const double Service = newHolderSeconds(Request, Row.Target);
     const double Expected = expected(State, Request, Service, Now);
     // The rendezvous weights already account for the distance.
     const auto Distance = static_cast<std::size_t>(State.Info.Distance);
     const double Cost = Holder != nullptr
                             ? Expected
-                            : Expected - seconds(Policy.RoundTrip[Distance]);
+                            : Expected - seconds(Policy.RoundTrip[Distance]) +
+                                  crowding(Request, Row.Target, Service, Now);
     if ((Holder != nullptr || Best) && Cost >= CostToBeat)
       continue;
     Best = choice{Row.Target, Expected, Load < Slots + Policy.Ahead};
@@ -200,9 +206,15 @@
 
 std::optional<placer::choice> placer::chooseTarget(const place_request &Request,
                                                    steady_time Now) {
+  if (!followsAffinity(Request))
+    return chooseFreely(Request, Now);
   const std::optional<choice> Holder = bestHolder(Request, Now);
+  if (isIdleProbe(Request, Holder, Now))
+    return chooseFreely(Request, Now);
   if (!Holder)
     return bestOther(Request, nullptr, Now);
+  if (const auto Added = additionalHolder(Request, *Holder, Now))
+    return Added;
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
--- a/packages/steering/src/placerholders.cpp
+++ b/packages/steering/src/placerholders.cpp
@@ -44,7 +44,7 @@
   const bool IsUpdate =
       Known == nullptr || (Known->WarmingSince && Warm) || Forgotten;
   if (IsUpdate)
-    queueUpdate(Object, Target, Warm);
+    queueUpdate({Object, Targets[Target.Index].Info.Id, Warm, 0, false});
   if (Known == nullptr) {
     if (Objects.size() >= Policy.MaxObjects && !Objects.contains(Object))
       Objects.erase(Objects.begin());
@@ -60,10 +60,9 @@
     Known->WarmingSince.reset();
 }
 
-void placer::queueUpdate(std::uint64_t Object, target_handle Target,
-                         bool Warm) {
+void placer::queueUpdate(const object_row &Row) {
   if (Updates.size() < MaxQueuedUpdates)
-    Updates.push_back({Object, Targets[Target.Index].Info.Id, Warm});
+    Updates.push_back(Row);
 }
 
 std::vector<object_row> placer::takeUpdates() {
@@ -84,6 +83,8 @@
     const auto Target = ById.find(Row.Target);
     if (Target == ById.end() || Row.Object == 0)
       continue;
+    if (receiveAffinity(Row, Target->second, Now))
+      continue;
     holder *Known = holderOf(Row.Object, Target->second);
     if (Known != nullptr && !Row.Warm)
       continue;
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -69,7 +69,7 @@
                     : Took;
   if (!Waited && Target.Info.ColdUntil <= Now)
     Mean = Mean > 0 ? Mean + (Took - Mean) * SampleWeight : Took;
-  recordHolder(End.Object, Target.Info.Handle, true, Now);
+  recordRun(End.Object, End.Kind, Target.Info.Handle, true, Now);
 }
 
 void placer::noteFailure(target_state &Target, target_result Result,
@@ -123,6 +123,7 @@
     Permits->refund(End.Target);
   if (End.Report)
     noteReport(*State, *End.Report, Now);
+  noteEnd(*State, End, Now);
   if (End.Result != target_result::Answered)
     cancelWarming(End.Object, End.Target);
   switch (End.Result) {
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -3729,6 +3729,16 @@
 void ObjectRow::__set_warm(const bool val) {
   this->warm = val;
 }
+
+void ObjectRow::__set_demandMs(const int32_t val) {
+  this->demandMs = val;
+__isset.demandMs = true;
+}
+
+void ObjectRow::__set_released(const bool val) {
+  this->released = val;
+__isset.released = true;
+}
 std::ostream& operator<<(std::ostream& out, const ObjectRow& obj)
 {
   obj.printTo(out);
@@ -3781,6 +3791,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->demandMs);
+          this->__isset.demandMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3810,6 +3836,16 @@
   xfer += oprot->writeBool(this->warm);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.demandMs) {
+    xfer += oprot->writeFieldBegin("demandMs", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->demandMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.released) {
+    xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->released);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3820,6 +3856,8 @@
   swap(a.object, b.object);
   swap(a.target, b.target);
   swap(a.warm, b.warm);
+  swap(a.demandMs, b.demandMs);
+  swap(a.released, b.released);
   swap(a.__isset, b.__isset);
 }
 
@@ -3827,12 +3865,16 @@
   object = other108.object;
   target = other108.target;
   warm = other108.warm;
+  demandMs = other108.demandMs;
+  released = other108.released;
   __isset = other108.__isset;
 }
 ObjectRow& ObjectRow::operator=(const ObjectRow& other109) noexcept {
   object = other109.object;
   target = other109.target;
   warm = other109.warm;
+  demandMs = other109.demandMs;
+  released = other109.released;
   __isset = other109.__isset;
   return *this;
 }
@@ -3842,6 +3884,8 @@
   out << "object=" << to_string(object);
   out << ", " << "target=" << to_string(target);
   out << ", " << "warm=" << to_string(warm);
+  out << ", " << "demandMs="; (__isset.demandMs ? (out << to_string(demandMs)) : (out << "<null>"));
+  out << ", " << "released="; (__isset.released ? (out << to_string(released)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1561,10 +1561,12 @@
 std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
 
 typedef struct _ObjectRow__isset {
-  _ObjectRow__isset() : object(false), target(false), warm(false) {}
+  _ObjectRow__isset() : object(false), target(false), warm(false), demandMs(false), released(false) {}
   bool object :1;
   bool target :1;
   bool warm :1;
+  bool demandMs :1;
+  bool released :1;
 } _ObjectRow__isset;
 
 class ObjectRow : public virtual ::apache::thrift::TBase {
@@ -1575,13 +1577,17 @@
   ObjectRow() noexcept
             : object(0),
               target(0),
-              warm(0) {
+              warm(0),
+              demandMs(0),
+              released(0) {
   }
 
   virtual ~ObjectRow() noexcept;
   int64_t object;
   int64_t target;
   bool warm;
+  int32_t demandMs;
+  bool released;
 
   _ObjectRow__isset __isset;
 
@@ -1591,6 +1597,10 @@
 
   void __set_warm(const bool val);
 
+  void __set_demandMs(const int32_t val);
+
+  void __set_released(const bool val);
+
   bool operator == (const ObjectRow & rhs) const
   {
     if (!(object == rhs.object))
@@ -1599,6 +1609,14 @@
       return false;
     if (!(warm == rhs.warm))
       return false;
+    if (__isset.demandMs != rhs.__isset.demandMs)
+      return false;
+    else if (__isset.demandMs && !(demandMs == rhs.demandMs))
+      return false;
+    if (__isset.released != rhs.__isset.released)
+      return false;
+    else if (__isset.released && !(released == rhs.released))
+      return false;
     return true;
   }
   bool operator != (const ObjectRow &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -170,6 +170,8 @@
   1: i64 object
   2: i64 target
   3: bool warm
+  4: optional i32 demandMs
+  5: optional bool released
 }
 
 struct LoadRow {
--- a/packages/wire/src/viewcodec.cpp
+++ b/packages/wire/src/viewcodec.cpp
@@ -12,6 +12,10 @@
     Out.object = static_cast<std::int64_t>(Row.Object);
     Out.target = static_cast<std::int64_t>(Row.Target);
     Out.warm = Row.Warm;
+    if (Row.DemandMs > 0)
+      Out.__set_demandMs(static_cast<std::int32_t>(Row.DemandMs));
+    if (Row.Released)
+      Out.__set_released(true);
     To.rows.push_back(Out);
   }
   for (const load_row &Row : Update.Loads) {
@@ -99,7 +103,9 @@
   object_update Update;
   for (const idl::ObjectRow &Row : From.rows)
     Update.Rows.push_back({static_cast<std::uint64_t>(Row.object),
-                           static_cast<std::uint64_t>(Row.target), Row.warm});
+                           static_cast<std::uint64_t>(Row.target), Row.warm,
+                           readNumber<std::uint32_t>(Row.demandMs),
+                           Row.released});
   for (const idl::LoadRow &Row : From.loads)
     Update.Loads.push_back({static_cast<std::uint64_t>(Row.target),
                             readNumber<std::uint32_t>(Row.busy)});
