--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -127,6 +127,10 @@
   Gauges.Suspects = Counts.Suspects;
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
+  Gauges.Holders = Counts.Holders;
+  Gauges.Forgotten = Counts.Forgotten;
+  Gauges.MeasuredKinds = Counts.MeasuredKinds;
+  Gauges.SpreadKinds = Counts.SpreadKinds;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -76,6 +76,10 @@
         std::max(milliseconds(1), RevocationBound - RevocationMargin);
   Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryAllowancePart;
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
+  const affinity_settings &Affinity = Settings.Gateway->Affinity;
+  Gate.Affinity.Enabled = Affinity.Enabled;
+  Gate.Affinity.LoadFactor = Affinity.LoadFactor;
+  Gate.Affinity.LeastGain = Affinity.LeastGain;
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -41,6 +41,13 @@
   std::size_t Quarantined = 0;
   /// Targets that announced a rate limit.
   std::size_t LimitedTargets = 0;
+  /// Holders of all objects, and runs expected warm that took cold time.
+  std::size_t Holders = 0;
+  std::uint64_t Forgotten = 0;
+  /// Kinds of requests whose gain from warm targets is measured, and those of
+  /// them that are spread by load.
+  std::size_t MeasuredKinds = 0;
+  std::size_t SpreadKinds = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -62,6 +62,10 @@
   prometheus::Gauge &Suspects;
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
+  prometheus::Gauge &Holders;
+  prometheus::Gauge &Forgotten;
+  prometheus::Gauge &MeasuredKinds;
+  prometheus::Gauge &SpreadKinds;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -102,7 +106,16 @@
                            "Requests that are refused for the targets that "
                            "died of them")),
       LimitedTargets(addGauge(Registry, "magnoliaspread_limited_targets",
-                              "Targets that announced a rate limit")) {
+                              "Targets that announced a rate limit")),
+      Holders(addGauge(Registry, "magnoliaspread_object_holders",
+                       "Targets that hold objects, by affinity")),
+      Forgotten(addGauge(Registry, "magnoliaspread_objects_forgotten",
+                         "Runs that were expected warm and took cold time")),
+      MeasuredKinds(addGauge(Registry, "magnoliaspread_kinds_measured",
+                             "Kinds of requests with a measured gain")),
+      SpreadKinds(addGauge(Registry, "magnoliaspread_kinds_spread",
+                           "Kinds of requests spread by load for want of "
+                           "gain")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -171,6 +184,10 @@
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
+  State->Holders.Set(static_cast<double>(Gauges.Holders));
+  State->Forgotten.Set(static_cast<double>(Gauges.Forgotten));
+  State->MeasuredKinds.Set(static_cast<double>(Gauges.MeasuredKinds));
+  State->SpreadKinds.Set(static_cast<double>(Gauges.SpreadKinds));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/report/tests/metrics.cpp
+++ b/packages/report/tests/metrics.cpp
@@ -42,7 +42,7 @@
                         "service=\"calendar\",workspace=\"aero\"} 2");
   });
   section("and reports its state", [&] {
-    Metrics.setGauges({3, 2, 9, 17, 1500ms, true, 0ms, 5, 1, 4});
+    Metrics.setGauges({3, 2, 9, 17, 1500ms, true, 0ms, 5, 1, 4, 31, 6, 3, 2});
     expectLine(Metrics, "magnoliaspread_config_version 17");
     expectLine(Metrics, "magnoliaspread_config_staleness_seconds 1.5");
     expectLine(Metrics, "magnoliaspread_platform_reachable 1");
@@ -50,6 +50,10 @@
     expectLine(Metrics, "magnoliaspread_suspect_requests 5");
     expectLine(Metrics, "magnoliaspread_quarantined_requests 1");
     expectLine(Metrics, "magnoliaspread_limited_targets 4");
+    expectLine(Metrics, "magnoliaspread_object_holders 31");
+    expectLine(Metrics, "magnoliaspread_objects_forgotten 6");
+    expectLine(Metrics, "magnoliaspread_kinds_measured 3");
+    expectLine(Metrics, "magnoliaspread_kinds_spread 2");
   });
 }
 
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -33,6 +33,17 @@
   endpoint_address Public;
 };
 
+/// Affinity of requests to targets that have their object cached, by measured
+/// gain and demand.
+struct affinity_settings {
+  bool Enabled = false;
+  /// Largest load of a target through affinity, relative to its fair part.
+  double LoadFactor = 1.5;
+  /// Smallest gain for which requests go to warm targets, as a fraction of the
+  /// cold service time.
+  double LeastGain = 0.15;
+};
+
 /// Settings of an instance that serves a platform on which targets register
 /// themselves and operators maintain the routes.
 struct gateway_settings {
@@ -67,6 +78,7 @@
   double CpuCores = 0;
   /// Bandwidth of its link, megabits per second; 0 is unknown.
   double LinkMbps = 0;
+  affinity_settings Affinity;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -24,6 +24,7 @@
 /// For drain_ms, config_ms and evacuation_ms; two reads and one request fit.
 constexpr double MinBoundMs = 1000;
 constexpr double MaxLinkMbps = 1000000;
+constexpr double MaxLoadFactor = 100;
 
 /// Parses "address:port" with an IP address; false when malformed.
 bool parseEndpoint(std::string_view Text, endpoint_address &Address) {
@@ -137,6 +138,23 @@
   }
 }
 
+/// The object switches affinity on unless it says otherwise.
+void readAffinity(object_reader &Reader, affinity_settings &Affinity,
+                  read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("affinity", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("affinity"), Fault);
+  Affinity.Enabled = true;
+  Nested(choiceField("enabled"), Affinity.Enabled);
+  Nested(numberField("load_factor", presence::Optional, 1, MaxLoadFactor),
+         Affinity.LoadFactor);
+  Nested(numberField("least_gain", presence::Optional, 0, 1),
+         Affinity.LeastGain);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -174,6 +192,7 @@
          Gateway.CpuCores);
   Nested(numberField("link_mbps", presence::Optional, 0, MaxLinkMbps),
          Gateway.LinkMbps);
+  readAffinity(Nested, Gateway.Affinity, Fault);
   Nested.finish();
 }
 
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -62,6 +62,36 @@
   });
 }
 
+// Failure: affinity switched on, or bounded wrongly, by mistake.
+STORY(affinity_is_off_unless_its_object_switches_it_on) {
+  const auto With = [](const std::string &Affinity) {
+    return validSettingsWith(
+        "\"traffic_threads\"",
+        R"("gateway":{"directory":"127.0.0.1:1","ready":"127.0.0.1:2",
+"data_centres":{"porto-1":"porto"})" +
+            Affinity + "},\"traffic_threads\"");
+  };
+  const auto Read = [&](const std::string &Affinity) {
+    auto Settings = parseSettings(With(Affinity), "porto.json");
+    CPPUNIT_ASSERT_MESSAGE(failed(Settings) ? errorOf(Settings).Detail : "",
+                           !failed(Settings));
+    return valueOf(Settings).Gateway->Affinity;
+  };
+  section("off by default", [&] { CPPUNIT_ASSERT(!Read("").Enabled); });
+  section("on with its object", [&] {
+    const affinity_settings On = Read(R"(,"affinity":{"load_factor":2})");
+    CPPUNIT_ASSERT(On.Enabled);
+    CPPUNIT_ASSERT_EQUAL(2.0, On.LoadFactor);
+    CPPUNIT_ASSERT_EQUAL(0.15, On.LeastGain);
+  });
+  section("off if that says so", [&] {
+    CPPUNIT_ASSERT(!Read(R"(,"affinity":{"enabled":false})").Enabled);
+  });
+  section("a factor below the fair part is rejected", [&] {
+    expectFault(With(R"(,"affinity":{"load_factor":0.5})"), {"load_factor"});
+  });
+}
+
 STORY(wrong_settings_name_their_file_and_field) {
   section("types and ranges", [&] {
     expectFault(validSettingsWith("\"port\":21000", "\"port\":70000"),
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -4,6 +4,7 @@
 #ifndef MAGNOLIASPREAD_GATE_H
 #define MAGNOLIASPREAD_GATE_H
 
+#include <magnoliaspread/affinity.h>
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
@@ -39,6 +40,7 @@
   fleet_retry_settings Retries;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
+  affinity_policy Affinity;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -61,6 +63,12 @@
   std::size_t LimitedTargets = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
+  /// Holders of all objects, and runs expected warm that took cold time.
+  std::size_t Holders = 0;
+  std::uint64_t Forgotten = 0;
+  /// Kinds with a measured gain, and those of them that are spread by load.
+  std::size_t MeasuredKinds = 0;
+  std::size_t SpreadKinds = 0;
 };
 
 class gate {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -321,6 +321,7 @@
     return error{error_kind::NoCapacity, "no target may serve the route", {}};
   Place.Id = ++NextId;
   Place.Kind = stableId(Route.Prefix + Route.Host + Admitted.Service);
+  nameKind(Place.Kind, Route.Name, Admitted.Service);
   if (Route.Sticky && !Head.Object.empty())
     Place.Object = rendezvousScore(Place.Kind, stableId(Head.Object)) | 1U;
   Place.Priority = Route.Priority;
@@ -482,6 +483,7 @@
 }
 
 std::vector<object_update> gate::takeUpdates() {
+  State->logAffinity();
   std::vector<object_update> Messages;
   for (const object_row &Row : State->Placer.takeUpdates()) {
     if (Messages.empty() || Messages.back().Rows.size() >= MaxObjectRows)
@@ -505,6 +507,15 @@
   Counts.Quarantined = State->Quarantine.quarantined(State->Clock.now());
   Counts.LimitedTargets = State->Permits.limits().size(State->Clock.boot());
   Counts.Requests = State->Requests;
+  if (State->Settings.Affinity.Enabled) {
+    const affinity &Affinity = State->Placer.affinityState();
+    Counts.Holders = State->Placer.holders();
+    Counts.Forgotten = Affinity.forgotten();
+    for (const kind_gain &Row : Affinity.gains()) {
+      ++Counts.MeasuredKinds;
+      Counts.SpreadKinds += Row.Follows ? 0 : 1;
+    }
+  }
   return Counts;
 }
 
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -83,6 +83,12 @@
   home_regions homesOf(const route_row &Route,
                        const routed_workspace *Workspace) const;
   bool keysCurrent() const;
+  placer_policy placerPolicy() const;
+  /// Names the kind of a request in logs.
+  void nameKind(std::uint64_t Kind, const std::string &Route,
+                const std::string &Service);
+  /// Logs holders gained and given back, and the measured gains.
+  void logAffinity();
 
   struct place_waiter {
     explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
@@ -103,7 +109,7 @@
   token_gate Tokens;
   instance_metrics &Metrics;
   target_permits Permits;
-  placer Placer{placer_policy{}, &Permits};
+  placer Placer{placerPolicy(), &Permits};
   connection_pool Pool;
   quarantine Quarantine;
   route_index_ptr Routes;
@@ -125,6 +131,10 @@
   /// By route; spreads requests evenly by the weights of its parts.
   name_map<even_draw> Draws;
   std::map<std::uint64_t, tcp::socket *> IdleCallers;
+  /// Route and service by kind of request.
+  std::unordered_map<std::uint64_t, std::string> KindNames;
+  steady_time NextGainLog;
+  steady_time NextHolderLog;
   std::uint64_t NextId = 0;
   std::size_t InFlight = 0;
   std::uint64_t Requests = 0;
