--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -140,6 +140,10 @@
   Gauges.NearHolders = Counts.Crossings.NearHolders;
   Gauges.SlowTargets = Counts.SlowTargets;
   Gauges.SpilledPart = Counts.SpilledPart;
+  Gauges.Holders = Counts.Holders;
+  Gauges.Forgotten = Counts.Forgotten;
+  Gauges.MeasuredKinds = Counts.MeasuredKinds;
+  Gauges.SpreadKinds = Counts.SpreadKinds;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -82,6 +82,10 @@
   Gate.Crossing = {Settings.Gateway->DataCentreCrossing,
                    Settings.Gateway->RegionCrossing};
   Gate.MaxRegionShift = Settings.Gateway->MaxRegionShift;
+  const affinity_settings &Affinity = Settings.Gateway->Affinity;
+  Gate.Affinity.Enabled = Affinity.Enabled;
+  Gate.Affinity.LoadFactor = Affinity.LoadFactor;
+  Gate.Affinity.LeastGain = Affinity.LeastGain;
   return Gate;
 }
 
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -69,6 +69,10 @@
   prometheus::Gauge &NearHolders;
   prometheus::Gauge &SlowTargets;
   prometheus::Gauge &SpilledPart;
+  prometheus::Gauge &Holders;
+  prometheus::Gauge &Forgotten;
+  prometheus::Gauge &MeasuredKinds;
+  prometheus::Gauge &SpreadKinds;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -128,7 +132,16 @@
                            "than usual")),
       SpilledPart(addGauge(Registry, "magnoliaspread_spilled_part",
                            "Largest part of a service's objects that is placed "
-                           "in other regions by their demand")) {
+                           "in other regions by their demand")),
+      Holders(addGauge(Registry, "magnoliaspread_object_holders",
+                       "Targets that hold objects, by affinity")),
+      Forgotten(addGauge(Registry, "magnoliaspread_objects_forgotten",
+                         "Runs that were expected warm and took cold time")),
+      MeasuredKinds(addGauge(Registry, "magnoliaspread_kinds_measured",
+                             "Kinds of requests with a measured gain")),
+      SpreadKinds(addGauge(Registry, "magnoliaspread_kinds_spread",
+                           "Kinds of requests spread by load for want of "
+                           "gain")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -204,6 +217,10 @@
   State->NearHolders.Set(static_cast<double>(Gauges.NearHolders));
   State->SlowTargets.Set(static_cast<double>(Gauges.SlowTargets));
   State->SpilledPart.Set(Gauges.SpilledPart);
+  State->Holders.Set(static_cast<double>(Gauges.Holders));
+  State->Forgotten.Set(static_cast<double>(Gauges.Forgotten));
+  State->MeasuredKinds.Set(static_cast<double>(Gauges.MeasuredKinds));
+  State->SpreadKinds.Set(static_cast<double>(Gauges.SpreadKinds));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -171,11 +171,13 @@
   std::erase_if(Found->second, [&](const holder &Row) {
     const double Age = seconds(Now - Row.WarmingSince.value_or(Now));
     return Now - Row.Used >= Policy.WarmTime ||
+           !Affinity.remembers(Row.Target, Request.Object) ||
            Age >= Cold * Policy.WarmingPatience;
   });
   const crossing_price Price =
       Crossing.priceOf(Request.Kind, Request.BodyBytes, Now);
   const double Good = seconds(Request.GoodUntil - Now);
+  const target_handle Preferred = preferredHolder(Request, Now);
   std::optional<choice> Best;
   std::pair<bool, double> LeastCost;
   for (const holder &Row : Found->second) {
@@ -193,7 +195,8 @@
         Crossing.enabled() && Expected > Good,
         Expected + seconds(Price.at(State->Info.Distance)) -
             (Limited ? seconds(Policy.LimitedMargin) : 0) -
-            regionBonus(*State, Region));
+            regionBonus(*State, Region) +
+            holderBias(Request, Row.Target, Preferred));
     if (Best && LeastCost <= Cost)
       continue;
     LeastCost = Cost;
@@ -209,7 +212,8 @@
 placer::bestOther(const place_request &Request, const choice *Holder,
                   std::optional<std::uint8_t> Region, steady_time Now) {
   listCandidates(Request, Region, Now);
-  const double Service = serviceSeconds(Request, Request.Object == 0);
+  if (Holder != nullptr)
+    listReleased(Request, Now);
   const double Margin = seconds(Policy.LeaveMargin);
   const crossing_price Price =
       Crossing.priceOf(Request.Kind, Request.BodyBytes, Now);
@@ -220,6 +224,7 @@
     if (Holder != nullptr && (holderOf(Request.Object, Row.Target) != nullptr ||
                               !hasSpareSlots(Row.Target, Now)))
       continue;
+    const double Service = newHolderSeconds(Request, Row.Target);
     const double Expected = expected(State, Request, Service, Now);
     if (Holder != nullptr && Expected >= Holder->Expected - Margin)
       continue;
@@ -227,7 +232,8 @@
     const auto Distance = static_cast<std::size_t>(State.Info.Distance);
     const double Cost = Holder != nullptr
                             ? Expected + seconds(Price.at(State.Info.Distance))
-                            : Expected - seconds(Policy.RoundTrip[Distance]);
+                            : Expected - seconds(Policy.RoundTrip[Distance]) +
+                                  crowding(Request, Row.Target, Service, Now);
     if (Best && Cost >= CostToBeat)
       continue;
     Best = choice{Row.Target, Expected, hasRoom(Row.Target, Now)};
@@ -286,15 +292,21 @@
 
 std::optional<placer::choice> placer::chooseTarget(const place_request &Request,
                                                    steady_time Now) {
+  if (!followsAffinity(Request))
+    return chooseFreely(Request, Now);
   const std::optional<std::uint8_t> Region = movedRegion(Request);
   if (Region && !hasHolderIn(Request.Object, *Region))
     if (auto Moved = moveToRegion(Request, *Region, Now))
       return Moved;
   const std::optional<choice> Holder = bestHolder(Request, Region, Now);
+  if (isIdleProbe(Request, Holder, Now))
+    return chooseFreely(Request, Now);
   if (!Holder)
     return bestOther(Request, nullptr, std::nullopt, Now);
   if (const std::optional<choice> Near = nearHolder(Request, *Holder, Now))
     return Near;
+  if (const auto Added = additionalHolder(Request, *Holder, Now))
+    return Added;
   const double Good = seconds(Request.GoodUntil - Now);
   if (Holder->Expected <= Good)
     return Holder;
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -4,6 +4,7 @@
 #ifndef MAGNOLIASPREAD_GATE_H
 #define MAGNOLIASPREAD_GATE_H
 
+#include <magnoliaspread/affinity.h>
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
@@ -52,6 +53,7 @@
   /// requests that may change region from one window of 2 s to the next; 0 is
   /// off.
   double MaxRegionShift = 0;
+  affinity_policy Affinity;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -82,6 +84,12 @@
   double SpilledPart = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
+  /// Holders of all objects, and runs expected warm that took cold time.
+  std::size_t Holders = 0;
+  std::uint64_t Forgotten = 0;
+  /// Kinds with a measured gain, and those of them that are spread by load.
+  std::size_t MeasuredKinds = 0;
+  std::size_t SpreadKinds = 0;
 };
 
 class gate {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -65,6 +65,7 @@
 placer_policy placerPolicy(const gate_settings &Settings) {
   placer_policy Policy;
   Policy.Crossing = Settings.Crossing;
+  Policy.Affinity = Settings.Affinity;
   Policy.Spill.MaxShift = Settings.MaxRegionShift;
   const name_map<std::size_t> Numbers = numberRegions(Settings.Regions);
   if (const auto Own = Numbers.find(Settings.Region); Own != Numbers.end())
@@ -350,6 +351,7 @@
     return error{error_kind::NoCapacity, "no target may serve the route", {}};
   Place.Id = ++NextId;
   Place.Kind = stableId(Route.Prefix + Route.Host + Admitted.Service);
+  nameKind(Place.Kind, Route.Name, Admitted.Service);
   if (Route.Sticky && !Head.Object.empty())
     Place.Object = rendezvousScore(Place.Kind, stableId(Head.Object)) | 1U;
   Place.Priority = Route.Priority;
@@ -515,6 +517,7 @@
 }
 
 std::vector<object_update> gate::takeUpdates() {
+  State->logAffinity();
   std::vector<object_update> Messages;
   for (const object_row &Row : State->Placer.takeUpdates()) {
     if (Messages.empty() || Messages.back().Rows.size() >= MaxObjectRows)
@@ -542,6 +545,15 @@
   Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.SpilledPart = State->spilledPart();
   Counts.Requests = State->Requests;
+  if (State->Settings.Affinity.Enabled) {
+    const affinity &Affinity = State->Placer.affinityState();
+    Counts.Holders = State->Placer.holders();
+    Counts.Forgotten = Affinity.forgotten();
+    for (const kind_gain &Row : Affinity.gains()) {
+      ++Counts.MeasuredKinds;
+      Counts.SpreadKinds += Row.Follows ? 0 : 1;
+    }
+  }
   return Counts;
 }
 
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -103,6 +103,11 @@
                        const routed_workspace *Workspace) const;
   bool keysCurrent() const;
   double spilledPart() const;
+  /// Names the kind of a request in logs.
+  void nameKind(std::uint64_t Kind, const std::string &Route,
+                const std::string &Service);
+  /// Logs holders gained and given back, and the measured gains.
+  void logAffinity();
 
   struct place_waiter {
     explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
@@ -147,6 +152,10 @@
   /// By route; spreads requests evenly by the weights of its parts.
   name_map<even_draw> Draws;
   std::map<std::uint64_t, tcp::socket *> IdleCallers;
+  /// Route and service by kind of request.
+  std::unordered_map<std::uint64_t, std::string> KindNames;
+  steady_time NextGainLog;
+  steady_time NextHolderLog;
   std::uint64_t NextId = 0;
   std::size_t InFlight = 0;
   /// Of these, requests behind another one of their connection.
