--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -143,6 +143,36 @@
   });
 }
 
+// Failure: a cost of crossing where none was set, or one that isn't a cost.
+STORY(crossing_costs_nothing_unless_set) {
+  const auto With = [](const std::string &Crossing) {
+    return validSettingsWith(
+        "\"traffic_threads\":1",
+        "\"gateway\":{\"directory\":\"127.0.0.1:1\",\"ready\":"
+        "\"127.0.0.1:2\",\"data_centres\":{\"porto-1\":\"porto\"}" +
+            Crossing + "}");
+  };
+  const auto None = parseSettings(With(""), "porto.json");
+  CPPUNIT_ASSERT_MESSAGE(failed(None) ? errorOf(None).Detail : "",
+                         !failed(None));
+  CPPUNIT_ASSERT(valueOf(None).Gateway->DataCentreCrossing.count() == 0);
+  CPPUNIT_ASSERT(valueOf(None).Gateway->RegionCrossing.count() == 0);
+  const auto Some =
+      parseSettings(With(",\"crossing\":{\"data_centre_ms_per_mb\":900,"
+                         "\"region_ms_per_mb\":1800}"),
+                    "porto.json");
+  CPPUNIT_ASSERT_MESSAGE(failed(Some) ? errorOf(Some).Detail : "",
+                         !failed(Some));
+  CPPUNIT_ASSERT(valueOf(Some).Gateway->DataCentreCrossing ==
+                 std::chrono::milliseconds(900));
+  CPPUNIT_ASSERT(valueOf(Some).Gateway->RegionCrossing ==
+                 std::chrono::milliseconds(1800));
+  expectFault(With(",\"crossing\":{\"data_centre_ms_per_mb\":-1}"),
+              {"crossing", "data_centre_ms_per_mb", "-1"});
+  expectFault(With(",\"crossing\":{\"target_ms_per_mb\":1}"),
+              {"crossing", "target_ms_per_mb"});
+}
+
 STORY(wrong_settings_name_their_file_and_field) {
   section("types and ranges", [&] {
     expectFault(validSettingsWith("\"port\":21000", "\"port\":70000"),
@@ -167,34 +197,6 @@
     expectFault("{", {"line 1"});
     expectFault("7", {"7", "object"});
   });
-  section("costs of crossing", [&] {
-    const auto With = [](const std::string &Crossing) {
-      return validSettingsWith(
-          "\"traffic_threads\":1",
-          "\"gateway\":{\"directory\":\"127.0.0.1:1\",\"ready\":"
-          "\"127.0.0.1:2\",\"data_centres\":{\"porto-1\":\"porto\"}" +
-              Crossing + "}");
-    };
-    const auto None = parseSettings(With(""), "porto.json");
-    CPPUNIT_ASSERT_MESSAGE(failed(None) ? errorOf(None).Detail : "",
-                           !failed(None));
-    CPPUNIT_ASSERT(valueOf(None).Gateway->DataCentreCrossing.count() == 0);
-    CPPUNIT_ASSERT(valueOf(None).Gateway->RegionCrossing.count() == 0);
-    const auto Some =
-        parseSettings(With(",\"crossing\":{\"data_centre_ms_per_mb\":900,"
-                           "\"region_ms_per_mb\":1800}"),
-                      "porto.json");
-    CPPUNIT_ASSERT_MESSAGE(failed(Some) ? errorOf(Some).Detail : "",
-                           !failed(Some));
-    CPPUNIT_ASSERT(valueOf(Some).Gateway->DataCentreCrossing ==
-                   std::chrono::milliseconds(900));
-    CPPUNIT_ASSERT(valueOf(Some).Gateway->RegionCrossing ==
-                   std::chrono::milliseconds(1800));
-    expectFault(With(",\"crossing\":{\"data_centre_ms_per_mb\":-1}"),
-                {"crossing", "data_centre_ms_per_mb", "-1"});
-    expectFault(With(",\"crossing\":{\"zone_ms_per_mb\":1}"),
-                {"crossing", "zone_ms_per_mb"});
-  });
   section("secrets, without showing them", [&] {
     expectFault(validSettingsWith(Secret, "0badsecret"),
                 {"fleet_secret", "64 hex"});
--- a/packages/steering/tests/affinityload.h
+++ b/packages/steering/tests/affinityload.h
@@ -263,7 +263,9 @@
           continue;
         const target_report Report{
             static_cast<std::uint32_t>(Row.Running.size()),
-            static_cast<std::uint32_t>(Row.Queue.size()), Shape.Slots};
+            static_cast<std::uint32_t>(Row.Queue.size()),
+            Shape.Slots,
+            {}};
         Placers[Run.Instance]->finished({handleAt<target_handle>(I), Object,
                                          Kind, target_result::Answered,
                                          Now - Run.Sent, Report, std::nullopt},
