Demand by region: forecast, failed targets and cut regions

Cause: the averages of the demand, a second each, lag behind a wave's curvature; the ramp kept its margin for popular objects also when failures took a region's slots; regions that no longer hear each other each took all the room of a third.

Change: averages of 700 ms. Targets that are cold again or unreachable count as lost slots, and a region with such is relieved at the whole of max_shift instead of 0.6 of it. Regions that aren't heard but have targets keep their claim with the last known demand.

--- a/packages/steering/include/magnoliaspread/demandmeter.h
+++ b/packages/steering/include/magnoliaspread/demandmeter.h
@@ -15,7 +15,7 @@
 
 struct demand_meter_settings {
   /// Time constant of both averages.
-  std::chrono::milliseconds Memory{1000};
+  std::chrono::milliseconds Memory{700};
   /// The forecast is for this long after the measurement: about the delay of
   /// the messages between regions.
   std::chrono::milliseconds Lead{2000};
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -300,10 +300,10 @@
                    steady_time Now);
   /// The plan of a service; null before its first update.
   const spill_plan *spill(service_handle Service) const;
-  /// Open slots of a service in a region, less those that limits and cold
-  /// targets leave unused.
-  double slotsIn(service_handle Service, std::size_t Region,
-                 steady_time Now) const;
+  /// Slots of a service's open targets in a region, less what limits leave
+  /// unused.
+  region_slots slotsIn(service_handle Service, std::size_t Region,
+                       steady_time Now) const;
 
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
@@ -338,6 +338,8 @@
     steady_time PausedUntil;
     /// Was unreachable; cold for ColdTime after its next answer.
     bool Restarted = false;
+    /// Has been warm since it was last opened.
+    bool WasWarm = false;
     double ColdTokens = 1;
     steady_time ColdRefilledAt;
     /// Last load report not yet sent to peers, in requests.
@@ -452,6 +454,8 @@
   /// Part of the own region's objects that it keeps, by slots alone.
   double fixedLocalPart(const service_capacity &Capacity) const;
   region_parts fixedParts(const service_capacity &Capacity) const;
+  bool isUnreachable(const target_state &Target, steady_time Now) const;
+  void noteWarmTargets(service_handle Service, steady_time Now);
   /// The region to which the plan has moved the request's object.
   std::optional<std::uint8_t> movedRegion(const place_request &Request);
   object_region planObject(const place_request &Request,
--- a/packages/steering/include/magnoliaspread/spillplan.h
+++ b/packages/steering/include/magnoliaspread/spillplan.h
@@ -26,18 +26,31 @@
   double ReturnPart = 0.6;
   /// Part of MaxShift that the plan uses: popular objects count more.
   double RampPart = 0.6;
+  /// A region that has lost more than this part of its slots to failures is
+  /// relieved at the whole of MaxShift.
+  double LossPart = 0.1;
   /// Parts that are closer than this to the plan stay.
   double DeadBand = 0.03;
   double LeastLocal = 0.05;
   double MostLocal = 0.96;
 };
 
+/// Slots of a service's targets in one region.
+struct region_slots {
+  double Usable = 0;
+  /// Unusable because of failures: of targets that are unreachable, or cold
+  /// again while they were in service.
+  double Lost = 0;
+};
+
 /// Demand and room of a service in one region, in slots.
 struct region_load {
   /// False while the region's demand isn't known.
   bool Known = false;
   double Demand = 0;
   double Slots = 0;
+  /// See region_slots::Lost; not in Slots.
+  double LostSlots = 0;
 };
 
 /// Parts of a region's objects by the region that they run in; they add up
@@ -76,13 +89,18 @@
   bool moving() const { return Moving; }
 
 private:
+  std::vector<region_load>
+  withFormerDemand(const std::vector<region_load> &Regions);
   region_parts wantedParts(const std::vector<region_load> &Regions,
+                           const std::vector<region_load> &Claims,
                            const region_parts &Fixed,
                            const region_parts &Current) const;
 
   spill_settings Settings;
   std::size_t Own;
   std::optional<region_parts> InForce;
+  /// The last known demand of each region that still has slots.
+  std::array<double, MaxRegions> FormerDemand{};
   region_parts Wanted{};
   std::optional<steady_time> UpdatedAt;
   bool Moving = false;
--- a/packages/steering/src/placerregions.cpp
+++ b/packages/steering/src/placerregions.cpp
@@ -63,17 +63,40 @@
              : nullptr;
 }
 
-double placer::slotsIn(service_handle Service, std::size_t Region,
-                       steady_time Now) const {
+/// Unreachable at its last try. Not believed for longer than two pauses: other
+/// instances may have reached it since.
+bool placer::isUnreachable(const target_state &Target, steady_time Now) const {
+  return Target.Restarted && Now - Target.FailedAt < 2 * Policy.LargestPause;
+}
+
+/// Targets that are cold after they were opened aren't a loss, those that had
+/// been warm before are.
+void placer::noteWarmTargets(service_handle Service, steady_time Now) {
+  for (const target_handle Handle : ByService[Service.Index]) {
+    target_state &State = Targets[Handle.Index];
+    const bool IsWarm =
+        State.Info.ColdUntil <= Now && !isUnreachable(State, Now);
+    State.WasWarm = State.Info.Open && (State.WasWarm || IsWarm);
+  }
+}
+
+region_slots placer::slotsIn(service_handle Service, std::size_t Region,
+                             steady_time Now) const {
+  region_slots Slots;
   if (Service.Index >= ByService.size())
-    return 0;
+    return Slots;
   // A cold target has none of its objects cached.
   const double ColdPart = Policy.WarmGuess / Policy.ColdGuess;
-  double Slots = 0;
   for (const target_handle Handle : ByService[Service.Index]) {
     const target_state &State = Targets[Handle.Index];
-    if (State.Info.Open && State.Info.Region == Region)
-      Slots += usableSlots(State) * (State.Info.ColdUntil > Now ? ColdPart : 1);
+    if (!State.Info.Open || State.Info.Region != Region)
+      continue;
+    const double Part = isUnreachable(State, Now)    ? 0
+                        : State.Info.ColdUntil > Now ? ColdPart
+                                                     : 1;
+    Slots.Usable += usableSlots(State) * Part;
+    if (State.WasWarm)
+      Slots.Lost += usableSlots(State) * (1 - Part);
   }
   return Slots;
 }
@@ -83,10 +106,13 @@
                          steady_time Now) {
   if (Policy.Spill.MaxShift <= 0 || Service.Index >= ByService.size())
     return;
+  noteWarmTargets(Service, Now);
   std::vector<region_load> Regions;
-  for (std::size_t I = 0; I < std::min(Demand.size(), MaxRegions); ++I)
+  for (std::size_t I = 0; I < std::min(Demand.size(), MaxRegions); ++I) {
+    const region_slots Slots = slotsIn(Service, I, Now);
     Regions.push_back({Demand[I].has_value(), Demand[I].value_or(0),
-                       slotsIn(Service, I, Now)});
+                       Slots.Usable, Slots.Lost});
+  }
   if (Service.Index >= Spills.size())
     Spills.resize(Service.Index + 1U);
   std::optional<service_spill> &Spill = Spills[Service.Index];
--- a/packages/steering/src/spillplan.cpp
+++ b/packages/steering/src/spillplan.cpp
@@ -62,13 +62,14 @@
 namespace {
 
 /// What the own region may take of each other one: its part of the room by its
-/// part of the need. Up to half of what the level leaves free is used before
-/// objects move from one region to another.
+/// part of the need of all \p Claims. Up to half of what the level leaves free
+/// is used before objects move from one region to another.
 region_parts takeableRoom(const std::vector<region_load> &Regions,
+                          const std::vector<region_load> &Claims,
                           std::size_t Own, double Level) {
   const double Use = std::max(Level, (Level + 1) / 2);
   double AllNeed = 0;
-  for (const region_load &Row : Regions)
+  for (const region_load &Row : Claims)
     if (Row.Known)
       AllNeed += std::max(0.0, Row.Demand - Level * Row.Slots);
   const region_load &Here = Regions[Own];
@@ -84,6 +85,13 @@
   return Room;
 }
 
+bool hasLostSlots(const std::vector<region_load> &Regions, double LossPart) {
+  return std::any_of(
+      Regions.begin(), Regions.end(), [&](const region_load &Row) {
+        return Row.LostSlots > LossPart * (Row.Slots + Row.LostSlots);
+      });
+}
+
 double sumOf(const region_parts &Parts) {
   return std::accumulate(Parts.begin(), Parts.end(), 0.0);
 }
@@ -115,9 +123,27 @@
 
 } // namespace
 
+/// Regions that aren't heard but still have targets count with their last known
+/// demand: they may be spilling into the same regions as this one.
+std::vector<region_load>
+spill_plan::withFormerDemand(const std::vector<region_load> &Regions) {
+  std::vector<region_load> Claims = Regions;
+  for (std::size_t I = 0; I < Claims.size(); ++I) {
+    region_load &Row = Claims[I];
+    if (Row.Known)
+      FormerDemand[I] = Row.Demand;
+    else if (Row.Slots + Row.LostSlots <= 0)
+      FormerDemand[I] = 0;
+    Row.Demand = FormerDemand[I];
+    Row.Known = Row.Known || Row.Demand > 0;
+  }
+  return Claims;
+}
+
 /// The own region's part stays where it is between the plan and its return
 /// bound, and the others' parts while they have the room.
 region_parts spill_plan::wantedParts(const std::vector<region_load> &Regions,
+                                     const std::vector<region_load> &Claims,
                                      const region_parts &Fixed,
                                      const region_parts &Current) const {
   const region_load &Here = Regions[Own];
@@ -127,8 +153,8 @@
       });
   if (!Here.Known || Here.Demand <= 0 || Alone)
     return Fixed;
-  const double Level = spillLevel(Regions, Settings.Fill);
-  const region_parts Room = takeableRoom(Regions, Own, Level);
+  const double Level = spillLevel(Claims, Settings.Fill);
+  const region_parts Room = takeableRoom(Regions, Claims, Own, Level);
   const double AllRoom = sumOf(Room);
   const double Most = std::min(1.0, Level * Here.Slots / Here.Demand);
   const double Least =
@@ -162,11 +188,13 @@
       std::min(MaxStepSeconds, seconds(Now - UpdatedAt.value_or(Now)));
   UpdatedAt = Now;
   const region_parts Current = InForce.value_or(Fixed);
-  Wanted = wantedParts(Regions, Fixed, Current);
+  Wanted = wantedParts(Regions, withFormerDemand(Regions), Fixed, Current);
   const double Distance = movedPart(Current, Wanted);
   Moving = Distance > (Moving ? Tiny : Settings.DeadBand);
+  const double RampPart =
+      hasLostSlots(Regions, Settings.LossPart) ? 1 : Settings.RampPart;
   const double Step =
-      Settings.MaxShift * Settings.RampPart * Elapsed / seconds(ShiftWindow);
+      Settings.MaxShift * RampPart * Elapsed / seconds(ShiftWindow);
   if (!Moving || Step <= 0)
     return false;
   InForce = moved(Current, Wanted, Own, Step);
--- a/packages/steering/tests/demandmeter.cpp
+++ b/packages/steering/tests/demandmeter.cpp
@@ -112,6 +112,25 @@
                          MostShort <= 1 - Spill.Fill);
 }
 
+// A wave of 36 s is known two seconds ahead to a tenth of its mean.
+STORY(a_wave_is_forecast_to_a_tenth) {
+  demand_meter Meter{demand_meter_settings{}};
+  const auto Demand = [](double Seconds) {
+    return 20 * (1 + 0.55 * std::sin(2 * M_PI * Seconds / 36));
+  };
+  constexpr double Lead = 2;
+  double Worst = 0;
+  for (auto Time = 0ms; Time < 90s; Time += 2ms) {
+    const double At = std::chrono::duration<double>(Time).count();
+    Meter.count(Service, Demand(At) * 0.002, Start + Time);
+    if (At >= 10)
+      Worst = std::max(Worst, std::abs(Meter.forecast(Service, Start + Time) -
+                                       Demand(At + Lead)) /
+                                  20);
+  }
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(Worst), Worst <= 0.1);
+}
+
 // Callers leave all at once: the demand doesn't stay.
 STORY(demand_ends_with_its_callers) {
   demand_meter Meter{demand_meter_settings{}};
--- a/packages/steering/tests/placerregions.cpp
+++ b/packages/steering/tests/placerregions.cpp
@@ -192,6 +192,55 @@
   });
 }
 
+// Slots that failures take from a region are told from those that the
+// configuration does.
+STORY(lost_slots_are_those_of_failed_targets) {
+  small_region Region(MaxShift);
+  const auto OwnSlots = [&] {
+    Region.Placer.updateSpill(Service, {20.0, 20.0, 15.0}, Region.Now);
+    return Region.Placer.slotsIn(Service, Own, Region.Now);
+  };
+  const auto SetOwn = [&](bool Open, milliseconds ColdFor) {
+    for (placer_target &Target : Region.Targets)
+      if (Target.Region == Own) {
+        Target.Open = Open;
+        Target.ColdUntil = Region.Now + ColdFor;
+      }
+    Region.Placer.setTargets(Region.Targets, Region.Now);
+  };
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(10, OwnSlots().Usable, 1e-9);
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(0, OwnSlots().Lost, 1e-9);
+  section("targets that are cold again", [&] {
+    SetOwn(true, 5s);
+    CPPUNIT_ASSERT(OwnSlots().Usable < 5);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10, OwnSlots().Usable + OwnSlots().Lost, 1e-9);
+    Region.Now += 6s;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, OwnSlots().Lost, 1e-9);
+  });
+  section("a drained region that opens cold", [&] {
+    SetOwn(false, 0s);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, OwnSlots().Usable + OwnSlots().Lost, 1e-9);
+    SetOwn(true, 5s);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, OwnSlots().Lost, 1e-9);
+    Region.Now += 6s;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10, OwnSlots().Usable, 1e-9);
+  });
+  section("an unreachable target, until that is too old", [&] {
+    Region.Placer.finished({Region.Targets[18].Handle,
+                            1,
+                            7,
+                            target_result::Unreachable,
+                            0ms,
+                            {},
+                            {}},
+                           Region.Now);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5, OwnSlots().Usable, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5, OwnSlots().Lost, 1e-9);
+    Region.Now += 9s;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10, OwnSlots().Usable, 1e-9);
+  });
+}
+
 // Without the setting, demand changes nothing.
 STORY(placement_without_the_plan_ignores_demand) {
   small_region Off(0);
--- a/packages/steering/tests/spillplan.cpp
+++ b/packages/steering/tests/spillplan.cpp
@@ -63,6 +63,13 @@
   expectWithinBounds(Regions);
 }
 
+// Such waves when the mean demand is 84 in 100 of all slots.
+STORY(waves_near_the_slots_of_all_regions) {
+  spilling_regions Regions(Uneven, wave(28));
+  Regions.run(90s, 12s);
+  expectWithinBounds(Regions);
+}
+
 // 80 in 100 callers of a region move to the one with few slots.
 STORY(most_callers_of_a_region_move) {
   spilling_regions Regions(Uneven, [](std::size_t Region, double Seconds) {
@@ -92,6 +99,36 @@
   });
 }
 
+// All targets of a region come back cold: the others take over within the
+// stability window of four seconds.
+STORY(cold_targets_are_relieved_within_four_seconds) {
+  spilling_regions Regions(Uneven, [](std::size_t, double) { return 20; });
+  Regions.run(20s, 10s);
+  Regions.Slots[1] = 15;
+  Regions.run(15s, 4s);
+  expectWithinBounds(Regions);
+}
+
+// Two regions that need a third one's room no longer hear each other.
+STORY(two_halves_of_a_cut_spill_into_a_third) {
+  spilling_regions Regions({20, 20, 60}, [](std::size_t Region, double) {
+    return Region == 2 ? 5 : 45;
+  });
+  Regions.run(20s, 15s);
+  Regions.CutPair = true;
+  section("each leaves the other its part of the room", [&] {
+    Regions.run(60s, 0s);
+    expectWithinBounds(Regions);
+  });
+  section("a half without targets has no part", [&] {
+    Regions.Slots[1] = 0;
+    Regions.WarmSlots[1] = 0;
+    Regions.run(20s, 20s);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Regions.parts(0)[2]),
+                           Regions.parts(0)[2] * 45 >= 0.9 * (45 - 0.8 * 20));
+  });
+}
+
 // A region that exchanges no messages with the others.
 STORY(a_region_is_cut_off) {
   spilling_regions Regions(Uneven, [](std::size_t, double) { return 25; });
--- a/packages/steering/tests/spillregions.h
+++ b/packages/steering/tests/spillregions.h
@@ -66,7 +66,8 @@
   using demand_at = std::function<double(std::size_t Region, double Seconds)>;
 
   spilling_regions(std::vector<double> RegionSlots, demand_at Demand)
-      : Slots(std::move(RegionSlots)), Demand(std::move(Demand)) {
+      : Slots(std::move(RegionSlots)), WarmSlots(Slots),
+        Demand(std::move(Demand)) {
     for (std::size_t I = 0; I < Slots.size(); ++I) {
       Meters.emplace_back(demand_meter_settings{});
       Plans.emplace_back(enabled(), I);
@@ -105,10 +106,14 @@
   const region_parts &fixed(std::size_t Region) const { return Fixed[Region]; }
 
   std::vector<double> Slots;
+  /// Those that a region would have without failures.
+  std::vector<double> WarmSlots;
   /// Part of the messages that is lost.
   double Lost = 0;
   /// Region that exchanges no messages with the others.
   std::optional<std::size_t> Cut;
+  /// Regions 0 and 1 exchange no messages, but both do with region 2.
+  bool CutPair = false;
   /// Largest use of a region's slots that was checked while another had room.
   double WorstUse = 0;
   double MostMoved = 0;
@@ -126,7 +131,9 @@
   void tell() {
     for (std::size_t From = 0; From < Slots.size(); ++From)
       for (std::size_t To = 0; To < Slots.size(); ++To) {
-        const bool Blocked = Cut && From != To && (From == *Cut || To == *Cut);
+        const bool Blocked =
+            (Cut && From != To && (From == *Cut || To == *Cut)) ||
+            (CutPair && From != To && From != 2 && To != 2);
         if (!Blocked && !std::bernoulli_distribution(Lost)(Random))
           Heard[To][From].push_back({Now, Meters[From].forecast(Service, Now)});
       }
@@ -139,7 +146,8 @@
     const bool Usable = !Known.empty() &&
                         Known.front().SentAt + MessageDelay <= Now &&
                         Now - Known.front().SentAt < UnknownAfter;
-    return {Usable, Usable ? Known.front().Demand : 0, Slots[Region]};
+    return {Usable, Usable ? Known.front().Demand : 0, Slots[Region],
+            WarmSlots[Region] - Slots[Region]};
   }
 
   void update(bool Check) {
--- a/packages/traffic/src/gatedemand.cpp
+++ b/packages/traffic/src/gatedemand.cpp
@@ -40,10 +40,10 @@
     const spill_plan *Plan = State->Placer.spill(Handle);
     if (Plan == nullptr || !Plan->parts())
       continue;
+    const region_slots Slots = State->Placer.slotsIn(Handle, Own, Now);
     State->SpillLog.update(Service.Name,
                            {(*Plan->parts())[Own], Plan->wanted()[Own],
-                            Demand[Own].value_or(0),
-                            State->Placer.slotsIn(Handle, Own, Now)},
+                            Demand[Own].value_or(0), Slots.Usable, Slots.Lost},
                            Now);
   }
 }
--- a/packages/traffic/src/spilllog.cpp
+++ b/packages/traffic/src/spilllog.cpp
@@ -27,7 +27,8 @@
             {"local_part", State.LocalPart},
             {"wanted_part", State.WantedPart},
             {"demand_slots", State.Demand},
-            {"region_slots", State.Slots}});
+            {"region_slots", State.Slots},
+            {"lost_slots", State.LostSlots}});
 }
 
 } // namespace magnoliaspread
--- a/packages/traffic/src/spilllog_p.h
+++ b/packages/traffic/src/spilllog_p.h
@@ -17,6 +17,8 @@
   /// Of the own region, in slots.
   double Demand = 0;
   double Slots = 0;
+  /// Lost to failures; not in Slots.
+  double LostSlots = 0;
 };
 
 class spill_log {
