Wait queue with fair shares between workspaces, off by default

The queue of requests that wait for a target named no workspace, so that a flood of one filled it for all. wait_queue holds it now, by urgency as before; with fair shares on, by start-time fair queueing between workspaces and between the priorities within each. fairq and wait_queue share the arithmetic (fairflow.h). workspace_shares measures demand by workspace and computes the fleet's max-min shares; nothing switches it on yet.

--- a/packages/steering/include/magnoliaspread/fairq.h
+++ b/packages/steering/include/magnoliaspread/fairq.h
@@ -8,6 +8,7 @@
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/error.h>
+#include <magnoliaspread/fairflow.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/indexheap.h>
 
@@ -53,10 +54,7 @@
     std::uint32_t Next = None;
   };
 
-  struct workspace_queue {
-    double Weight = 1;
-    /// Virtual start time of the first entry, or of the next one when empty.
-    double Start = 0;
+  struct workspace_queue : fair_flow {
     /// Mean slot time of the workspace's requests in seconds; 0 is unknown.
     double MeanSeconds = 0;
     /// Mean time between grants since the workspace last had no entry, in
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -22,14 +22,15 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
+#include <magnoliaspread/placerequest.h>
 #include <magnoliaspread/pushback.h>
 #include <magnoliaspread/sendpermits.h>
 #include <magnoliaspread/spillplan.h>
 #include <magnoliaspread/targetdistance.h>
 #include <magnoliaspread/targetpace.h>
+#include <magnoliaspread/waitqueue.h>
 
 #include <array>
-#include <bitset>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -41,9 +42,6 @@
 
 namespace magnoliaspread {
 
-/// Allowed regions by their number in the settings; none set allows all.
-using home_regions = std::bitset<32>;
-
 struct placer_policy {
   /// Assumed use of a service's slots in the own region when every region
   /// sends the same load; decides how many objects of a region with few
@@ -121,6 +119,8 @@
   std::chrono::milliseconds RegionMargin{60};
   /// Holders by demand; off by default.
   affinity_policy Affinity;
+  /// Room by workspace; off by default.
+  fair_share_policy FairShare;
 };
 
 /// Configuration and membership state of a target.
@@ -144,27 +144,6 @@
   std::chrono::milliseconds ColdTime{0};
 };
 
-struct place_request {
-  /// Chosen by the caller; unique among the requests that wait.
-  std::uint64_t Id = 0;
-  service_handle Service;
-  /// Hash of route and object; 0 for a request without an object.
-  std::uint64_t Object = 0;
-  /// Class of requests with similar service times.
-  std::uint64_t Kind = 0;
-  /// Regions that may handle the request.
-  home_regions Homes;
-  /// 0 is the most urgent.
-  std::uint32_t Priority = 0;
-  steady_time Arrived;
-  steady_time Deadline;
-  /// Latency target; a later answer counts as late.
-  steady_time GoodUntil;
-  std::size_t BodyBytes = 0;
-  /// Targets of earlier attempts.
-  std::vector<target_handle> Tried;
-};
-
 /// Send the request to Target now; it counts as in flight already.
 struct place_send {
   target_handle Target;
@@ -257,6 +236,16 @@
   /// The rate limit of a target was announced, changed or withdrawn.
   void limitsChanged() { updateCapacities(); }
 
+  /// The largest demands for the service by workspace, and the slots of all its
+  /// targets; see workspace_shares::update().
+  void updateShares(service_handle Service,
+                    const std::vector<workspace_claim> &Claims, double Slots,
+                    steady_time Now) {
+    Waiting.shares().update(Service, Claims, Slots, Now);
+  }
+  const wait_queue &queue() const { return Waiting; }
+  wait_queue &queue() { return Waiting; }
+
   /// Queued requests that are now sent or refused, most urgent first.
   std::vector<place_grant> poll(steady_time Now);
 
@@ -384,18 +373,6 @@
     std::array<double, MaxRegions> RegionSlots{};
   };
 
-  /// What a queued request waits for.
-  struct wait_reason {
-    target_handle Target;
-    /// A permit; the target has a free slot.
-    bool ForPermit = false;
-  };
-
-  struct waiting_request {
-    place_request Request;
-    wait_reason Wait;
-  };
-
   struct service_spill {
     spill_plan Plan;
     /// Counts changes of the plan and of the targets.
@@ -521,6 +498,9 @@
   bool receiveAffinity(const object_row &Row, target_handle Target,
                        steady_time Now);
   void updatePlan(steady_time Now);
+  /// Queues or refuses a request whose workspace has used its share.
+  placement_verdict hold(const place_request &Request, steady_time Now,
+                         wait_reason &Wait);
   placement_verdict decide(const place_request &Request, steady_time Now,
                            wait_reason &Wait);
   void start(const place_request &Request, target_handle Target,
@@ -570,7 +550,7 @@
   std::unordered_map<std::uint64_t, std::vector<holder>> Objects;
   std::vector<object_row> Updates;
   std::vector<target_handle> UnsentLoads;
-  std::vector<waiting_request> Waiting;
+  wait_queue Waiting{Policy.MaxWaiting, Policy.FairShare};
   std::vector<candidate> Candidates;
   affinity Affinity;
   std::vector<released_holder> Released;
--- a/packages/steering/src/fairq.cpp
+++ b/packages/steering/src/fairq.cpp
@@ -67,8 +67,7 @@
     if (Id == Workspace)
       continue;
     const fair_queue::workspace_queue &Other = Queue.Workspaces[Id];
-    const double Share = std::max(0.0, Finish - Other.Start) * Other.Weight;
-    Work += std::min(Other.Count * chargeOf(Queue, Other), Share);
+    Work += workUntil(Other, Finish, Other.Count * chargeOf(Queue, Other));
   }
   return Work;
 }
@@ -124,7 +123,7 @@
   W.Gaps = 0;
   W.GapSeconds = 0;
   W.LastGrant = Now;
-  W.Start = std::max(W.Start, Queue.VirtualTime);
+  activateFlow(W, Queue.VirtualTime);
   Queue.Active.set(Workspace, W.Start);
   Queue.ActiveWeight += W.Weight;
 }
@@ -225,8 +224,7 @@
   const fairq_entry Entry = Queue.Entries[W.Head].Entry;
   const double Charge = chargeOf(Queue, W);
   updateGrantRate(W, Now);
-  Queue.VirtualTime = std::max(Queue.VirtualTime, W.Start);
-  W.Start += Charge / W.Weight;
+  serveFlow(W, Charge, Queue.VirtualTime);
   unlink(Queue, W.Head);
   if (W.Count > 0)
     Queue.Active.set(Workspace, W.Start);
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -4,7 +4,6 @@
 #include "placermath_p.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace magnoliaspread {
@@ -22,6 +21,10 @@
 /// fraction of the time left.
 constexpr double DeadlinePart = 0.9;
 
+error queueFull() {
+  return {error_kind::QueueFull, "too many queued requests", {}};
+}
+
 bool tried(const place_request &Request, target_handle Target) {
   return std::find(Request.Tried.begin(), Request.Tried.end(), Target) !=
          Request.Tried.end();
@@ -135,8 +138,21 @@
   return Refusal;
 }
 
+placement_verdict placer::hold(const place_request &Request, steady_time Now,
+                               wait_reason &Wait) {
+  const double Whole = seconds(Request.Deadline - Request.Arrived);
+  if (seconds(Now - Request.Arrived) > Whole * Policy.WaitPart) {
+    Waiting.shares().noteRefused(Request.Service, Request.Workspace);
+    return refusal(Waiting.secondsUntilShare(Request, Now));
+  }
+  Wait = {};
+  return place_wait{};
+}
+
 placement_verdict placer::decide(const place_request &Request, steady_time Now,
                                  wait_reason &Wait) {
+  if (!Waiting.mayStart(Request, Now))
+    return hold(Request, Now, Wait);
   const std::optional<choice> Choice = chooseTarget(Request, Now);
   const double Left = seconds(Request.Deadline - Now);
   if (!Choice)
@@ -144,7 +160,10 @@
   if (Choice->Expected > Left * DeadlinePart)
     return refusal(Choice->Expected);
   const bool NeedsPermit = permitOf(Choice->Target) == permit_state::Obtainable;
-  if (Choice->HasFreeSlot && !NeedsPermit) {
+  // A newcomer doesn't overtake those that wait for the same target.
+  const bool Yields =
+      Waiting.fair() && Targets[Choice->Target.Index].Queued > 0;
+  if (Choice->HasFreeSlot && !NeedsPermit && !Yields) {
     start(Request, Choice->Target, Now);
     if (Choice->IsNearHolder)
       Crossing.noteNearHolder();
@@ -164,6 +183,7 @@
   ++InFlight;
   if (Permits != nullptr)
     Permits->spend(Target);
+  Waiting.started(Request, serviceSeconds(Request, true), Now);
   noteStart(Request, Target, Now);
   if (Request.Object != 0 && holderOf(Request.Object, Target) == nullptr)
     recordRun(Request.Object, Request.Kind, Target, false, Now);
@@ -176,17 +196,29 @@
 }
 
 placement_verdict placer::place(const place_request &Request, steady_time Now) {
-  if (Request.Tried.empty())
-    Demand.count(Request.Service, serviceSeconds(Request, true), Now);
+  const double SlotSeconds = serviceSeconds(Request, true);
+  if (Request.Tried.empty()) {
+    Demand.count(Request.Service, SlotSeconds, Now);
+    Waiting.count(Request, SlotSeconds, Now);
+  }
   updatePlan(Now);
+  if (Waiting.fair()) {
+    const double Behind = Waiting.secondsUntilShare(Request, Now);
+    const double Whole = seconds(Request.Deadline - Request.Arrived);
+    if (Behind > std::min(Whole * Policy.WaitPart,
+                          seconds(Request.Deadline - Now) * DeadlinePart)) {
+      Waiting.shares().noteRefused(Request.Service, Request.Workspace);
+      return refusal(Behind);
+    }
+  }
   wait_reason Wait;
   placement_verdict Verdict = decide(Request, Now, Wait);
   if (!std::holds_alternative<place_wait>(Verdict))
     return Verdict;
-  if (Waiting.size() >= Policy.MaxWaiting)
-    return error{error_kind::QueueFull, "too many queued requests", {}};
-  ++Targets[Wait.Target.Index].Queued;
-  Waiting.push_back({Request, Wait});
+  if (!Waiting.push({Request, Wait, SlotSeconds}, Now))
+    return queueFull();
+  if (Wait.Target.valid())
+    ++Targets[Wait.Target.Index].Queued;
   updatePermitRequests();
   return Verdict;
 }
@@ -201,42 +233,33 @@
 
 std::vector<place_grant> placer::poll(steady_time Now) {
   std::vector<place_grant> Grants;
+  for (const waiting_request &Row : Waiting.takeEvicted())
+    Grants.push_back({Row.Request.Id, queueFull()});
   if (Waiting.empty())
     return Grants;
-  // Requests that can still meet their latency target go first.
-  const auto Order = [Now](const waiting_request &Row) {
-    return std::tuple(Row.Request.GoodUntil <= Now, Row.Request.Priority,
-                      Row.Request.Arrived, Row.Request.Id);
-  };
-  std::sort(Waiting.begin(), Waiting.end(),
-            [&](const waiting_request &A, const waiting_request &B) {
-              return Order(A) < Order(B);
-            });
-  for (const waiting_request &Row : Waiting)
-    Targets[Row.Wait.Target.Index].Queued = 0;
-  std::vector<waiting_request> StillQueued;
-  for (waiting_request &Row : Waiting) {
+  Waiting.sort(Now);
+  for (target_state &State : Targets)
+    State.Queued = 0;
+  Waiting.retain([&](waiting_request &Row) {
     placement_verdict Verdict = decide(Row.Request, Now, Row.Wait);
-    if (std::holds_alternative<place_wait>(Verdict)) {
-      ++Targets[Row.Wait.Target.Index].Queued;
-      StillQueued.push_back(std::move(Row));
-      continue;
+    if (!std::holds_alternative<place_wait>(Verdict)) {
+      Grants.push_back({Row.Request.Id, std::move(Verdict)});
+      return false;
     }
-    Grants.push_back({Row.Request.Id, std::move(Verdict)});
-  }
-  Waiting = std::move(StillQueued);
+    if (Row.Wait.Target.valid())
+      ++Targets[Row.Wait.Target.Index].Queued;
+    return true;
+  });
   updatePermitRequests();
   return Grants;
 }
 
 bool placer::cancel(std::uint64_t Id) {
-  const auto Found = std::find_if(
-      Waiting.begin(), Waiting.end(),
-      [Id](const waiting_request &Row) { return Row.Request.Id == Id; });
-  if (Found == Waiting.end())
+  const std::optional<waiting_request> Removed = Waiting.remove(Id);
+  if (!Removed)
     return false;
-  --Targets[Found->Wait.Target.Index].Queued;
-  Waiting.erase(Found);
+  if (Removed->Wait.Target.valid())
+    --Targets[Removed->Wait.Target.Index].Queued;
   updatePermitRequests();
   return true;
 }
