--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -144,6 +144,8 @@
   Gauges.Forgotten = Counts.Forgotten;
   Gauges.MeasuredKinds = Counts.MeasuredKinds;
   Gauges.SpreadKinds = Counts.SpreadKinds;
+  Gauges.HeldWorkspaces = Counts.HeldWorkspaces;
+  Gauges.ShareRefusals = Counts.ShareRefusals;
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -86,6 +86,8 @@
   Gate.Affinity.Enabled = Affinity.Enabled;
   Gate.Affinity.LoadFactor = Affinity.LoadFactor;
   Gate.Affinity.LeastGain = Affinity.LeastGain;
+  Gate.FairShare.Enabled = Settings.Gateway->FairShare.Enabled;
+  Gate.FairShare.QueuePart = Settings.Gateway->FairShare.QueuePart;
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -63,6 +63,10 @@
   /// them that are spread by load.
   std::size_t MeasuredKinds = 0;
   std::size_t SpreadKinds = 0;
+  /// Workspaces held to their share of a service, and requests refused for it
+  /// since the start.
+  std::size_t HeldWorkspaces = 0;
+  std::uint64_t ShareRefusals = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -73,6 +73,8 @@
   prometheus::Gauge &Forgotten;
   prometheus::Gauge &MeasuredKinds;
   prometheus::Gauge &SpreadKinds;
+  prometheus::Gauge &HeldWorkspaces;
+  prometheus::Gauge &ShareRefusals;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -141,7 +143,12 @@
                              "Kinds of requests with a measured gain")),
       SpreadKinds(addGauge(Registry, "magnoliaspread_kinds_spread",
                            "Kinds of requests spread by load for want of "
-                           "gain")) {
+                           "gain")),
+      HeldWorkspaces(addGauge(Registry, "magnoliaspread_workspaces_held",
+                              "Workspaces held to their share of a service")),
+      ShareRefusals(addGauge(Registry, "magnoliaspread_share_refusals",
+                             "Requests refused so that their workspace keeps "
+                             "to its share")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -221,6 +228,8 @@
   State->Forgotten.Set(static_cast<double>(Gauges.Forgotten));
   State->MeasuredKinds.Set(static_cast<double>(Gauges.MeasuredKinds));
   State->SpreadKinds.Set(static_cast<double>(Gauges.SpreadKinds));
+  State->HeldWorkspaces.Set(static_cast<double>(Gauges.HeldWorkspaces));
+  State->ShareRefusals.Set(static_cast<double>(Gauges.ShareRefusals));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/report/tests/metrics.cpp
+++ b/packages/report/tests/metrics.cpp
@@ -42,8 +42,8 @@
                         "service=\"calendar\",workspace=\"aero\"} 2");
   });
   section("and reports its state", [&] {
-    Metrics.setGauges({3,    2,   9,   17, 1500ms, true, 0ms, 5, 1, 4, 2,
-                       true, 700, 800, 6,  12,     0.25, 31,  6, 3, 2});
+    Metrics.setGauges({3,   2,   9, 17, 1500ms, true, 0ms, 5, 1, 4, 2, true,
+                       700, 800, 6, 12, 0.25,   31,   6,   3, 2, 5, 44});
     expectLine(Metrics, "magnoliaspread_config_version 17");
     expectLine(Metrics, "magnoliaspread_config_staleness_seconds 1.5");
     expectLine(Metrics, "magnoliaspread_platform_reachable 1");
@@ -62,6 +62,8 @@
     expectLine(Metrics, "magnoliaspread_objects_forgotten 6");
     expectLine(Metrics, "magnoliaspread_kinds_measured 3");
     expectLine(Metrics, "magnoliaspread_kinds_spread 2");
+    expectLine(Metrics, "magnoliaspread_workspaces_held 5");
+    expectLine(Metrics, "magnoliaspread_share_refusals 44");
   });
 }
 
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -44,6 +44,13 @@
   double LeastGain = 0.15;
 };
 
+/// Division of a service's slots between workspaces.
+struct fair_share_settings {
+  bool Enabled = false;
+  /// Largest part of an instance's queue that one workspace may fill.
+  double QueuePart = 1;
+};
+
 /// Settings of an instance that serves a platform on which targets register
 /// themselves and operators maintain the routes.
 struct gateway_settings {
@@ -93,6 +100,7 @@
   /// of a region's requests from one window of 2 s to the next; 0 is off.
   double MaxRegionShift = 0;
   affinity_settings Affinity;
+  fair_share_settings FairShare;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -198,6 +198,21 @@
   Nested.finish();
 }
 
+/// The object switches fair shares on unless it says otherwise.
+void readFairShare(object_reader &Reader, fair_share_settings &FairShare,
+                   read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("fair_share", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("fair_share"), Fault);
+  FairShare.Enabled = true;
+  Nested(choiceField("enabled"), FairShare.Enabled);
+  Nested(numberField("queue_part", presence::Optional, 0, 1),
+         FairShare.QueuePart);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -240,6 +255,7 @@
   readPipelining(Nested, Gateway, Fault);
   readDemand(Nested, Gateway, Fault);
   readAffinity(Nested, Gateway.Affinity, Fault);
+  readFairShare(Nested, Gateway.FairShare, Fault);
   Nested.finish();
 }
 
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -218,3 +218,32 @@
                    std::string::npos);
   });
 }
+
+// Failure: slots divided between workspaces by mistake.
+STORY(fair_shares_are_off_unless_their_object_switches_them_on) {
+  const auto With = [](const std::string &FairShare) {
+    return validSettingsWith(
+        "\"traffic_threads\"",
+        R"("gateway":{"directory":"127.0.0.1:1","ready":"127.0.0.1:2",
+"data_centres":{"porto-1":"porto"})" +
+            FairShare + "},\"traffic_threads\"");
+  };
+  const auto Read = [&](const std::string &FairShare) {
+    auto Settings = parseSettings(With(FairShare), "porto.json");
+    CPPUNIT_ASSERT_MESSAGE(failed(Settings) ? errorOf(Settings).Detail : "",
+                           !failed(Settings));
+    return valueOf(Settings).Gateway->FairShare;
+  };
+  section("off by default", [&] { CPPUNIT_ASSERT(!Read("").Enabled); });
+  section("on with their object", [&] {
+    const fair_share_settings On = Read(R"(,"fair_share":{"queue_part":0.5})");
+    CPPUNIT_ASSERT(On.Enabled);
+    CPPUNIT_ASSERT_EQUAL(0.5, On.QueuePart);
+  });
+  section("off if that says so", [&] {
+    CPPUNIT_ASSERT(!Read(R"(,"fair_share":{"enabled":false})").Enabled);
+  });
+  section("a part above the whole is rejected", [&] {
+    expectFault(With(R"(,"fair_share":{"queue_part":1.5})"), {"queue_part"});
+  });
+}
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -461,6 +461,7 @@
               steady_time Now) const;
   holder *holderOf(std::uint64_t Object, target_handle Target);
   double serviceSeconds(const place_request &Request, bool Warm) const;
+  double slotSeconds(const place_request &Request) const;
   std::optional<choice> chooseTarget(const place_request &Request,
                                      steady_time Now);
   bool followsAffinity(const place_request &Request) const;
--- a/packages/steering/include/magnoliaspread/waitqueue.h
+++ b/packages/steering/include/magnoliaspread/waitqueue.h
@@ -53,6 +53,7 @@
       : Capacity(Capacity), Policy(Policy) {}
 
   bool fair() const { return Policy.Enabled; }
+  void setFair(bool Enabled);
   bool empty() const { return Rows.empty(); }
   std::size_t size() const { return Rows.size(); }
   std::vector<waiting_request>::const_iterator begin() const {
@@ -111,6 +112,7 @@
   flow &flowOf(const place_request &Request, steady_time Now);
   double &virtualTime(service_handle Service);
   void erase(std::size_t Index);
+  void countFlows();
   std::optional<std::size_t> victim(const waiting_request &Row,
                                     steady_time Now);
   void sortFairly(steady_time Now);
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -183,7 +183,7 @@
   ++InFlight;
   if (Permits != nullptr)
     Permits->spend(Target);
-  Waiting.started(Request, serviceSeconds(Request, true), Now);
+  Waiting.started(Request, slotSeconds(Request), Now);
   noteStart(Request, Target, Now);
   if (Request.Object != 0 && holderOf(Request.Object, Target) == nullptr)
     recordRun(Request.Object, Request.Kind, Target, false, Now);
@@ -195,10 +195,18 @@
   State.ColdRefilledAt = Now;
 }
 
+/// Expected time in a slot; a kind without objects is never measured warm.
+double placer::slotSeconds(const place_request &Request) const {
+  const auto Found = Times.find(Request.Kind);
+  if (Found != Times.end() && Found->second.Warm <= 0 && Found->second.Cold > 0)
+    return Found->second.Cold;
+  return serviceSeconds(Request, true);
+}
+
 placement_verdict placer::place(const place_request &Request, steady_time Now) {
-  const double SlotSeconds = serviceSeconds(Request, true);
+  const double SlotSeconds = slotSeconds(Request);
   if (Request.Tried.empty()) {
-    Demand.count(Request.Service, SlotSeconds, Now);
+    Demand.count(Request.Service, serviceSeconds(Request, true), Now);
     Waiting.count(Request, SlotSeconds, Now);
   }
   updatePlan(Now);
--- a/packages/steering/src/waitqueue.cpp
+++ b/packages/steering/src/waitqueue.cpp
@@ -211,8 +211,16 @@
   std::vector<waiting_request> Removed;
   for (waiting_request &Row : All)
     (Keep(Row) ? Rows : Removed).push_back(std::move(Row));
-  if (!fair())
-    return;
+  if (fair())
+    countFlows();
+}
+
+void wait_queue::setFair(bool Enabled) {
+  Policy.Enabled = Enabled;
+  countFlows();
+}
+
+void wait_queue::countFlows() {
   for (auto &[Key, Flow] : Flows) {
     Flow.Count = 0;
     Flow.Queued = 0;
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -21,6 +21,7 @@
 #include <magnoliaspread/targetlimits.h>
 #include <magnoliaspread/tokensource.h>
 #include <magnoliaspread/view.h>
+#include <magnoliaspread/waitqueue.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -54,6 +55,8 @@
   /// off.
   double MaxRegionShift = 0;
   affinity_policy Affinity;
+  /// Division of slots between workspaces.
+  fair_share_policy FairShare;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -90,6 +93,9 @@
   /// Kinds with a measured gain, and those of them that are spread by load.
   std::size_t MeasuredKinds = 0;
   std::size_t SpreadKinds = 0;
+  /// Workspaces held to their share of a service, and requests refused for it.
+  std::size_t HeldWorkspaces = 0;
+  std::uint64_t ShareRefusals = 0;
 };
 
 class gate {
@@ -172,7 +178,7 @@
   /// fail at once, and connections of callers are closed after each answer.
   bool pathBroken() const;
   /// What this instance's callers ask, for the other instances; empty when
-  /// placement by demand is off.
+  /// placement by demand and fair shares are off.
   demand_list demand() const;
   /// Adapts the placement to the demand of the regions; those missing are
   /// unknown. Call a few times a second.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -66,6 +66,7 @@
   placer_policy Policy;
   Policy.Crossing = Settings.Crossing;
   Policy.Affinity = Settings.Affinity;
+  Policy.FairShare = Settings.FairShare;
   Policy.Spill.MaxShift = Settings.MaxRegionShift;
   const name_map<std::size_t> Numbers = numberRegions(Settings.Regions);
   if (const auto Own = Numbers.find(Settings.Region); Own != Numbers.end())
@@ -121,9 +122,12 @@
     Waiter.Signal.expires_at(Request.Deadline);
     Waiters.emplace(Request.Id, &Waiter);
     requestPermits();
+    if (Placer.queue().hasEvicted())
+      wakePlaced();
     if (!Polling)
       asio::co_spawn(Context, pollWaiting(), asio::detached);
-    co_await Waiter.Signal.async_wait(Awaited);
+    if (!Waiter.Verdict)
+      co_await Waiter.Signal.async_wait(Awaited);
     Waiters.erase(Request.Id);
     if (!Waiter.Verdict) {
       Placer.cancel(Request.Id);
@@ -357,6 +361,7 @@
   Place.Priority = Route.Priority;
   if (Admitted.Workspace != nullptr)
     Place.Priority += Admitted.Workspace->Priority << 8U;
+  Place.Workspace = workspaceIndex(Admitted.Workspace);
   Place.Arrived = Arrived;
   const milliseconds Allowed = Head.CallerTimeout.value_or(Route.Timeout);
   Place.Deadline = Arrived + std::min(Allowed, Route.Timeout);
@@ -399,6 +404,7 @@
   State->Routes = std::move(Routes);
   for (const routed_service &Service : State->Routes->table().Services)
     State->Services.intern(Service.Name);
+  State->Placer.queue().setFair(State->sharesFairly());
 }
 
 void gate::setConfigConfirmed(boot_time At) {
@@ -545,6 +551,8 @@
   Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.SpilledPart = State->spilledPart();
   Counts.Requests = State->Requests;
+  Counts.HeldWorkspaces = State->HeldWorkspaces;
+  Counts.ShareRefusals = State->Placer.queue().shares().refused();
   if (State->Settings.Affinity.Enabled) {
     const affinity &Affinity = State->Placer.affinityState();
     Counts.Holders = State->Placer.holders();
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -103,6 +103,14 @@
                        const routed_workspace *Workspace) const;
   bool keysCurrent() const;
   double spilledPart() const;
+  /// Whether fair shares are on and the configuration has workspaces.
+  bool sharesFairly() const;
+  /// For place_request::Workspace.
+  std::uint32_t workspaceIndex(const routed_workspace *Workspace);
+  void addClaims(demand_list &Rows) const;
+  void updateShares(const std::vector<region_demand> &Regions);
+  /// Logs the workspaces that begin and end to be held to their shares.
+  void logShares(steady_time Now);
   /// Names the kind of a request in logs.
   void nameKind(std::uint64_t Kind, const std::string &Route,
                 const std::string &Service);
@@ -115,6 +123,13 @@
     std::optional<placement_verdict> Verdict;
   };
 
+  struct share_log_entry {
+    bool Held = false;
+    steady_time At;
+    /// Refusals as of the line.
+    std::uint64_t Refused = 0;
+  };
+
   struct last_start {
     target_process Target;
     /// The process announced that it leaves, so its end is no crash.
@@ -138,6 +153,10 @@
   stable_names<service_handle> Services{MaxServices};
   name_map<std::size_t> RegionNumbers;
   spill_log SpillLog;
+  stable_names<workspace_handle> Workspaces{MaxWorkspaces};
+  /// By service handle and workspace index.
+  std::map<std::pair<std::uint16_t, std::uint32_t>, share_log_entry> ShareLog;
+  std::size_t HeldWorkspaces = 0;
   /// By target handle.
   std::vector<target_process> Targets;
   /// By target name.
--- a/packages/traffic/src/gatedemand.cpp
+++ b/packages/traffic/src/gatedemand.cpp
@@ -8,8 +8,10 @@
 
 demand_list gate::demand() const {
   demand_list Rows;
-  if (State->Settings.MaxRegionShift <= 0 || State->Routes == nullptr)
+  if (State->Settings.MaxRegionShift <= 0 || State->Routes == nullptr) {
+    State->addClaims(Rows);
     return Rows;
+  }
   const steady_time Now = State->Clock.now();
   for (const routed_service &Service : State->Routes->table().Services) {
     const double Slots =
@@ -19,10 +21,12 @@
     if (Units > 0)
       addDemand(Rows, {{demandId(Service.Name), Units}});
   }
+  State->addClaims(Rows);
   return Rows;
 }
 
 void gate::setDemand(const std::vector<region_demand> &Regions) {
+  State->updateShares(Regions);
   if (State->Settings.MaxRegionShift <= 0 || State->Routes == nullptr)
     return;
   const steady_time Now = State->Clock.now();
