--- a/packages/steering/include/magnoliaspread/affinity.h
+++ b/packages/steering/include/magnoliaspread/affinity.h
@@ -161,8 +161,10 @@
   /// a second give back about as many as are too many.
   bool releases(std::uint64_t Object, std::span<const target_handle> Holders,
                 std::uint64_t Bits, steady_time Now);
-  /// The holder that a request prefers when several would answer equally soon.
-  target_handle preferred(std::span<const target_handle> Holders,
+  /// The holder that a request prefers when several would answer equally soon:
+  /// each gets the part of the object's requests that it is planned for.
+  target_handle preferred(std::uint64_t Object,
+                          std::span<const target_handle> Holders,
                           std::uint64_t Bits) const;
 
   /// Demand for an object in slots, as far as this instance knows.
@@ -197,6 +199,12 @@
     bool Follows = true;
   };
 
+  /// Demand that a holder of an object is planned for, in slots.
+  struct holder_part {
+    target_handle Target;
+    double Demand = 0;
+  };
+
   struct object_state {
     /// Slots in use on average over DemandTime and over RiseTime, as of At.
     double Level = 0;
@@ -211,6 +219,8 @@
     service_handle Service;
     /// Since when the object has too many holders.
     std::optional<steady_time> ExcessSince;
+    /// By the last plan; empty with a single holder.
+    std::vector<holder_part> Parts;
   };
 
   struct running_row {
@@ -273,6 +283,12 @@
   /// How far the average of demand has risen, 0 to 1.
   double risen(const service_state &Service, steady_time Now) const;
   bool memoryFull(const target_state &Target) const;
+  void setBounds(steady_time Now);
+  /// Divides the object's demand among its holders so that they are filled
+  /// evenly.
+  void divide(object_state &Object);
+  double partOf(const object_state *Object, target_handle Target,
+                std::size_t Holders) const;
   std::optional<std::size_t> keepBound(const service_state &Service,
                                        double Factor) const;
 
--- a/packages/steering/src/affinity.cpp
+++ b/packages/steering/src/affinity.cpp
@@ -35,13 +35,18 @@
 constexpr milliseconds ReleasePeriod{1000};
 /// Largest planned load of the holders left, as a fraction of their bound.
 constexpr double ReleaseFill = 0.8;
-/// A load that is small beside a target's bound never stops a release.
+/// A load that is small beside a target's bound may fill it.
 constexpr double SmallPart = 0.1;
 /// Bounds the correction of demand that has just begun.
 constexpr double LeastRise = 0.1;
 /// Objects with less demand than this are forgotten, in slots.
 constexpr double LeastDemand = 0.001;
 constexpr std::size_t MaxQuanta = 1024;
+/// Smallest part of an object's demand that a holder is planned for, relative
+/// to an equal part: without requests it would forget the object.
+constexpr double LeastPart = 0.2;
+/// Each object's division depends on the others'.
+constexpr std::size_t DivideRounds = 2;
 
 double meanDecay(steady_time::duration Age, milliseconds Time) {
   return std::exp(-seconds(Age) / seconds(Time));
@@ -354,7 +359,12 @@
 void affinity::planObject(std::uint64_t Object,
                           std::span<const target_handle> Holders,
                           steady_time Now) {
-  const double Demand = demand(Object, Now);
+  const auto Found = Objects.find(Object);
+  if (Found == Objects.end())
+    return;
+  object_state &Row = Found->second;
+  Row.Parts.clear();
+  const double Demand = demandOf(Row, Now);
   if (Demand <= 0)
     return;
   const double Part =
@@ -366,11 +376,24 @@
     Target->Planned += Part;
     ++Target->Objects;
     serviceOf(Target->Service).Planned[Target->Remote ? 1 : 0] += Part;
+    if (Holders.size() > 1)
+      Row.Parts.push_back({Handle, Part});
   }
 }
 
 void affinity::finishPlan(steady_time Now) {
   NextPlan = Now + PlanPeriod;
+  setBounds(Now);
+  for (std::size_t I = 0; I < DivideRounds; ++I)
+    for (auto &[Key, Object] : Objects)
+      if (Object.Parts.size() > 1)
+        divide(Object);
+  std::erase_if(Objects, [&](const auto &Row) {
+    return demandOf(Row.second, Now) < LeastDemand;
+  });
+}
+
+void affinity::setBounds(steady_time Now) {
   std::vector<std::size_t> Local(Services.size());
   for (const target_state &Target : Targets)
     if (Target.Present && !Target.Remote)
@@ -393,9 +416,55 @@
     Target.Bound =
         std::max({1.0, Policy.LeastFill * Target.Slots, planFactor() * Fair});
   }
-  std::erase_if(Objects, [&](const auto &Row) {
-    return demandOf(Row.second, Now) < LeastDemand;
-  });
+}
+
+void affinity::divide(object_state &Object) {
+  double Demand = 0;
+  for (const holder_part &Row : Object.Parts) {
+    find(Row.Target)->Planned -= Row.Demand;
+    Demand += Row.Demand;
+  }
+  const double Least =
+      Demand / static_cast<double>(Object.Parts.size()) * LeastPart;
+  const auto Fill = [&](const holder_part &Row) {
+    const target_state &Target = *find(Row.Target);
+    return (Target.Planned + Least) / Target.Bound;
+  };
+  std::sort(Object.Parts.begin(), Object.Parts.end(),
+            [&](const holder_part &A, const holder_part &B) {
+              return Fill(A) < Fill(B);
+            });
+  // The level up to which the emptiest holders can be filled.
+  const double Free = Demand * (1 - LeastPart);
+  double Planned = 0;
+  double Bound = 0;
+  double Level = 0;
+  for (const holder_part &Row : Object.Parts) {
+    if (Bound > 0 && Fill(Row) >= Level)
+      break;
+    const target_state &Target = *find(Row.Target);
+    Planned += Target.Planned + Least;
+    Bound += Target.Bound;
+    Level = (Free + Planned) / Bound;
+  }
+  for (holder_part &Row : Object.Parts) {
+    target_state &Target = *find(Row.Target);
+    Row.Demand =
+        Least + std::max(0.0, (Level - Fill(Row)) * Target.Bound);
+    Target.Planned += Row.Demand;
+  }
+}
+
+double affinity::partOf(const object_state *Object, target_handle Target,
+                        std::size_t Holders) const {
+  double Sum = 0;
+  for (const holder_part &Row : Object->Parts) {
+    if (Row.Target == Target)
+      return Row.Demand;
+    Sum += Row.Demand;
+  }
+  // Added since the last plan.
+  return Sum > 0 ? Sum / static_cast<double>(Holders) : 1;
 }
 
 double affinity::risen(const service_state &Service, steady_time Now) const {
@@ -488,8 +557,9 @@
     const target_state *Target = find(Handle);
     if (Target == nullptr || Target->Bound == 0)
       continue;
-    Fits = Fits && (Target->Planned + More <= Target->Bound * ReleaseFill ||
-                    More <= Target->Bound * SmallPart);
+    const double Load = Target->Planned + More;
+    Fits = Fits && (Load <= Target->Bound * ReleaseFill ||
+                    (Load <= Target->Bound && More <= Target->Bound * SmallPart));
     Full = Full || memoryFull(*Target);
   }
   const std::size_t Needed = wanted(Object, Policy.ReleaseMargin, Now);
@@ -506,18 +576,25 @@
          static_cast<double>(Holders.size() - Needed);
 }
 
-target_handle affinity::preferred(std::span<const target_handle> Holders,
+target_handle affinity::preferred(std::uint64_t Object,
+                                  std::span<const target_handle> Holders,
                                   std::uint64_t Bits) const {
   if (Holders.empty())
     return {};
-  const auto Start = static_cast<std::size_t>(
-      fraction(Bits) * static_cast<double>(Holders.size()));
-  for (std::size_t I = 0; I < Holders.size(); ++I) {
-    const target_handle Row = Holders[(Start + I) % Holders.size()];
-    if (!overloaded(Row))
-      return Row;
+  const object_state *Row = objectOf(Object);
+  if (Row == nullptr)
+    return Holders[static_cast<std::size_t>(
+        fraction(Bits) * static_cast<double>(Holders.size()))];
+  double Sum = 0;
+  for (const target_handle Target : Holders)
+    Sum += partOf(Row, Target, Holders.size());
+  double Left = fraction(Bits) * Sum;
+  for (const target_handle Target : Holders) {
+    Left -= partOf(Row, Target, Holders.size());
+    if (Left < 0)
+      return Target;
   }
-  return Holders[Start];
+  return Holders.back();
 }
 
 } // namespace magnoliaspread
--- a/packages/steering/src/placeraffinity.cpp
+++ b/packages/steering/src/placeraffinity.cpp
@@ -107,7 +107,8 @@
 target_handle placer::preferredHolder(const place_request &Request,
                                       steady_time Now) {
   return Affinity.enabled()
-             ? Affinity.preferred(warmHolders(Request, Now), drawOf(Request))
+             ? Affinity.preferred(Request.Object, warmHolders(Request, Now),
+                                  drawOf(Request))
              : target_handle();
 }
 
