Admission by forecast and return times, partial and off

Cause: a request queues for up to 0.55 of its time and is then rejected, each instance counts only its own queue, and all rejected callers get the same Retry-After. Change: modules admission, returntimes and overload, called by the placer when gateway.admission is on (off in deploy/settings.json); logs and gauges.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -144,6 +144,10 @@
   Gauges.Forgotten = Counts.Forgotten;
   Gauges.MeasuredKinds = Counts.MeasuredKinds;
   Gauges.SpreadKinds = Counts.SpreadKinds;
+  Gauges.OverloadedServices = Counts.Admissions.OverloadedServices;
+  Gauges.QueuedByForecast = Counts.Admissions.Queued;
+  Gauges.RejectedAtOnce = Counts.Admissions.rejectedAtOnce();
+  Gauges.RejectedQueued = Counts.Admissions.rejected(admission_reason::Expired);
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -86,6 +86,7 @@
   Gate.Affinity.Enabled = Affinity.Enabled;
   Gate.Affinity.LoadFactor = Affinity.LoadFactor;
   Gate.Affinity.LeastGain = Affinity.LeastGain;
+  Gate.Admission.Enabled = Settings.Gateway->ForecastAdmission;
   return Gate;
 }
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -63,6 +63,12 @@
   /// them that are spread by load.
   std::size_t MeasuredKinds = 0;
   std::size_t SpreadKinds = 0;
+  /// Services that reject requests now; requests queued, rejected at once and
+  /// rejected after they were queued, since the start.
+  std::size_t OverloadedServices = 0;
+  std::uint64_t QueuedByForecast = 0;
+  std::uint64_t RejectedAtOnce = 0;
+  std::uint64_t RejectedQueued = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -73,6 +73,10 @@
   prometheus::Gauge &Forgotten;
   prometheus::Gauge &MeasuredKinds;
   prometheus::Gauge &SpreadKinds;
+  prometheus::Gauge &OverloadedServices;
+  prometheus::Gauge &QueuedByForecast;
+  prometheus::Gauge &RejectedAtOnce;
+  prometheus::Gauge &RejectedQueued;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -141,7 +145,18 @@
                              "Kinds of requests with a measured gain")),
       SpreadKinds(addGauge(Registry, "magnoliaspread_kinds_spread",
                            "Kinds of requests spread by load for want of "
-                           "gain")) {
+                           "gain")),
+      OverloadedServices(addGauge(Registry,
+                                  "magnoliaspread_overloaded_services",
+                                  "Services that reject requests")),
+      QueuedByForecast(addGauge(Registry, "magnoliaspread_admission_queued",
+                                "Requests that were queued")),
+      RejectedAtOnce(addGauge(Registry,
+                              "magnoliaspread_admission_rejected_at_once",
+                              "Requests rejected as they arrived")),
+      RejectedQueued(addGauge(Registry,
+                              "magnoliaspread_admission_rejected_queued",
+                              "Requests rejected after they were queued")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -221,6 +236,10 @@
   State->Forgotten.Set(static_cast<double>(Gauges.Forgotten));
   State->MeasuredKinds.Set(static_cast<double>(Gauges.MeasuredKinds));
   State->SpreadKinds.Set(static_cast<double>(Gauges.SpreadKinds));
+  State->OverloadedServices.Set(static_cast<double>(Gauges.OverloadedServices));
+  State->QueuedByForecast.Set(static_cast<double>(Gauges.QueuedByForecast));
+  State->RejectedAtOnce.Set(static_cast<double>(Gauges.RejectedAtOnce));
+  State->RejectedQueued.Set(static_cast<double>(Gauges.RejectedQueued));
 }
 
 std::vector<slo_row> instance_metrics::sums() const {
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -93,6 +93,9 @@
   /// of a region's requests from one window of 2 s to the next; 0 is off.
   double MaxRegionShift = 0;
   affinity_settings Affinity;
+  /// Requests queue only if they will be answered in time by the forecast, and
+  /// rejected callers return at the rate that can be served.
+  bool ForecastAdmission = false;
 };
 
 struct instance_settings {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -198,6 +198,19 @@
   Nested.finish();
 }
 
+/// The object switches admission by forecast on unless it says otherwise.
+void readAdmission(object_reader &Reader, gateway_settings &Gateway,
+                   read_fault &Fault) {
+  const boost::json::value *Json =
+      Reader.findField("admission", presence::Optional);
+  if (!Json)
+    return;
+  object_reader Nested(*Json, Reader.pathOf("admission"), Fault);
+  Gateway.ForecastAdmission = true;
+  Nested(choiceField("enabled"), Gateway.ForecastAdmission);
+  Nested.finish();
+}
+
 void readGateway(object_reader &Reader, instance_settings &Settings,
                  read_fault &Fault) {
   const boost::json::value *Json =
@@ -240,6 +253,7 @@
   readPipelining(Nested, Gateway, Fault);
   readDemand(Nested, Gateway, Fault);
   readAffinity(Nested, Gateway.Affinity, Fault);
+  readAdmission(Nested, Gateway, Fault);
   Nested.finish();
 }
 
--- a/packages/settings/tests/settings.cpp
+++ b/packages/settings/tests/settings.cpp
@@ -143,6 +143,31 @@
   });
 }
 
+// Failure: admission by forecast switched on by mistake.
+STORY(admission_by_forecast_is_off_unless_its_object_switches_it_on) {
+  const auto With = [](const std::string &Admission) {
+    return validSettingsWith(
+        "\"traffic_threads\"",
+        R"("gateway":{"directory":"127.0.0.1:1","ready":"127.0.0.1:2",
+"data_centres":{"porto-1":"porto"})" +
+            Admission + "},\"traffic_threads\"");
+  };
+  const auto IsOn = [&](const std::string &Admission) {
+    const auto Settings = parseSettings(With(Admission), "porto.json");
+    CPPUNIT_ASSERT_MESSAGE(failed(Settings) ? errorOf(Settings).Detail : "",
+                           !failed(Settings));
+    return valueOf(Settings).Gateway->ForecastAdmission;
+  };
+  section("off by default", [&] { CPPUNIT_ASSERT(!IsOn("")); });
+  section("on with its object",
+          [&] { CPPUNIT_ASSERT(IsOn(R"(,"admission":{})")); });
+  section("off if that says so",
+          [&] { CPPUNIT_ASSERT(!IsOn(R"(,"admission":{"enabled":false})")); });
+  section("an unknown field is rejected", [&] {
+    expectFault(With(R"(,"admission":{"quantile":0.9})"), {"quantile"});
+  });
+}
+
 // Failure: a cost of crossing where none was set, or one that isn't a cost.
 STORY(crossing_costs_nothing_unless_set) {
   const auto With = [](const std::string &Crossing) {
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -15,6 +15,7 @@
 #ifndef MAGNOLIASPREAD_PLACER_H
 #define MAGNOLIASPREAD_PLACER_H
 
+#include <magnoliaspread/admission.h>
 #include <magnoliaspread/affinity.h>
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/crossing.h>
@@ -22,7 +23,9 @@
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/handle.h>
 #include <magnoliaspread/objectmsg.h>
+#include <magnoliaspread/overload.h>
 #include <magnoliaspread/pushback.h>
+#include <magnoliaspread/returntimes.h>
 #include <magnoliaspread/sendpermits.h>
 #include <magnoliaspread/spillplan.h>
 #include <magnoliaspread/targetdistance.h>
@@ -121,6 +124,8 @@
   std::chrono::milliseconds RegionMargin{60};
   /// Holders by demand; off by default.
   affinity_policy Affinity;
+  /// Queueing by forecast; off by default.
+  admission_policy Admission;
 };
 
 /// Configuration and membership state of a target.
@@ -160,6 +165,9 @@
   steady_time Deadline;
   /// Latency target; a later answer counts as late.
   steady_time GoodUntil;
+  /// Usual time that callers of the route wait; 0 is unknown. Less time left
+  /// shows that the caller was rejected before.
+  std::chrono::milliseconds UsualTime{0};
   std::size_t BodyBytes = 0;
   /// Targets of earlier attempts.
   std::vector<target_handle> Tried;
@@ -240,7 +248,8 @@
   /// \p Permits outlives the placer; null if targets have no rate limits.
   explicit placer(const placer_policy &Policy, send_permits *Permits = nullptr)
       : Policy(Policy), Permits(Permits), Crossing(Policy.Crossing),
-        Paces(Policy.Pace), Affinity(Policy.Affinity) {}
+        Paces(Policy.Pace), Affinity(Policy.Affinity),
+        Admission(Policy.Admission) {}
 
   /// Replaces all targets. The state of a handle is retained while its Id
   /// stays the same.
@@ -320,6 +329,12 @@
   std::size_t holders() const;
   const affinity &affinityState() const { return Affinity; }
 
+  const admission_counts &admissionCounts() const { return Overload.counts(); }
+  /// Services that became overloaded or recovered since the last call.
+  std::vector<overload_change> takeOverloadChanges(steady_time Now) {
+    return Overload.take(Now);
+  }
+
 private:
   struct target_state {
     placer_target Info;
@@ -389,6 +404,8 @@
     target_handle Target;
     /// A permit; the target has a free slot.
     bool ForPermit = false;
+    /// The request is sent now or not at all.
+    bool OnlyNow = false;
   };
 
   struct waiting_request {
@@ -547,6 +564,24 @@
   void updatePermitRequests();
   error refusal(double Seconds) const;
   error noUsableTarget(const place_request &Request, steady_time Now) const;
+  /// decide() with queueing by forecast.
+  placement_verdict decideByForecast(const place_request &Request,
+                                     const std::optional<choice> &Choice,
+                                     steady_time Now, wait_reason &Wait);
+  admission_forecast forecast(const place_request &Request,
+                              const choice &Choice, steady_time Now);
+  placement_verdict withoutTarget(const place_request &Request, steady_time Now,
+                                  const wait_reason &Wait);
+  /// Slot time of the queued requests that go before the request.
+  std::chrono::duration<double> queuedAhead(const place_request &Request,
+                                            steady_time Now) const;
+  std::chrono::duration<double> slotTime(const place_request &Request) const;
+  /// Counts the rejection and gives the caller a time to return.
+  error reject(const place_request &Request, const wait_reason &Wait,
+               const admission_forecast &Forecast, steady_time Now);
+  error queueFull(const place_request &Request, steady_time Now);
+  void noteArrival(const place_request &Request, steady_time Now);
+  void updateInFlight(steady_time Now);
 
   placer_policy Policy;
   send_permits *Permits;
@@ -573,6 +608,10 @@
   std::vector<waiting_request> Waiting;
   std::vector<candidate> Candidates;
   affinity Affinity;
+  admission Admission;
+  return_times Returns;
+  overload_states Overload;
+  steady_time NextInFlight;
   std::vector<released_holder> Released;
   std::vector<holder_change> Changes;
   std::uint64_t ChangesOmitted = 0;
--- a/packages/steering/src/placer.cpp
+++ b/packages/steering/src/placer.cpp
@@ -139,6 +139,8 @@
                                  wait_reason &Wait) {
   const std::optional<choice> Choice = chooseTarget(Request, Now);
   const double Left = seconds(Request.Deadline - Now);
+  if (Admission.enabled())
+    return decideByForecast(Request, Choice, Now, Wait);
   if (!Choice)
     return noUsableTarget(Request, Now);
   if (Choice->Expected > Left * DeadlinePart)
@@ -153,7 +155,7 @@
   const double Whole = seconds(Request.Deadline - Request.Arrived);
   if (seconds(Now - Request.Arrived) > Whole * Policy.WaitPart)
     return refusal(Choice->Expected);
-  Wait = {Choice->Target, Choice->HasFreeSlot && NeedsPermit};
+  Wait = {Choice->Target, Choice->HasFreeSlot && NeedsPermit, false};
   return place_wait{};
 }
 
@@ -179,12 +181,13 @@
   if (Request.Tried.empty())
     Demand.count(Request.Service, serviceSeconds(Request, true), Now);
   updatePlan(Now);
+  noteArrival(Request, Now);
   wait_reason Wait;
   placement_verdict Verdict = decide(Request, Now, Wait);
   if (!std::holds_alternative<place_wait>(Verdict))
     return Verdict;
   if (Waiting.size() >= Policy.MaxWaiting)
-    return error{error_kind::QueueFull, "too many queued requests", {}};
+    return queueFull(Request, Now);
   ++Targets[Wait.Target.Index].Queued;
   Waiting.push_back({Request, Wait});
   updatePermitRequests();
@@ -194,6 +197,7 @@
 std::optional<target_handle> placer::placeNow(const place_request &Request,
                                               steady_time Now) {
   wait_reason Ignored;
+  Ignored.OnlyNow = true;
   const placement_verdict Verdict = decide(Request, Now, Ignored);
   const auto *Send = std::get_if<place_send>(&Verdict);
   return Send == nullptr ? std::nullopt : std::optional(Send->Target);
@@ -201,6 +205,7 @@
 
 std::vector<place_grant> placer::poll(steady_time Now) {
   std::vector<place_grant> Grants;
+  updateInFlight(Now);
   if (Waiting.empty())
     return Grants;
   // Requests that can still meet their latency target go first.
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -61,6 +61,9 @@
     Warm = Took < (Known.Warm + Known.Cold) / 2;
   double &Mean = Warm ? Known.Warm : Known.Cold;
   const bool Waited = End.Report && End.Report->Waiting > 0;
+  if (Admission.enabled())
+    Admission.noteAnswer(Target.Info.Service, End.Kind,
+                         std::chrono::duration<double>(Took), Waited);
   const double Pace = End.Report ? End.Report->Pace.value_or(1) : 1;
   if (Mean > 0 && !Waited) {
     const double Ratio = std::clamp(unexplainedSlowness(Took / Mean, Pace),
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -4,12 +4,14 @@
 #ifndef MAGNOLIASPREAD_GATE_H
 #define MAGNOLIASPREAD_GATE_H
 
+#include <magnoliaspread/admission.h>
 #include <magnoliaspread/affinity.h>
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
+#include <magnoliaspread/overload.h>
 #include <magnoliaspread/pathmsg.h>
 #include <magnoliaspread/permitlender.h>
 #include <magnoliaspread/pipeline.h>
@@ -54,6 +56,7 @@
   /// off.
   double MaxRegionShift = 0;
   affinity_policy Affinity;
+  admission_policy Admission;
 };
 
 /// A target and this instance's share of its cold rate.
@@ -90,6 +93,8 @@
   /// Kinds with a measured gain, and those of them that are spread by load.
   std::size_t MeasuredKinds = 0;
   std::size_t SpreadKinds = 0;
+  /// Queued and rejected by forecast.
+  admission_counts Admissions;
 };
 
 class gate {
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -66,6 +66,7 @@
   placer_policy Policy;
   Policy.Crossing = Settings.Crossing;
   Policy.Affinity = Settings.Affinity;
+  Policy.Admission = Settings.Admission;
   Policy.Spill.MaxShift = Settings.MaxRegionShift;
   const name_map<std::size_t> Numbers = numberRegions(Settings.Regions);
   if (const auto Own = Numbers.find(Settings.Region); Own != Numbers.end())
@@ -361,6 +362,7 @@
   const milliseconds Allowed = Head.CallerTimeout.value_or(Route.Timeout);
   Place.Deadline = Arrived + std::min(Allowed, Route.Timeout);
   Place.GoodUntil = Arrived + Route.LatencyTarget;
+  Place.UsualTime = Route.Timeout;
   Place.BodyBytes = Request.body().size();
   Admitted.Fingerprint = fingerprintOf(
       {Admitted.Workspace == nullptr ? std::string_view()
@@ -518,6 +520,7 @@
 
 std::vector<object_update> gate::takeUpdates() {
   State->logAffinity();
+  State->logOverload();
   std::vector<object_update> Messages;
   for (const object_row &Row : State->Placer.takeUpdates()) {
     if (Messages.empty() || Messages.back().Rows.size() >= MaxObjectRows)
@@ -545,6 +548,7 @@
   Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.SpilledPart = State->spilledPart();
   Counts.Requests = State->Requests;
+  Counts.Admissions = State->Placer.admissionCounts();
   if (State->Settings.Affinity.Enabled) {
     const affinity &Affinity = State->Placer.affinityState();
     Counts.Holders = State->Placer.holders();
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -108,6 +108,8 @@
                 const std::string &Service);
   /// Logs holders gained and given back, and the measured gains.
   void logAffinity();
+  /// Logs services that became overloaded or recovered.
+  void logOverload();
 
   struct place_waiter {
     explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
