--- a/packages/steering/tests/fairload.h
+++ b/packages/steering/tests/fairload.h
@@ -225,6 +225,7 @@
         for (const workspace_use &Use : Told[I])
           Sums[Use.Workspace] += Use.Demand;
     std::vector<workspace_claim> Claims;
+    Claims.reserve(Sums.size());
     for (const auto &[Workspace, Demand] : Sums)
       Claims.push_back({Workspace, Demand, 1});
     for (std::size_t I = 0; I < Placers.size(); ++I)
