--- a/packages/traffic/src/gatefair.cpp
+++ b/packages/traffic/src/gatefair.cpp
@@ -82,7 +82,7 @@
     }
     double Slots = 0;
     for (std::size_t Region = 0; Region < RegionNumbers.size(); ++Region)
-      Slots += Placer.slotsIn(Handle, Region, Now);
+      Slots += Placer.slotsIn(Handle, Region, Now).Usable;
     Placer.updateShares(Handle, Claims, Slots, Now);
   }
   logShares(Now);
