--- a/packages/daemon/src/gateway_p.h
+++ b/packages/daemon/src/gateway_p.h
@@ -70,7 +70,8 @@
   bool serving() const;
   std::vector<std::string> directory() const;
   std::vector<std::string> directoryRows(bool OnlyWorkingPaths) const;
-  admin_answer directoryPage(std::string_view Target) const;
+  void logDirectory(const std::vector<std::string> &Addresses);
+  admin_answer directoryPage(std::string_view Target);
   admin_answer readyPage(std::string_view Target) const;
   admin_answer peerPage(const admin_port::request &Request) const;
   void requestView();
@@ -139,6 +140,9 @@
   load_summary Load;
   std::uint64_t LastRequests = 0;
   std::size_t Regions = 1;
+  /// The directory's answer that was last logged.
+  std::vector<std::string> LoggedDirectory;
+  steady_time NextDirectoryLog;
   bool Accepting = false;
   std::optional<steady_time> DrainingSince;
   std::optional<steady_time> ClosedAt;
--- a/packages/daemon/src/gatewaypages.cpp
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -10,6 +10,12 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr milliseconds DirectoryLogPeriod{1000};
+
+} // namespace
+
 admin_answer gateway::snapshotPage() const {
   if (!Follower.knowsTargets() || DrainingSince)
     return {503, "application/json", "{\"error\":\"not_ready\"}"};
@@ -90,10 +96,28 @@
   return Chosen;
 }
 
-admin_answer gateway::directoryPage(std::string_view Target) const {
+/// Logs whom callers are sent to when that has changed, at most once a second.
+void gateway::logDirectory(const std::vector<std::string> &Addresses) {
+  const steady_time Now = Clock.now();
+  if (Addresses == LoggedDirectory || Now < NextDirectoryLog)
+    return;
+  LoggedDirectory = Addresses;
+  NextDirectoryLog = Now + DirectoryLogPeriod;
+  std::string Named;
+  for (const std::string &Address : Addresses)
+    Named += (Named.empty() ? "" : ",") + Address;
+  logEvent(log_level::Info, "directory_changed",
+           {{"count", Addresses.size()},
+            {"left_out", Paths.brokenCount(Now)},
+            {"path", Gate.pathBroken() ? "broken" : "working"},
+            {"named", Named}});
+}
+
+admin_answer gateway::directoryPage(std::string_view Target) {
   if (!Platform.dialect().readDirectory(Target))
     return {404, "application/json", "{\"error\":\"not_found\"}"};
   const std::vector<std::string> Addresses = directory();
+  logDirectory(Addresses);
   if (Addresses.empty())
     return {503, "application/json", "{\"error\":\"no_instance\"}"};
   return {200, "application/json",
--- a/packages/daemon/src/pathsys.cpp
+++ b/packages/daemon/src/pathsys.cpp
@@ -84,6 +84,12 @@
   Gate.receive(Report);
 }
 
+std::size_t path_system::brokenCount(steady_time Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(Broken.begin(), Broken.end(),
+                    [&](const auto &Row) { return Now < Row.second; }));
+}
+
 bool path_system::isBroken(const std::string &Name, steady_time Now) const {
   const auto Found = Broken.find(Name);
   return Found != Broken.end() && Now < Found->second;
--- a/packages/daemon/src/pathsys_p.h
+++ b/packages/daemon/src/pathsys_p.h
@@ -34,6 +34,7 @@
 
   /// The peer has announced that it reaches no targets.
   bool isBroken(const std::string &Name, steady_time Now) const;
+  std::size_t brokenCount(steady_time Now) const;
 
 private:
   void query(const path_query &Query);
--- a/packages/steering/include/magnoliaspread/pathmsg.h
+++ b/packages/steering/include/magnoliaspread/pathmsg.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace magnoliaspread {
@@ -18,6 +19,18 @@
   Broken,
 };
 
+constexpr std::string_view nameOf(path_state State) {
+  switch (State) {
+  case path_state::Working:
+    return "working";
+  case path_state::Suspect:
+    return "suspect";
+  case path_state::Broken:
+    break;
+  }
+  return "broken";
+}
+
 /// Asks what the receiver hears from targets.
 struct path_query {
   std::uint64_t Round = 0;
--- a/packages/steering/include/magnoliaspread/targetpath.h
+++ b/packages/steering/include/magnoliaspread/targetpath.h
@@ -60,6 +60,18 @@
   std::chrono::milliseconds RecoveryJitter{400};
 };
 
+/// What the state of the path rests on, for logs.
+struct path_evidence {
+  std::size_t FailingTargets = 0;
+  std::size_t InFlightTargets = 0;
+  /// Since a target was last heard.
+  std::chrono::milliseconds HeardAge{0};
+  std::size_t ProbesFailed = 0;
+  /// Peers that have answered since the suspicion.
+  std::size_t Answers = 0;
+  bool PeerHears = false;
+};
+
 struct path_target {
   target_handle Handle;
   std::string Service;
@@ -107,6 +119,7 @@
   void receive(const path_report &Report, steady_time Now);
 
   path_state state() const { return State; }
+  path_evidence evidence(steady_time Now) const;
 
 private:
   struct flight {
@@ -144,6 +157,7 @@
   std::size_t ProbesSent = 0;
   /// A peer has heard a target since the suspicion.
   bool PeerHears = false;
+  std::size_t Answers = 0;
   steady_time NextQuery;
   std::uint64_t Round = 0;
   steady_time NextProbe;
--- a/packages/steering/src/targetpath.cpp
+++ b/packages/steering/src/targetpath.cpp
@@ -110,6 +110,7 @@
     FailingSince = HeardAt;
   ProbesFailed = 0;
   PeerHears = false;
+  Answers = 0;
   Actions.Probes = chooseProbes(Settings.Probes, Now);
   Probing.clear();
   for (const target_handle Target : Actions.Probes)
@@ -230,12 +231,23 @@
   return duration_cast<milliseconds>(Now - HeardAt);
 }
 
+path_evidence target_path::evidence(steady_time Now) const {
+  return {recentFailures(Now),
+          InFlight.size(),
+          duration_cast<milliseconds>(Now - HeardAt),
+          ProbesFailed,
+          Answers,
+          PeerHears};
+}
+
 path_report target_path::answer(const path_query &Query,
                                 steady_time Now) const {
   return {Query.Round, State, heardAge(Now)};
 }
 
 void target_path::receive(const path_report &Report, steady_time Now) {
+  if (State == path_state::Suspect && Report.Round == Round)
+    ++Answers;
   if (State != path_state::Suspect || Report.Round != Round ||
       Report.State != path_state::Working || !Report.HeardAge)
     return;
--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -354,6 +354,7 @@
             {"target", Outcome.Target},
             {"sends", Outcome.Sends},
             {"unreachable", Outcome.Unreachable},
+            {"path", nameOf(State.Path.state())},
             {"ahead", Row.Ahead},
             {"wait_us", Outcome.Waited.count()},
             {"outcome", Outcome.Answer ? std::string_view("answered")
--- a/packages/traffic/src/gatepath.cpp
+++ b/packages/traffic/src/gatepath.cpp
@@ -14,6 +14,18 @@
 
 constexpr milliseconds ProbeTimeout{300};
 
+void logPath(log_level Level, std::string_view Event,
+             const path_evidence &Evidence, std::size_t InFlight) {
+  logEvent(Level, Event,
+           {{"failing", Evidence.FailingTargets},
+            {"in_flight_targets", Evidence.InFlightTargets},
+            {"heard_age_ms", Evidence.HeardAge.count()},
+            {"probes_failed", Evidence.ProbesFailed},
+            {"answers", Evidence.Answers},
+            {"peer_hears", Evidence.PeerHears ? 1 : 0},
+            {"in_flight", InFlight}});
+}
+
 } // namespace
 
 std::optional<target_handle>
@@ -70,10 +82,9 @@
   const path_state Before = Path.state();
   const path_actions Actions = Path.tick(Now);
   if (Before == path_state::Working && Path.state() == path_state::Suspect)
-    logEvent(log_level::Info, "path_suspected",
-             {{"probes", Actions.Probes.size()}, {"in_flight", InFlight}});
+    logPath(log_level::Info, "path_suspected", Path.evidence(Now), InFlight);
   if (Before == path_state::Suspect && Path.state() == path_state::Working)
-    logEvent(log_level::Info, "path_cleared", {{"in_flight", InFlight}});
+    logPath(log_level::Info, "path_cleared", Path.evidence(Now), InFlight);
   for (const target_handle Target : Actions.Probes)
     asio::co_spawn(Context, probe(Target), asio::detached);
   std::vector<path_message> Messages;
