--- a/tests/soak/cutport.cpp
+++ b/tests/soak/cutport.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <fcntl.h>
 #include <sys/socket.h>
 
 namespace magnoliaspread {
@@ -54,6 +55,8 @@
   const tcp::endpoint Address(asio::ip::address_v4::loopback(), Port);
   Acceptor.open(Address.protocol());
   Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  // An instance that inherits the socket would keep the port open.
+  ::fcntl(Acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
   Acceptor.bind(Address);
   Acceptor.listen();
   acceptNext();
@@ -83,7 +86,7 @@
 }
 
 void cut_port::apply(path_cut Now) {
-  asio::post(Context, asio::use_future([this, Now] { set(Now); })).wait();
+  asio::post(Context, asio::use_future([this, Now] { set(Now); })).get();
 }
 
 void cut_port::set(path_cut Now) {
