--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -110,6 +110,7 @@
     Members.historyLost();
     Quarantines.historyLost();
   });
+  GateSettings.Secret = Secret;
   Members.addSeedHosts(Settings.Gateway->Seeds, DataCentres);
 }
 
@@ -134,6 +135,7 @@
   Gauges.Quarantined = Counts.Quarantined;
   Gauges.LimitedTargets = Counts.LimitedTargets;
   Gauges.PathBroken = Gate.pathBroken();
+  Gauges.Forwarded = Counts.Forwarded;
   Gauges.DataCentreCrossed =
       Counts.Crossings.bytesFrom(target_distance::Region);
   Gauges.RegionCrossed = Counts.Crossings.bytesFrom(target_distance::Remote);
--- a/packages/daemon/src/gateway_p.h
+++ b/packages/daemon/src/gateway_p.h
@@ -59,6 +59,7 @@
   /// Live peers of the own region.
   std::vector<entry_candidate> regionCandidates() const;
   void updatePeers(steady_time Now);
+  void updateForwardPeers(steady_time Now);
   void runLimits(steady_time Now);
   std::vector<limiter_instance> limiterInstances(steady_time Now) const;
   void receive(const endpoint_address &From, const received_datagram &Datagram);
@@ -69,6 +70,9 @@
   void measure(steady_time Now);
   bool serving() const;
   std::vector<std::string> directory() const;
+  /// 0 in the data centre, 1 in the region, else 2.
+  int distanceOf(const member_identity &Peer) const;
+  bool lacksCapacity(steady_time Now) const;
   std::vector<std::string> directoryRows(bool OnlyWorkingPaths) const;
   void logDirectory(const std::vector<std::string> &Addresses);
   admin_answer directoryPage(std::string_view Target);
--- a/packages/daemon/src/gatewaypages.cpp
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -6,6 +6,8 @@
 
 #include <magnoliaspread/log.h>
 
+#include <algorithm>
+
 namespace magnoliaspread {
 
 using std::chrono::milliseconds;
@@ -57,8 +59,28 @@
   return Rows.empty() ? directoryRows(false) : Rows;
 }
 
-/// Instances of this data centre, else of the region, else of all;
-/// chooseEntries selects among them by capacity and load.
+int gateway::distanceOf(const member_identity &Peer) const {
+  if (Peer.DataCentre == Settings.DataCentre)
+    return 0;
+  return Peer.Region == Settings.Region ? 1 : 2;
+}
+
+/// Whether broken paths have taken more than half of this data centre's
+/// capacity; the rest may not bear its callers.
+bool gateway::lacksCapacity(steady_time Now) const {
+  std::uint64_t Working = 0;
+  std::uint64_t Lost = 0;
+  (Gate.pathBroken() ? Lost : Working) += Load.Capacity;
+  for (const member_row &Row : Peers)
+    if (distanceOf(Row.Identity) == 0)
+      (Paths.isBroken(Row.Identity.Name, Now) ? Lost : Working) +=
+          Row.Report.Load.Capacity;
+  return Lost > Working;
+}
+
+/// Instances of this data centre, else of the region, else of all; of the whole
+/// region while this data centre lacks capacity. chooseEntries selects among
+/// them by capacity and load.
 std::vector<std::string> gateway::directoryRows(bool OnlyWorkingPaths) const {
   std::vector<std::string> Addresses;
   std::vector<entry_candidate> Candidates;
@@ -69,17 +91,14 @@
     Addresses.push_back(textOf(Settings.Public));
     Candidates.push_back(ownCandidate());
   }
-  int Nearest = IncludesSelf ? 0 : 3;
+  const int Least = OnlyWorkingPaths && lacksCapacity(Now) ? 1 : 0;
+  int Nearest = IncludesSelf ? Least : 3;
   for (const member_row &Row : Peers) {
     if (!Row.Report.PlatformReachable && IncludesSelf)
       continue;
     if (OnlyWorkingPaths && Paths.isBroken(Row.Identity.Name, Now))
       continue;
-    int Distance = 2;
-    if (Row.Identity.DataCentre == Settings.DataCentre)
-      Distance = 0;
-    else if (Row.Identity.Region == Settings.Region)
-      Distance = 1;
+    const int Distance = std::max(Least, distanceOf(Row.Identity));
     if (Distance > Nearest)
       continue;
     if (Distance < Nearest) {
--- a/packages/daemon/src/gatewayparts.cpp
+++ b/packages/daemon/src/gatewayparts.cpp
@@ -76,6 +76,7 @@
         std::max(milliseconds(1), RevocationBound - RevocationMargin);
   Gate.Retries.Ratio = Settings.Gateway->RetryRatio * RetryAllowancePart;
   Gate.DetectBrokenPath = Settings.Gateway->DetectBrokenPath;
+  Gate.Forward = {Settings.Internal.Address, Settings.Gateway->ForwardPort};
   Gate.Retries.Slack = Settings.Gateway->RetrySlack * RetryAllowancePart;
   Gate.Pipelining.Requests = Settings.Gateway->PipelinedRequests;
   Gate.Pipelining.Bytes = Settings.Gateway->PipelinedBytes;
--- a/packages/daemon/src/gatewaypeers.cpp
+++ b/packages/daemon/src/gatewaypeers.cpp
@@ -94,6 +94,7 @@
   ColdShares.setRegionalPeers(regionCandidates(), Now);
   TargetLimits.setPeers(Peers);
   Paths.setPeers(Peers);
+  updateForwardPeers(Now);
   Load.Demand = Gate.demand();
   Members.members().setLoad(Load);
   Gate.setDemand(
@@ -104,6 +105,28 @@
   Limiter.setInstances(std::move(Instances), Regions, Now);
 }
 
+/// Tells the gate which peers may serve its requests.
+void gateway::updateForwardPeers(steady_time Now) {
+  const std::uint16_t Port = Settings.Gateway->ForwardPort;
+  std::vector<forward_peer> Rows;
+  for (const member_row &Row : Peers) {
+    const member_identity &Peer = Row.Identity;
+    if (Port == 0)
+      break;
+    forward_peer &To = Rows.emplace_back();
+    To.Name = Peer.Name;
+    To.Address = {Peer.Internal.Address, Port};
+    To.Region = Gate.regionNumber(Peer.Region);
+    if (Peer.Region == Settings.Region)
+      To.Distance = target_distance::Region;
+    if (Peer.DataCentre == Settings.DataCentre)
+      To.Distance = target_distance::DataCentre;
+    To.Capacity = Row.Report.Load.Capacity;
+    To.Broken = Paths.isBroken(Peer.Name, Now);
+  }
+  Gate.setForwardPeers(std::move(Rows));
+}
+
 void gateway::runLimits(steady_time Now) {
   for (const outgoing_token_request &Row : Limiter.tick(Now))
     sendTo(Members.members().find(Row.To), Row.Ask);
@@ -145,8 +168,9 @@
   if (const auto *Limit = std::get_if<target_limit_message>(&Message))
     return TargetLimits.receive(Datagram.Sender, *Limit);
   if (const auto *Path = std::get_if<path_message>(&Message)) {
-    if (const auto Row = Members.members().findIncarnation(Datagram.Sender))
-      Paths.receive(*Row, *Path, Clock.now());
+    const auto Row = Members.members().findIncarnation(Datagram.Sender);
+    if (Row && Paths.receive(*Row, *Path, Clock.now()))
+      updateForwardPeers(Clock.now());
     return;
   }
   if (const auto *Crashes = std::get_if<quarantine_update>(&Message))
--- a/packages/daemon/src/pathsys_p.h
+++ b/packages/daemon/src/pathsys_p.h
@@ -28,8 +28,8 @@
   /// Sends what is due.
   void tick(steady_time Now);
 
-  /// \p Sender is the sending instance.
-  void receive(const member_row &Sender, const path_message &Message,
+  /// \p Sender is the sending instance. True when its path has changed.
+  bool receive(const member_row &Sender, const path_message &Message,
                steady_time Now);
 
   /// The peer has announced that it reaches no targets.
@@ -37,6 +37,9 @@
   std::size_t brokenCount(steady_time Now) const;
 
 private:
+  std::vector<endpoint_address> takePeers(std::vector<const member_row *> &Rows,
+                                          std::size_t Near,
+                                          std::size_t Far) const;
   void query(const path_query &Query);
   void announce(const path_report &Report);
 
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -67,6 +67,8 @@
   /// since the start.
   std::size_t HeldWorkspaces = 0;
   std::uint64_t ShareRefusals = 0;
+  /// Requests that peers served, as this instance reached no targets.
+  std::uint64_t Forwarded = 0;
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -64,6 +64,7 @@
   prometheus::Gauge &Quarantined;
   prometheus::Gauge &LimitedTargets;
   prometheus::Gauge &PathBroken;
+  prometheus::Gauge &Forwarded;
   prometheus::Gauge &DataCentreCrossed;
   prometheus::Gauge &RegionCrossed;
   prometheus::Gauge &NearHolders;
@@ -122,6 +123,9 @@
       PathBroken(addGauge(Registry, "magnoliaspread_path_broken",
                           "1 while this instance reaches no targets and peers "
                           "do")),
+      Forwarded(addGauge(Registry, "magnoliaspread_forwarded_requests",
+                         "Requests that peers served, as this instance reached "
+                         "no targets")),
       DataCentreCrossed(
           addGauge(Registry, "magnoliaspread_data_centre_crossed_bytes",
                    "Answer bytes from other data centres of the region")),
@@ -218,6 +222,7 @@
   State->Suspects.Set(static_cast<double>(Gauges.Suspects));
   State->Quarantined.Set(static_cast<double>(Gauges.Quarantined));
   State->LimitedTargets.Set(static_cast<double>(Gauges.LimitedTargets));
+  State->Forwarded.Set(static_cast<double>(Gauges.Forwarded));
   State->PathBroken.Set(Gauges.PathBroken ? 1 : 0);
   State->DataCentreCrossed.Set(static_cast<double>(Gauges.DataCentreCrossed));
   State->RegionCrossed.Set(static_cast<double>(Gauges.RegionCrossed));
--- a/packages/report/tests/metrics.cpp
+++ b/packages/report/tests/metrics.cpp
@@ -42,8 +42,8 @@
                         "service=\"calendar\",workspace=\"aero\"} 2");
   });
   section("and reports its state", [&] {
-    Metrics.setGauges({3,   2,   9, 17, 1500ms, true, 0ms, 5, 1, 4, 2, true,
-                       700, 800, 6, 12, 0.25,   31,   6,   3, 2, 5, 44});
+    Metrics.setGauges({3,   2,   9, 17, 1500ms, true, 0ms, 5, 1, 4, 2,  true,
+                       700, 800, 6, 12, 0.25,   31,   6,   3, 2, 5, 44, 9});
     expectLine(Metrics, "magnoliaspread_config_version 17");
     expectLine(Metrics, "magnoliaspread_config_staleness_seconds 1.5");
     expectLine(Metrics, "magnoliaspread_platform_reachable 1");
@@ -53,6 +53,7 @@
     expectLine(Metrics, "magnoliaspread_limited_targets 4");
     expectLine(Metrics, "magnoliaspread_pipelined 2");
     expectLine(Metrics, "magnoliaspread_path_broken 1");
+    expectLine(Metrics, "magnoliaspread_forwarded_requests 9");
     expectLine(Metrics, "magnoliaspread_data_centre_crossed_bytes 700");
     expectLine(Metrics, "magnoliaspread_region_crossed_bytes 800");
     expectLine(Metrics, "magnoliaspread_near_holders 6");
--- a/packages/settings/include/magnoliaspread/settings.h
+++ b/packages/settings/include/magnoliaspread/settings.h
@@ -87,6 +87,9 @@
   double LinkMbps = 0;
   /// Leave the directory while this instance reaches no targets and peers do.
   bool DetectBrokenPath = false;
+  /// Port beside the internal one, the same on all instances, that takes the
+  /// requests of peers which reach no targets; 0 is none.
+  std::uint16_t ForwardPort = 0;
   /// Requests of one caller's connection that may be unanswered at once; with
   /// 1 each waits for the one before it.
   std::size_t PipelinedRequests = 1;
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -252,6 +252,9 @@
   Nested(numberField("link_mbps", presence::Optional, 0, MaxLinkMbps),
          Gateway.LinkMbps);
   Nested(choiceField("detect_broken_path"), Gateway.DetectBrokenPath);
+  Nested(numberField("forward_port", presence::Optional, 0,
+                     std::numeric_limits<std::uint16_t>::max()),
+         Gateway.ForwardPort);
   readPipelining(Nested, Gateway, Fault);
   readDemand(Nested, Gateway, Fault);
   readAffinity(Nested, Gateway.Affinity, Fault);
--- a/packages/steering/include/magnoliaspread/targetpath.h
+++ b/packages/steering/include/magnoliaspread/targetpath.h
@@ -38,6 +38,17 @@
   /// Silence of all targets, with requests in flight on MinTargets of them.
   /// Most requests take less time.
   std::chrono::milliseconds Silence{700};
+  /// With fewer targets in use, the path is suspected when all of them fail for
+  /// this long: what few requests show can't reach a fixed number.
+  std::chrono::milliseconds SparseWait{150};
+  /// Or when all requests in flight take this many times as long as expected.
+  int OverdueFactor = 3;
+  /// A peer has announced that its path is broken: unless a target is heard
+  /// within this time, the own path is suspected.
+  std::chrono::milliseconds CheckWait{150};
+  /// Whoever is asked by a peer and hasn't reached a target for this long
+  /// probes one.
+  std::chrono::milliseconds FreshAge{300};
   /// Targets probed at once when the path is suspected.
   std::size_t Probes = 4;
   /// A probe that has no result by then has failed; above the longest round
@@ -100,7 +111,8 @@
   void setTargets(std::vector<path_target> Targets);
 
   /// A request was sent to the target; heard() or failed() follows.
-  void sent(target_handle Target, steady_time Now);
+  void sent(target_handle Target, steady_time Now,
+            std::chrono::nanoseconds ExpectedTime);
   /// Bytes from the target have arrived.
   void heard(target_handle Target, steady_time Now);
   /// The request ended without an answer and for another reason than the
@@ -115,7 +127,9 @@
   /// Call every few tens of milliseconds.
   path_actions tick(steady_time Now);
 
-  path_report answer(const path_query &Query, steady_time Now) const;
+  path_report answer(const path_query &Query, steady_time Now);
+  /// A peer has announced that its path is broken.
+  void notePeerBroken(steady_time Now);
   void receive(const path_report &Report, steady_time Now);
 
   path_state state() const { return State; }
@@ -125,11 +139,16 @@
   struct flight {
     std::uint32_t Requests = 0;
     steady_time Since;
+    /// When all of them are overdue.
+    steady_time OverdueAt;
   };
 
   bool looksBroken(steady_time Now) const;
   std::size_t recentFailures(steady_time Now) const;
   std::size_t silentTargets() const;
+  bool allFail(steady_time Now) const;
+  bool checkDue(steady_time Now);
+  void probeForPeers(steady_time Now, path_actions &Actions);
   std::vector<target_handle> chooseProbes(std::size_t Count, steady_time Now);
   void suspect(steady_time Now, path_actions &Actions);
   void judge(steady_time Now, path_actions &Actions);
@@ -137,7 +156,7 @@
   void probeBroken(steady_time Now, path_actions &Actions);
   void recover(steady_time Now, path_actions &Actions);
   void endSuspicion(steady_time Now);
-  std::optional<std::chrono::milliseconds> heardAge(steady_time Now) const;
+  std::optional<std::chrono::milliseconds> reachedAge(steady_time Now) const;
 
   target_path_settings Settings;
   std::mt19937_64 Random;
@@ -148,7 +167,13 @@
   /// Last failure by target index since a connection was last opened.
   std::map<std::uint16_t, steady_time> FailedAt;
   steady_time HeardAt;
-  bool HeardOnce = false;
+  /// When a target was last heard or a connection to one opened.
+  std::optional<steady_time> ReachedAt;
+  /// When the first peer announced a broken path that is not checked yet.
+  std::optional<steady_time> CheckSince;
+  /// A peer asked while no target had been reached of late.
+  bool PeerAsked = false;
+  steady_time NextPeerProbe;
   steady_time FailingSince;
   steady_time SuspectedAt;
   steady_time NextSuspicion;
--- a/packages/steering/src/forwardpeers.cpp
+++ b/packages/steering/src/forwardpeers.cpp
@@ -24,9 +24,9 @@
 }
 
 bool forward_peers::any(home_regions Homes, steady_time Now) const {
-  return std::any_of(
-      Peers.begin(), Peers.end(),
-      [&](const forward_peer &Peer) { return usable(Peer, Homes, Now); });
+  return std::any_of(Peers.begin(), Peers.end(), [&](const forward_peer &Peer) {
+    return usable(Peer, Homes, Now);
+  });
 }
 
 std::optional<forward_peer>
--- a/packages/steering/src/targetpath.cpp
+++ b/packages/steering/src/targetpath.cpp
@@ -23,8 +23,11 @@
                 [&](const auto &Row) { return !Known.contains(Row.first); });
 }
 
-void target_path::sent(target_handle Target, steady_time Now) {
+void target_path::sent(target_handle Target, steady_time Now,
+                       std::chrono::nanoseconds ExpectedTime) {
   flight &Row = InFlight[Target.Index];
+  Row.OverdueAt =
+      std::max(Row.OverdueAt, Now + Settings.OverdueFactor * ExpectedTime);
   if (Row.Requests++ == 0)
     Row.Since = Now;
 }
@@ -38,7 +41,7 @@
 void target_path::heard(target_handle Target, steady_time Now) {
   abandoned(Target);
   HeardAt = Now;
-  HeardOnce = true;
+  ReachedAt = Now;
 }
 
 void target_path::failed(target_handle Target, steady_time Now) {
@@ -51,7 +54,15 @@
 }
 
 /// A connection that opens shows that the path works.
-void target_path::connected(target_handle, steady_time) { FailedAt.clear(); }
+void target_path::connected(target_handle, steady_time Now) {
+  FailedAt.clear();
+  ReachedAt = Now;
+}
+
+void target_path::notePeerBroken(steady_time Now) {
+  if (!CheckSince)
+    CheckSince = Now;
+}
 
 std::size_t target_path::recentFailures(steady_time Now) const {
   return static_cast<std::size_t>(
@@ -67,6 +78,34 @@
       }));
 }
 
+/// No target was reached while all that were tried failed, or all requests in
+/// flight are overdue.
+bool target_path::allFail(steady_time Now) const {
+  if (recentFailures(Now) > 0 && Now - FailingSince >= Settings.SparseWait &&
+      (!ReachedAt || *ReachedAt < FailingSince))
+    return true;
+  return !InFlight.empty() &&
+         (!ReachedAt || Now - *ReachedAt >= Settings.Silence) &&
+         std::all_of(InFlight.begin(), InFlight.end(), [&](const auto &Row) {
+           return Now >= Row.second.OverdueAt;
+         });
+}
+
+/// A peer's announcement has to be checked, as no target was reached since.
+bool target_path::checkDue(steady_time Now) {
+  if (CheckSince && ReachedAt && *ReachedAt > *CheckSince)
+    CheckSince.reset();
+  return CheckSince && Now - *CheckSince >= Settings.CheckWait;
+}
+
+void target_path::probeForPeers(steady_time Now, path_actions &Actions) {
+  if (!PeerAsked || Now < NextPeerProbe)
+    return;
+  PeerAsked = false;
+  NextPeerProbe = Now + Settings.FreshAge;
+  Actions.Probes = chooseProbes(1, Now);
+}
+
 /// Several targets fail with no connection opened in between, or all are
 /// silent.
 bool target_path::looksBroken(steady_time Now) const {
@@ -74,7 +113,9 @@
       std::clamp<std::size_t>(Targets.size(), 1, Settings.MinTargets);
   if (recentFailures(Now) >= Least)
     return true;
-  return Now - HeardAt >= Settings.Silence && silentTargets() >= Least;
+  if (Now - HeardAt >= Settings.Silence && silentTargets() >= Least)
+    return true;
+  return allFail(Now);
 }
 
 /// Targets of as many services and data centres as possible, those that have
@@ -106,6 +147,7 @@
 void target_path::suspect(steady_time Now, path_actions &Actions) {
   State = path_state::Suspect;
   SuspectedAt = Now;
+  CheckSince.reset();
   if (FailedAt.empty() || HeardAt < FailingSince)
     FailingSince = HeardAt;
   ProbesFailed = 0;
@@ -122,8 +164,12 @@
 
 void target_path::probed(target_handle Target, bool Succeeded,
                          steady_time Now) {
-  if (Probing.erase(Target.Index) == 0)
+  if (Probing.erase(Target.Index) == 0) {
+    // Made for a peer.
+    if (Succeeded && State == path_state::Working)
+      connected(Target, Now);
     return;
+  }
   if (State == path_state::Suspect) {
     if (Succeeded)
       endSuspicion(Now);
@@ -166,7 +212,7 @@
   Successes = 0;
   RecoverAt.reset();
   NextProbe = Now + Settings.ProbePeriod;
-  Actions.Announcement = path_report{0, State, heardAge(Now)};
+  Actions.Announcement = path_report{0, State, reachedAge(Now)};
   Actions.FailingSince = FailingSince;
 }
 
@@ -200,6 +246,8 @@
   RecoveredAt = Now;
   NextSuspicion = Now;
   HeardAt = Now;
+  ReachedAt = Now;
+  CheckSince.reset();
   FailedAt.clear();
   Probing.clear();
   Actions.Announcement = path_report{0, State, milliseconds(0)};
@@ -212,8 +260,11 @@
     return Actions;
   switch (State) {
   case path_state::Working:
-    if (Now >= NextSuspicion && looksBroken(Now))
+    if (const bool Due = checkDue(Now);
+        Now >= NextSuspicion && (Due || looksBroken(Now)))
       suspect(Now, Actions);
+    else
+      probeForPeers(Now, Actions);
     break;
   case path_state::Suspect:
     judge(Now, Actions);
@@ -225,10 +276,10 @@
   return Actions;
 }
 
-std::optional<milliseconds> target_path::heardAge(steady_time Now) const {
-  if (!HeardOnce)
+std::optional<milliseconds> target_path::reachedAge(steady_time Now) const {
+  if (!ReachedAt)
     return std::nullopt;
-  return duration_cast<milliseconds>(Now - HeardAt);
+  return duration_cast<milliseconds>(Now - *ReachedAt);
 }
 
 path_evidence target_path::evidence(steady_time Now) const {
@@ -240,9 +291,10 @@
           PeerHears};
 }
 
-path_report target_path::answer(const path_query &Query,
-                                steady_time Now) const {
-  return {Query.Round, State, heardAge(Now)};
+path_report target_path::answer(const path_query &Query, steady_time Now) {
+  if (!ReachedAt || Now - *ReachedAt >= Settings.FreshAge)
+    PeerAsked = true;
+  return {Query.Round, State, reachedAge(Now)};
 }
 
 void target_path::receive(const path_report &Report, steady_time Now) {
--- a/packages/steering/tests/targetpath.cpp
+++ b/packages/steering/tests/targetpath.cpp
@@ -5,6 +5,8 @@
 
 #include <array>
 #include <memory>
+#include <random>
+#include <string>
 #include <vector>
 
 using namespace magnoliaspread;
@@ -30,6 +32,9 @@
     std::optional<steady_time> BrokenAt;
     std::size_t Announcements = 0;
     std::uint16_t Next = 0;
+    /// Between its requests.
+    std::chrono::milliseconds Pause = Step;
+    steady_time NextRequest;
   };
 
   explicit path_fleet(std::size_t Count, std::uint64_t Seed = 1) {
@@ -51,7 +56,10 @@
     const steady_time End = Now + Length;
     for (; Now < End; Now += Step)
       for (std::size_t I = 0; I < Instances.size(); ++I) {
-        request(Instances[I]);
+        if (Now >= Instances[I].NextRequest) {
+          Instances[I].NextRequest = Now + Instances[I].Pause;
+          request(Instances[I]);
+        }
         act(I, Instances[I].Path->tick(Now));
       }
   }
@@ -65,12 +73,13 @@
 
   steady_time Now{std::chrono::hours(1)};
   std::vector<instance> Instances;
+  std::size_t Probes = 0;
   /// Targets that refuse everybody.
   std::array<bool, TargetCount> Down{};
 
-private:
   static constexpr std::chrono::milliseconds Step{50};
 
+private:
   bool reaches(const instance &Row, std::uint16_t Target) const {
     return !Row.Cut || Target < Row.Spared;
   }
@@ -85,11 +94,11 @@
     if (Lives) {
       if (NewConnection)
         Row.Path->connected({Target}, Now);
-      Row.Path->sent({Target}, Now);
+      Row.Path->sent({Target}, Now, Work);
       return Row.Path->heard({Target}, Now);
     }
     if (!Down[Target] && Row.Cut == cut_kind::Hangs)
-      return Row.Path->sent({Target}, Now);
+      return Row.Path->sent({Target}, Now, Work);
     Row.Path->failed({Target}, Now);
   }
 
@@ -100,20 +109,32 @@
         Row.Path->probed(Target, true, Now);
       else if (Down[Target.Index] || Row.Cut != cut_kind::Hangs)
         Row.Path->probed(Target, false, Now);
+    Probes += Actions.Probes.size();
     if (Actions.Query)
-      for (std::size_t Peer = 0; Peer < Instances.size(); ++Peer)
+      for (std::size_t Asked = 0; Asked < QueriedPeers; ++Asked) {
+        const std::size_t Peer = Random() % Instances.size();
         if (Peer != I)
           Row.Path->receive(Instances[Peer].Path->answer(*Actions.Query, Now),
                             Now);
+      }
     if (!Actions.Announcement)
       return;
     ++Row.Announcements;
+    if (Actions.Announcement->State == path_state::Broken)
+      for (std::size_t Peer = 0; Peer < Instances.size(); ++Peer)
+        if (Peer != I)
+          Instances[Peer].Path->notePeerBroken(Now);
     if (Actions.Announcement->State == path_state::Broken)
       Row.BrokenAt = Now;
     else
       Row.BrokenAt.reset();
   }
 
+  static constexpr std::chrono::milliseconds Work{300};
+  static constexpr std::size_t QueriedPeers = 6;
+
+  std::mt19937 Random{7};
+
   std::uint64_t Requests = 0;
 };
 
@@ -209,3 +230,74 @@
   Fleet.run(6s);
   CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.broken());
 }
+
+namespace {
+
+/// RULES, RECOVER: from here on callers of cut instances must be served.
+constexpr std::chrono::milliseconds StabilityWindow{4000};
+
+/// Every fifth instance is busy, the others get about a request a second.
+void makeIdle(path_fleet &Fleet) {
+  for (std::size_t I = 0; I < Fleet.Instances.size(); ++I)
+    if (I % 5 != 0)
+      Fleet.Instances[I].Pause = std::chrono::milliseconds(800 + 37 * (I % 11));
+}
+
+} // namespace
+
+// Guards against idle instances that stay in use although they are cut off like
+// the busy ones beside them (RECOVER).
+STORY(idle_instances_notice_a_broken_path) {
+  for (const cut_kind Kind : {cut_kind::Hangs, cut_kind::Resets})
+    for (const std::size_t Count : {12U, 65U, 195U}) {
+      path_fleet Fleet(Count);
+      makeIdle(Fleet);
+      Fleet.run(6s);
+      for (std::size_t I = 0; I < Count; I += 3)
+        Fleet.Instances[I].Cut = Kind;
+      Fleet.run(StabilityWindow);
+      section("all that are cut off, and no others: " + std::to_string(Count),
+              [&] {
+                for (const path_fleet::instance &Row : Fleet.Instances)
+                  CPPUNIT_ASSERT_EQUAL(Row.Cut.has_value(),
+                                       Row.BrokenAt.has_value());
+              });
+      for (path_fleet::instance &Row : Fleet.Instances)
+        Row.Cut.reset();
+      Fleet.run(2s);
+      section("they return after the cut",
+              [&] { CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.broken()); });
+    }
+}
+
+// Guards against idle instances that notice only if a busy one does (RECOVER).
+STORY(idle_instances_notice_without_a_busy_one) {
+  for (const cut_kind Kind : {cut_kind::Hangs, cut_kind::Resets})
+    for (const std::size_t Count : {12U, 65U, 195U}) {
+      path_fleet Fleet(Count);
+      makeIdle(Fleet);
+      Fleet.run(6s);
+      for (std::size_t I = 1; I < Count; I += 5)
+        Fleet.Instances[I].Cut = Kind;
+      Fleet.run(StabilityWindow);
+      for (const path_fleet::instance &Row : Fleet.Instances)
+        CPPUNIT_ASSERT_EQUAL(Row.Cut.has_value(), Row.BrokenAt.has_value());
+    }
+}
+
+// Guards against probes in calm times: each one is a new connection.
+STORY(a_working_path_is_not_probed) {
+  path_fleet Fleet(65);
+  makeIdle(Fleet);
+  Fleet.run(20s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.Probes);
+}
+
+// A single instance has nobody to compare with.
+STORY(a_single_instance_breaks_no_path) {
+  path_fleet Fleet(1);
+  Fleet.run(3s);
+  Fleet.Instances[0].Cut = cut_kind::Resets;
+  Fleet.run(5s);
+  CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.broken());
+}
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -8,6 +8,8 @@
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/crossing.h>
 #include <magnoliaspread/error.h>
+#include <magnoliaspread/fleetauth.h>
+#include <magnoliaspread/forwardpeers.h>
 #include <magnoliaspread/gate_dialect.h>
 #include <magnoliaspread/metrics.h>
 #include <magnoliaspread/pathmsg.h>
@@ -45,6 +47,11 @@
   fleet_retry_settings Retries;
   /// Tell a broken path of this instance apart from targets that are down.
   bool DetectBrokenPath = false;
+  /// Where peers forward requests to while they reach no targets; port 0 is
+  /// nowhere.
+  endpoint_address Forward;
+  /// Signs forwarded requests.
+  fleet_secret Secret;
   crossing_costs Crossing;
   /// Limit of buffered bodies, in bytes; requests beyond it are refused.
   std::size_t MaxBodyMemory = 32u << 20;
@@ -85,6 +92,8 @@
   /// Largest part of a service's objects that the plan by demand places in
   /// other regions; 0 without one.
   double SpilledPart = 0;
+  /// Requests sent to a peer that serves them.
+  std::uint64_t Forwarded = 0;
   /// Requests since the start.
   std::uint64_t Requests = 0;
   /// Holders of all objects, and runs expected warm that took cold time.
@@ -172,10 +181,17 @@
   /// What is due to tell peers about this instance's path to the targets; call
   /// every few tens of milliseconds.
   std::vector<path_message> tickPath();
-  path_report answer(const path_query &Query) const;
+  path_report answer(const path_query &Query);
   void receive(const path_report &Report);
-  /// This instance reaches no targets and peers do. New connections to targets
-  /// fail at once, and connections of callers are closed after each answer.
+  /// A peer has announced that its path is broken.
+  void notePeerBroken();
+  /// Live instances of all regions, without this one.
+  void setForwardPeers(std::vector<forward_peer> Peers);
+  /// As in home_regions; the largest number for a region that isn't known.
+  std::uint8_t regionNumber(const std::string &Region) const;
+  /// This instance reaches no targets and peers do. Requests are forwarded to
+  /// peers, new connections to targets fail at once, and connections of callers
+  /// are closed after each answer.
   bool pathBroken() const;
   /// What this instance's callers ask, for the other instances; empty when
   /// placement by demand and fair shares are off.
--- a/packages/traffic/include/magnoliaspread/gate_dialect.h
+++ b/packages/traffic/include/magnoliaspread/gate_dialect.h
@@ -84,6 +84,9 @@
   virtual void rewriteRequest(gate_request_head &Head,
                               const target_head &Target) const = 0;
 
+  /// Removes the fields that concern one connection only.
+  virtual void eraseHopByHop(gate_request_head &Head) const = 0;
+
   virtual answer_head parseAnswerHead(const gate_answer_head &Head,
                                       std::string_view RequestId) const = 0;
 
--- a/packages/traffic/src/forwardhead.cpp
+++ b/packages/traffic/src/forwardhead.cpp
@@ -17,7 +17,8 @@
 constexpr const char *RefusedField = "X-Fleet-Refused";
 constexpr const char *RetryField = "X-Fleet-Retry-Ms";
 
-template <class Number> std::optional<Number> readNumber(std::string_view Text) {
+template <class Number>
+std::optional<Number> readNumber(std::string_view Text) {
   Number Read{};
   const char *End = Text.data() + Text.size();
   const auto [Last, Failure] = std::from_chars(Text.data(), End, Read);
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -85,11 +85,11 @@
       Permits(Clock, {Settings.Name, Settings.Region}, Seed),
       Placer(placerPolicy(Settings), &Permits),
       Pool(Context, Clock, reuseSettings()),
-      Path(pathSettings(Settings), Seed, Clock.now()),
+      Path(pathSettings(Settings), Seed, Clock.now()), ForwardPeers(Seed),
       Quarantine(quarantineSettings(Seed)),
       RegionNumbers(numberRegions(Settings.Regions)), Retries(Settings.Retries),
       NextId(Seed), Memory(Settings.MaxBodyMemory), Acceptor(Context),
-      PollTimer(Context) {}
+      ForwardAcceptor(Context), PollTimer(Context) {}
 
 /// Retries the placement of waiting requests: the estimate of other instances'
 /// load on a target decays without a message.
@@ -137,7 +137,8 @@
     Verdict = std::move(*Waiter.Verdict);
   }
   if (const auto *Send = std::get_if<place_send>(&Verdict)) {
-    Path.sent(Send->Target, Clock.now());
+    Path.sent(Send->Target, Clock.now(),
+              Placer.expectedService(Request.Kind, false));
     co_return Send->Target;
   }
   co_return std::get<error>(Verdict);
@@ -385,6 +386,9 @@
 status gate::open() {
   status Opened =
       openPort(State->Acceptor, State->Settings.Public, port_use::Alone);
+  if (!failed(Opened) && State->Settings.Forward.Port != 0)
+    Opened = openPort(State->ForwardAcceptor, State->Settings.Forward,
+                      port_use::Alone);
   if (failed(Opened))
     return Opened;
   asio::co_spawn(State->Context, State->Pool.sweepAll(), asio::detached);
@@ -392,12 +396,19 @@
 }
 
 void gate::acceptCallers() {
-  asio::co_spawn(State->Context,
-                 acceptAll(State->Context, State->Acceptor,
-                           [State = State.get()](tcp::socket Socket) {
-                             return serveCaller(std::move(Socket), *State);
-                           }),
-                 asio::detached);
+  const auto Accept = [State = State.get()](tcp::acceptor &From,
+                                            request_source Source) {
+    asio::co_spawn(State->Context,
+                   acceptAll(State->Context, From,
+                             [State, Source](tcp::socket Socket) {
+                               return serveConnection(std::move(Socket), *State,
+                                                      Source);
+                             }),
+                   asio::detached);
+  };
+  Accept(State->Acceptor, request_source::Caller);
+  if (State->ForwardAcceptor.is_open())
+    Accept(State->ForwardAcceptor, request_source::Peer);
 }
 
 void gate::setRoutes(route_index_ptr Routes) {
@@ -494,6 +505,7 @@
 void gate::stopAccepting() {
   error_code Ignored;
   State->Acceptor.close(Ignored);
+  State->ForwardAcceptor.close(Ignored);
   for (const auto &[Id, Socket] : State->IdleCallers)
     Socket->cancel(Ignored);
 }
@@ -550,6 +562,7 @@
   Counts.Crossings = State->Placer.crossings();
   Counts.SlowTargets = State->Placer.slowTargets(State->Clock.now());
   Counts.SpilledPart = State->spilledPart();
+  Counts.Forwarded = State->Forwarded;
   Counts.Requests = State->Requests;
   Counts.HeldWorkspaces = State->HeldWorkspaces;
   Counts.ShareRefusals = State->Placer.queue().shares().refused();
--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -1,4 +1,5 @@
 #include "caller_input_p.h"
+#include "forwardhead_p.h"
 #include "gate_run_p.h"
 #include "sockets_p.h"
 #include "timers_p.h"
@@ -48,9 +49,11 @@
 /// writes the answers in order.
 class gate_connection : public std::enable_shared_from_this<gate_connection> {
 public:
-  gate_connection(tcp::socket Connected, gate::state &State)
-      : Socket(std::move(Connected)), State(State), Number(++State.NextId),
-        Order(State.Settings.Pipelining), Changed(Socket.get_executor()),
+  gate_connection(tcp::socket Connected, gate::state &State,
+                  request_source Source)
+      : Socket(std::move(Connected)), State(State), Source(Source),
+        Number(++State.NextId), Order(State.Settings.Pipelining),
+        Changed(Socket.get_executor()),
         Input(
             Socket, State.Clock, [this] { return inputLimit(); },
             [this] { handleInput(); }) {}
@@ -72,6 +75,7 @@
   pipeline_order orderOf(const request_parser &Head) const;
   pending_request &add(pipeline_order Kind);
   void start(std::uint64_t Request);
+  result<gate_request> admit(pending_request &Row);
   asio::awaitable<void> serve(std::uint64_t Request);
   asio::awaitable<void> refuseUnreadable(error_code Failure, bool HeadCame);
   void prepareAnswer(pending_request &Row, request_outcome Outcome);
@@ -89,6 +93,7 @@
 
   tcp::socket Socket;
   gate::state &State;
+  request_source Source;
   std::uint64_t Number;
   pipeline Order;
   std::map<std::uint64_t, pending_request> Pending;
@@ -155,7 +160,9 @@
   const caller_limits Limits = limits();
   HeadSince = State.Clock.now();
   Parser.emplace();
-  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  const std::size_t Added =
+      Source == request_source::Peer ? ForwardFieldBytes : 0;
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes + Added));
   Parser->body_limit(Limits.BodyBytes);
 }
 
@@ -331,6 +338,8 @@
                              std::string_view Id) {
   Row.Answer.version(11);
   State.Dialect.refuse(Row.Answer.base(), Error, Id);
+  if (Source == request_source::Peer)
+    writeRefusal(Row.Answer.base(), Error);
   Row.Answer.prepare_payload();
 }
 
@@ -355,6 +364,8 @@
             {"sends", Outcome.Sends},
             {"unreachable", Outcome.Unreachable},
             {"path", nameOf(State.Path.state())},
+            {"peer", Outcome.Peer},
+            {"forwarded_by", Wanted.ForwardedBy},
             {"ahead", Row.Ahead},
             {"wait_us", Outcome.Waited.count()},
             {"outcome", Outcome.Answer ? std::string_view("answered")
@@ -382,14 +393,34 @@
   Row.Answer = std::move(*Outcome.Answer);
   Row.AnswerMemory = std::move(Outcome.BodyMemory);
   State.Dialect.rewriteAnswer(Row.Answer.base());
+  eraseRefusal(Row.Answer.base());
   if (Row.Message.method() != http::verb::head)
     Row.Answer.prepare_payload();
 }
 
+/// Admits a request of a caller, or one that a peer forwards as of its arrival
+/// there.
+result<gate_request> gate_connection::admit(pending_request &Row) {
+  if (Source == request_source::Caller)
+    return State.admit(Row.Message, Row.ArrivedAt);
+  const std::string Id(State.Dialect.read(Row.Message.base()).Id);
+  const result<forward_note> Note = takeForwardNote(
+      Row.Message.base(), Id, State.Settings.Secret, State.Clock.wall());
+  if (failed(Note))
+    return errorOf(Note);
+  Row.ArrivedAt -= valueOf(Note).Waited;
+  result<gate_request> Admitted = State.admit(Row.Message, Row.ArrivedAt);
+  if (!failed(Admitted)) {
+    valueOf(Admitted).ForwardedBy = valueOf(Note).From;
+    valueOf(Admitted).EarlierSends = valueOf(Note).Sends;
+  }
+  return Admitted;
+}
+
 asio::awaitable<void> gate_connection::serve(std::uint64_t Request) {
   pending_request &Row = Pending.at(Request);
   ++State.Requests;
-  result<gate_request> Admitted = State.admit(Row.Message, Row.ArrivedAt);
+  result<gate_request> Admitted = admit(Row);
   if (failed(Admitted)) {
     const std::string Id(State.Dialect.read(Row.Message.base()).Id);
     const error &Error = errorOf(Admitted);
@@ -486,10 +517,11 @@
 
 } // namespace
 
-asio::awaitable<void> serveCaller(tcp::socket Socket, gate::state &State) {
+asio::awaitable<void> serveConnection(tcp::socket Socket, gate::state &State,
+                                      request_source Source) {
   const scoped_count Scope(State.Connections);
   const auto Connection =
-      std::make_shared<gate_connection>(std::move(Socket), State);
+      std::make_shared<gate_connection>(std::move(Socket), State, Source);
   co_await Connection->run();
 }
 
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -35,6 +35,10 @@
   const routed_workspace *Workspace = nullptr;
   std::string Service;
   place_request Place;
+  /// The peer that forwarded it; empty if it came from a caller.
+  std::string ForwardedBy;
+  /// Targets that the peer has sent it to.
+  std::uint32_t EarlierSends = 0;
   request_fingerprint Fingerprint = 0;
 };
 
@@ -72,6 +76,8 @@
   void notePathOutcome(target_outcome &End);
   asio::awaitable<void> probe(target_handle Target);
   std::vector<path_message> tickPath();
+  /// Whether the path is broken and a peer may serve the request.
+  bool canForward(const gate_request &Wanted) const;
   /// Whether a caller's connection stays open after an answer.
   bool keepsCallers() const {
     return !Leaving && Path.state() != path_state::Broken;
@@ -146,6 +152,8 @@
   placer Placer;
   connection_pool Pool;
   target_path Path;
+  forward_peers ForwardPeers;
+  std::uint64_t Forwarded = 0;
   quarantine Quarantine;
   route_index_ptr Routes;
   boot_time ConfigConfirmedAt;
@@ -183,12 +191,18 @@
   std::size_t Connections = 0;
   memory_budget Memory;
   tcp::acceptor Acceptor;
+  /// For requests that peers forward.
+  tcp::acceptor ForwardAcceptor;
   asio::steady_timer PollTimer;
   bool Polling = false;
 };
 
-/// Serves one caller's connection.
-asio::awaitable<void> serveCaller(tcp::socket Socket, gate::state &State);
+/// Who sends the requests of a connection.
+enum class request_source : std::uint8_t { Caller, Peer };
+
+/// Serves one connection.
+asio::awaitable<void> serveConnection(tcp::socket Socket, gate::state &State,
+                                      request_source Source);
 
 } // namespace magnoliaspread
 
--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -311,6 +311,8 @@
   }
   target_call Call = makeCall(Wanted, Message, Outcome);
   Call.MayAbandon = [&] {
+    if (State.canForward(Wanted))
+      return true;
     Outcome.Next = placeElsewhere(Wanted, Target, Outcome);
     return Outcome.Next.has_value();
   };
@@ -341,7 +343,20 @@
                                             request_outcome &Outcome) {
   const caller_subscription WhilePlaced(
       Caller, [&] { State.cancelPlacement(Wanted.Place.Id); });
+  bool MayForward = true;
   for (bool Again = true; Again;) {
+    if (MayForward && !Outcome.Next && State.canForward(Wanted)) {
+      MayForward = false;
+      if (co_await forwardRequest(State, Caller, Request, Wanted, Outcome))
+        co_return;
+    }
+    if (!Wanted.ForwardedBy.empty() &&
+        State.Path.state() == path_state::Broken && !Outcome.MayHaveRun) {
+      Outcome.Error = {error_kind::TargetUnreachable,
+                       "this instance reaches no targets",
+                       {}};
+      co_return;
+    }
     const steady_time Asked = State.Clock.now();
     result<target_handle> Target = Outcome.Next.value_or(target_handle());
     if (!Outcome.Next)
@@ -368,8 +383,13 @@
 
 asio::awaitable<request_outcome> gate_run::steer(gate_request &Wanted) {
   request_outcome Outcome;
+  Outcome.Sends = Wanted.EarlierSends;
   if (refuseQuarantined(Wanted, Outcome))
     co_return Outcome;
+  // The peer takes the token.
+  if (State.canForward(Wanted) &&
+      co_await forwardRequest(State, Caller, Request, Wanted, Outcome))
+    co_return Outcome;
   const bool Limited =
       Wanted.Workspace != nullptr && Wanted.Workspace->Rate > 0;
   if (Limited) {
--- a/packages/traffic/src/gate_run_p.h
+++ b/packages/traffic/src/gate_run_p.h
@@ -24,6 +24,8 @@
   /// Already reserved for the next attempt.
   std::optional<target_handle> Next;
   std::string Target;
+  /// The peer that served it last, if any.
+  std::string Peer;
   std::chrono::microseconds Waited{0};
 };
 
@@ -34,6 +36,14 @@
                                             const whole_request &Request,
                                             gate_request &Wanted);
 
+/// Has a peer serve the request, while gate::state::canForward(). False when
+/// none could be asked or each one has no path either; it has not run then. All
+/// references outlive the call.
+asio::awaitable<bool> forwardRequest(gate::state &State, caller_watch &Caller,
+                                     const whole_request &Request,
+                                     const gate_request &Wanted,
+                                     request_outcome &Outcome);
+
 } // namespace magnoliaspread
 
 #endif
--- a/packages/traffic/src/gateforward.cpp
+++ b/packages/traffic/src/gateforward.cpp
@@ -28,8 +28,8 @@
   Copy.version(11);
   Copy.keep_alive(true);
   Copy.prepare_payload();
-  const auto Waited = duration_cast<milliseconds>(State.Clock.now() -
-                                                  Wanted.Place.Arrived);
+  const auto Waited =
+      duration_cast<milliseconds>(State.Clock.now() - Wanted.Place.Arrived);
   writeForwardNote(Copy.base(), {State.Settings.Name, Waited, Outcome.Sends},
                    Wanted.Id, State.Settings.Secret, State.Clock.wall());
   return Copy;
@@ -59,12 +59,11 @@
     Outcome.BodyMemory = std::move(Result.BodyMemory);
     return true;
   }
-  const error Error =
-      Refusal.value_or(error{Result.End == call_end::DeadlinePassed
-                                 ? error_kind::TargetTimeout
-                                 : error_kind::TargetFailed,
-                             "lost at a peer: " + Result.Detail,
-                             {}});
+  const error Error = Refusal.value_or(
+      error{Result.End == call_end::DeadlinePassed ? error_kind::TargetTimeout
+                                                   : error_kind::TargetFailed,
+            "lost at a peer: " + Result.Detail,
+            {}});
   const bool NotRun = answerOf(Error.Kind).Run == run_state::NotRun;
   if (!NotRun || !Outcome.MayHaveRun)
     Outcome.Error = Error;
@@ -93,8 +92,8 @@
                                      request_outcome &Outcome) {
   std::vector<std::string> Tried;
   while (Tried.size() < MaxPeers && !Caller.gone()) {
-    const auto Peer = State.ForwardPeers.choose(Wanted.Place.Homes, Tried,
-                                                State.Clock.now());
+    const auto Peer =
+        State.ForwardPeers.choose(Wanted.Place.Homes, Tried, State.Clock.now());
     if (!Peer)
       co_return false;
     Tried.push_back(Peer->Name);
--- a/packages/traffic/src/gatepath.cpp
+++ b/packages/traffic/src/gatepath.cpp
@@ -32,7 +32,8 @@
 gate::state::placeNow(const place_request &Request) {
   const auto Target = Placer.placeNow(Request, Clock.now());
   if (Target)
-    Path.sent(*Target, Clock.now());
+    Path.sent(*Target, Clock.now(),
+              Placer.expectedService(Request.Kind, false));
   return Target;
 }
 
@@ -108,7 +109,7 @@
 
 std::vector<path_message> gate::tickPath() { return State->tickPath(); }
 
-path_report gate::answer(const path_query &Query) const {
+path_report gate::answer(const path_query &Query) {
   return State->Path.answer(Query, State->Clock.now());
 }
 
@@ -116,6 +117,19 @@
   State->Path.receive(Report, State->Clock.now());
 }
 
+void gate::notePeerBroken() { State->Path.notePeerBroken(State->Clock.now()); }
+
+std::uint8_t gate::regionNumber(const std::string &Region) const {
+  const auto Found = State->RegionNumbers.find(Region);
+  return static_cast<std::uint8_t>(Found == State->RegionNumbers.end()
+                                       ? home_regions().size() - 1
+                                       : Found->second);
+}
+
+void gate::setForwardPeers(std::vector<forward_peer> Peers) {
+  State->ForwardPeers.setPeers(std::move(Peers));
+}
+
 bool gate::pathBroken() const {
   return State->Path.state() == path_state::Broken;
 }
--- a/tests/soak/pathcut.cpp
+++ b/tests/soak/pathcut.cpp
@@ -283,6 +283,7 @@
                                  {"revocation_ms", 5000},
                                  {"retry_ratio", 0.2},
                                  {"detect_broken_path", true},
+                                 {"forward_port", ForwardPort},
                                  {"cpu_share", Instance.CpuShare},
                                  {"first_start", true},
                                  {"grace_ms", 6000}}}});
@@ -384,6 +385,7 @@
   store_standin Store;
   std::vector<std::unique_ptr<target_standin>> Targets;
   std::uint16_t InternalPort = freePort();
+  std::uint16_t ForwardPort = freePort();
   cut_folder Folder;
   std::vector<std::unique_ptr<cut_instance>> Instances;
   std::atomic<bool> Stopped = false;
