Broken path: an error answer of a target counts as heard

A 500 was noted as a failure of the path although its bytes had come over it; with the evidence of idle instances one such answer starts four probes. gateway_hears_errors_of_targets (one instance, targets that answer with errors for 3 s): 3 suspicions before, 0 after.

--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -173,8 +173,8 @@
 
 } // namespace
 
-void gate::state::finished(target_outcome End) {
-  notePathOutcome(End);
+void gate::state::finished(target_outcome End, bool Heard) {
+  notePathOutcome(End, Heard);
   if (End.Result != target_result::Answered &&
       End.Result != target_result::Abandoned)
     logEvent(log_level::Info, "target_failed",
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -66,14 +66,15 @@
   void wakePlaced();
   /// Reserves a target that can take the request at once.
   std::optional<target_handle> placeNow(const place_request &Request);
-  void finished(target_outcome End);
+  /// \p Heard when the target answered, if only with an error.
+  void finished(target_outcome End, bool Heard = false);
   /// Opens a connection for a request that was placed on the target. Fails at
   /// once while the path to the targets is broken.
   asio::awaitable<result<outbound_ptr>> connectTo(target_handle Target,
                                                   steady_time Deadline);
   /// Tells the path's state from the outcome. While the path is in doubt, a
   /// failure counts neither for nor against the target.
-  void notePathOutcome(target_outcome &End);
+  void notePathOutcome(target_outcome &End, bool Heard);
   asio::awaitable<void> probe(target_handle Target);
   std::vector<path_message> tickPath();
   /// Whether the path is broken and a peer may serve the request.
--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -175,7 +175,8 @@
   const auto PauseFor =
       Result.End == call_end::Misdirected ? std::nullopt : Result.Head.PauseFor;
   State.finished({Target, Wanted.Place.Object, Wanted.Place.Kind, Verdict, Took,
-                  Result.Head.Report, PauseFor, Result.Answer.body().size()});
+                  Result.Head.Report, PauseFor, Result.Answer.body().size()},
+                 Result.End == call_end::Answered);
   if (Result.Leaving)
     State.handleTargetLeaving(Target, Wanted.Id);
   // A shed attempt doesn't rule out that an earlier one ran.
--- a/packages/traffic/src/gatepath.cpp
+++ b/packages/traffic/src/gatepath.cpp
@@ -37,8 +37,10 @@
   return Target;
 }
 
-void gate::state::notePathOutcome(target_outcome &End) {
+void gate::state::notePathOutcome(target_outcome &End, bool Heard) {
   const steady_time Now = Clock.now();
+  if (Heard)
+    return Path.heard(End.Target, Now);
   switch (End.Result) {
   case target_result::Answered:
   case target_result::Shed:
