--- a/packages/traffic/src/gateforward.cpp
+++ b/packages/traffic/src/gateforward.cpp
@@ -117,9 +117,7 @@
     Call.CancelWithCaller = Wanted.Route->Repeatable;
     call_result Result =
         co_await callTarget(State.Dialect, Caller, *Connection, Call);
-    const std::string Detail = Result.Detail;
-    const bool Reusable = Result.ConnectionReusable;
-    if (Reusable)
+    if (Result.ConnectionReusable)
       State.Pool.putBack(Peer->Address, std::move(Connection));
     else
       State.Pool.drop(Peer->Address, std::move(Connection), false);
