--- a/packages/platform/src/lenientjson.cpp
+++ b/packages/platform/src/lenientjson.cpp
@@ -1,5 +1,7 @@
 #include "lenientjson_p.h"
 
+#include <magnoliaspread/log.h>
+
 #include <boost/json/parse.hpp>
 #include <cmath>
 #include <cstdlib>
@@ -65,8 +67,12 @@
   Options.allow_invalid_utf8 = true;
   boost::system::error_code Failure;
   json::value Parsed = json::parse(Text, Failure, {}, Options);
-  if (Failure)
-    Parsed = json::parse(replaceUnreadableValues(Text), Failure, {}, Options);
+  if (!Failure)
+    return Parsed;
+  const std::string Detail = Failure.message();
+  Parsed = json::parse(replaceUnreadableValues(Text), Failure, {}, Options);
+  logEvent(log_level::Warning, "store_answer_unreadable",
+           {{"detail", Detail}, {"values_left_out", Failure ? 0 : 1}});
   return Failure ? json::value() : Parsed;
 }
 
