--- a/packages/platform/src/http_store.cpp
+++ b/packages/platform/src/http_store.cpp
@@ -14,7 +14,6 @@
 namespace magnoliaspread {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 using asio::awaitable;
 
--- a/tests/soak/pathcut.cpp
+++ b/tests/soak/pathcut.cpp
@@ -320,14 +320,13 @@
   /// The ports that the directory of the data centre's first instance names.
   std::vector<std::uint16_t> lookUp(const std::string &DataCentre) const {
     std::vector<std::uint16_t> Ports;
+    std::string Query = "/magnoliaspread/resolution?name=a.example&region=";
+    Query.append(DataCentre).append("&zone=").append(DataCentre);
     for (const auto &Instance : Instances) {
       if (Instance->DataCentre != DataCentre)
         continue;
       const http_answer Answer =
-          call(Instance->Directory,
-               {.Target = "/magnoliaspread/resolution?name=a.example&region=" +
-                          DataCentre + "&zone=" + DataCentre,
-                .Timeout = 1000ms});
+          call(Instance->Directory, {.Target = Query, .Timeout = 1000ms});
       if (Answer.Status != 200)
         continue;
       const json::value Named = Answer.json();
