Limits: shares follow the registered instances under a lease

Cause, one for both, which is why they are in one commit: the owner of a region's share was picked from a list of registered instances that was read once a minute, or when it was shorter than the number of live ones, and from which nobody was ever removed. An owner that had left minted nothing and nobody else did; one that stayed minted beside a new instance that it had not heard of, since the one that had left made up for it in the count. Removing entries alone, or reading more often alone, mends one and worsens the other: what was missing is a bound on how long a former owner goes on.

A registration has a state (joining, live, suspect, leaving, gone), and a roster of the region is used for 6 s from the time it was read (roster.h). New instances mint a lease after they registered; those that stop hand over at once; silent ones are marked by the region's reader unless they object. The reader polls the changes, the others hear a hash and an age with the view. Borrowers leave out an owner that says it doesn't mint.

Related: the allowance of retries was divided by the same list, entries of instances that had left included; it now counts those that haven't ended.

The sections of limiter.cpp keep their bounds; one that starts without registrations now may not mint at all.

--- a/packages/coordination/include/magnoliaspread/limiter.h
+++ b/packages/coordination/include/magnoliaspread/limiter.h
@@ -1,10 +1,11 @@
 /// Rate limiter for limits shared by a whole fleet of instances.
 ///
 /// Each region has an equal share of every limit. In each region one instance
-/// owns it: the registered one that a rendezvous hash ranks first. Only owners
-/// mint tokens. The others ask the owner of their region when a request needs
-/// one, and an owner that runs short asks those of the other regions. A token
-/// is never duplicated: it is in an owner's bucket, in one grant in transit, or
+/// owns it: the one of the region's roster (roster.h) that a rendezvous hash
+/// ranks first. Only owners mint tokens, and only while their roster's lease
+/// lasts. The others ask the owner of their region when a request needs one,
+/// and an owner that runs short asks those of the other regions. A token is
+/// never duplicated: it is in an owner's bucket, in one grant in transit, or
 /// with one borrower for a short time; a lost grant is a lost token. Buckets
 /// are empty at a start. Does no I/O: the caller passes in the time and
 /// received messages and sends the returned ones.
@@ -15,10 +16,12 @@
 #include <magnoliaspread/namemap.h>
 #include <magnoliaspread/quota.h>
 #include <magnoliaspread/quotamsg.h>
+#include <magnoliaspread/roster.h>
 #include <magnoliaspread/tokensource.h>
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -45,18 +48,35 @@
   /// seconds.
   double InitialFillSeconds = 0.3;
   double InitialFillTokens = 2;
-  /// An instance that becomes an owner while the fleet runs starts to mint
-  /// after this delay: the former owner has learned of the change by then.
-  std::chrono::milliseconds HandoverDelay{4000};
-  /// An owner that learns the registered instances within this time after its
-  /// start mints immediately. Later, the list may be a guess, so it waits for
-  /// HandoverDelay.
+  /// The shares of an instance that vanished from the roster, or that is gone,
+  /// are minted by others after this delay: its lease has ended by then.
+  std::chrono::milliseconds HandoverDelay{6500};
+  /// Owners within this time after their start have an initial fill.
   std::chrono::milliseconds StartupWindow{2500};
   /// Tokens for the demand of this time are requested in advance.
   std::chrono::milliseconds PrefetchTime{200};
 };
 
-/// An instance that can own limits.
+/// Instances of the own region; see roster.h.
+struct limiter_roster {
+  /// Those that own limits or are about to.
+  std::vector<std::string> Contenders;
+  /// Those of them that mint.
+  std::vector<std::string> Lenders;
+  /// Those that gave up their shares by themselves.
+  std::vector<std::string> Left;
+  /// Those that others found gone, which may mint until their leases end.
+  std::vector<std::string> Gone;
+  /// This instance is a contender that mints.
+  bool Minting = false;
+
+  bool operator==(const limiter_roster &) const = default;
+};
+
+/// How the shares of the limits follow from a region's registrations.
+limiter_roster limiterRoster(const instance_roster &Roster);
+
+/// An instance of another region.
 struct limiter_instance {
   std::string Name;
   std::string Region;
@@ -71,10 +91,19 @@
   /// Applies the limits of a configuration.
   void setLimits(const std::vector<limit_row> &Rows, steady_time Now);
 
-  /// Sets all registered instances, including this one, and the number of
-  /// regions.
-  void setInstances(std::vector<limiter_instance> Instances,
-                    std::size_t Regions, steady_time Now);
+  /// Sets the roster of the own region, and when its lease ends.
+  void setRoster(limiter_roster Roster, steady_time LeaseEnd, steady_time Now);
+
+  /// The roster was confirmed: its lease ends at \p LeaseEnd.
+  void renewLease(steady_time LeaseEnd, steady_time Now);
+
+  /// Sets the live instances of other regions, whose owners can lend, and the
+  /// number of regions.
+  void setRemoteInstances(std::vector<limiter_instance> Instances,
+                          std::size_t Regions);
+
+  /// Stops minting for good. What the buckets hold can still be spent.
+  void resign(steady_time Now);
 
   /// Sets the names of the instances that can be reached.
   void setReachable(std::set<std::string> Names);
@@ -98,8 +127,10 @@
   /// is.
   std::chrono::milliseconds waitFor(limit_id Limit, steady_time Now) const;
 
-  /// Whether this instance mints the region's share.
+  /// Whether this instance owns the region's share.
   bool owns(limit_id Limit) const;
+  /// The number of limits whose share this instance mints.
+  std::size_t minted(steady_time Now) const;
 
 private:
   struct borrowed_batch {
@@ -113,9 +144,16 @@
     double Level = 0;
     steady_time RefilledAt;
     std::optional<steady_time> MintsFrom;
+    /// Set when another instance became the owner: the end of the lease of the
+    /// last roster under which this one was. The new owner starts later.
+    std::optional<steady_time> LapsesAt;
     /// In order of preference: the own region's owner first.
     std::vector<std::string> Owners;
     std::size_t NextOwner = 0;
+    /// The last request went to the first of them.
+    bool AskedFirst = false;
+    /// The first of them has answered that it doesn't mint.
+    bool FirstIdle = false;
     std::vector<borrowed_batch> Borrowed;
     /// Tokens that waiting requests need.
     milli_tokens Waiting = 0;
@@ -134,6 +172,11 @@
   limit_state *find(limit_id Id);
   const limit_state *find(limit_id Id) const;
   void assignOwners(limit_state &Limit, steady_time Now);
+  void assignLenders(limit_state &Limit) const;
+  void noteDepartures(const limiter_roster &Next, steady_time Now);
+  bool ranksFirst(limit_id Limit) const;
+  bool mints(const limit_state &Limit, steady_time Now) const;
+  steady_time handoverEnd(limit_id Limit, steady_time Now) const;
   double capacity(const limit_state &Limit) const;
   void refill(limit_state &Limit, steady_time Now) const;
   bool trySpend(limit_state &Limit, milli_tokens Tokens, steady_time Now);
@@ -143,7 +186,13 @@
   void updateDemand(limit_state &Limit, double Seconds) const;
 
   limiter_settings Settings;
-  std::vector<limiter_instance> Instances;
+  limiter_roster Roster;
+  steady_time LeaseEnd;
+  bool Resigned = false;
+  /// Instances that may still mint though they aren't contenders any more, and
+  /// until when.
+  std::map<std::string, steady_time> Departed;
+  std::vector<limiter_instance> RemoteInstances;
   std::size_t Regions = 1;
   std::set<std::string> Reachable;
   std::vector<limit_state> Limits;
--- a/packages/coordination/include/magnoliaspread/member.h
+++ b/packages/coordination/include/magnoliaspread/member.h
@@ -107,6 +107,9 @@
   std::vector<member_row> lookupInstances(steady_time Now,
                                           std::string_view DataCentre) const;
 
+  /// True if \p Name is known and not dead, and its data centre isn't silent.
+  bool isLive(steady_time Now, std::string_view Name) const;
+
   /// The row of \p Name in any data centre, whatever its state.
   std::optional<member_row> find(std::string_view Name) const;
   std::optional<member_row> findIncarnation(std::uint64_t Incarnation) const;
--- a/packages/coordination/include/magnoliaspread/viewmsg.h
+++ b/packages/coordination/include/magnoliaspread/viewmsg.h
@@ -63,6 +63,11 @@
   store_era TargetsEra = 0;
   store_era RoutesEra = 0;
   store_era EvacuatedEra = 0;
+  /// Of the sender's roster of its region (roster.h); 0 if it knows none.
+  std::uint64_t RosterHash = 0;
+  /// Same as Age for the roster.
+  std::chrono::milliseconds RosterAge{0};
+  store_era RosterEra = 0;
 
   bool operator==(const view_reply &) const = default;
 };
--- a/packages/coordination/src/limiter.cpp
+++ b/packages/coordination/src/limiter.cpp
@@ -30,10 +30,59 @@
   return duration<double>(Time).count();
 }
 
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+/// The instance with the highest rendezvous score; empty if there is none.
+std::string firstRanked(limit_id Limit, const std::vector<std::string> &Names) {
+  std::uint64_t BestScore = 0;
+  const std::string *Best = nullptr;
+  for (const std::string &Name : Names) {
+    const std::uint64_t Score = rendezvousScore(Limit, stableId(Name));
+    if (Best != nullptr && Score <= BestScore)
+      continue;
+    BestScore = Score;
+    Best = &Name;
+  }
+  return Best == nullptr ? std::string() : *Best;
+}
+
 } // namespace
 
+limiter_roster limiterRoster(const instance_roster &Roster) {
+  limiter_roster Out;
+  Out.Minting = Roster.minting();
+  for (const roster_row &Row : Roster.rows()) {
+    if (Row.Name == Roster.instance())
+      continue;
+    switch (Row.State) {
+    case registration_state::Live:
+    case registration_state::Suspect:
+      Out.Lenders.push_back(Row.Name);
+      Out.Contenders.push_back(Row.Name);
+      break;
+    case registration_state::Joining:
+      Out.Contenders.push_back(Row.Name);
+      break;
+    case registration_state::Leaving:
+      Out.Left.push_back(Row.Name);
+      break;
+    case registration_state::Gone:
+      Out.Gone.push_back(Row.Name);
+      break;
+    }
+  }
+  // The rows may be older than the own registration.
+  if (Out.Minting) {
+    Out.Lenders.push_back(Roster.instance());
+    Out.Contenders.push_back(Roster.instance());
+  }
+  return Out;
+}
+
 fleet_limiter::fleet_limiter(limiter_settings InitialSettings, steady_time Now)
-    : Settings(std::move(InitialSettings)), StartedAt(Now),
+    : Settings(std::move(InitialSettings)), LeaseEnd(Now), StartedAt(Now),
       DemandSampledAt(Now) {}
 
 fleet_limiter::limit_state *fleet_limiter::find(limit_id Id) {
@@ -47,39 +96,63 @@
 
 bool fleet_limiter::owns(limit_id Id) const {
   const limit_state *Limit = find(Id);
-  return Limit != nullptr && Limit->MintsFrom.has_value();
+  return Limit != nullptr && Limit->MintsFrom && !Limit->LapsesAt;
+}
+
+bool fleet_limiter::ranksFirst(limit_id Id) const {
+  return Roster.Minting &&
+         firstRanked(Id, Roster.Contenders) == Settings.Instance;
+}
+
+/// When the instances that ranked higher and vanished have stopped minting.
+steady_time fleet_limiter::handoverEnd(limit_id Id, steady_time Now) const {
+  const std::uint64_t OwnScore =
+      rendezvousScore(Id, stableId(Settings.Instance));
+  steady_time End = Now;
+  for (const auto &[Name, StoppedAt] : Departed)
+    if (rendezvousScore(Id, stableId(Name)) > OwnScore)
+      End = std::max(End, StoppedAt);
+  return End;
+}
+
+void fleet_limiter::assignLenders(limit_state &Limit) const {
+  std::map<std::string, std::vector<std::string>> NamesByRegion;
+  for (const limiter_instance &Row : RemoteInstances)
+    NamesByRegion[Row.Region].push_back(Row.Name);
+  std::vector<std::string> Owners;
+  if (!Roster.Lenders.empty())
+    Owners.push_back(firstRanked(Limit.Row.Id, Roster.Lenders));
+  for (const auto &[Region, Names] : NamesByRegion)
+    Owners.push_back(firstRanked(Limit.Row.Id, Names));
+  if (Owners.empty() || Limit.Owners.empty() ||
+      Owners.front() != Limit.Owners.front())
+    Limit.FirstIdle = false;
+  Limit.Owners = std::move(Owners);
+}
+
+bool fleet_limiter::mints(const limit_state &Limit, steady_time Now) const {
+  return Limit.MintsFrom && Now >= *Limit.MintsFrom &&
+         Now < Limit.LapsesAt.value_or(LeaseEnd);
 }
 
-/// Picks the registered instance with the highest rendezvous score per region.
 void fleet_limiter::assignOwners(limit_state &Limit, steady_time Now) {
-  std::map<std::string, std::pair<std::uint64_t, std::string>> BestByRegion;
-  for (const limiter_instance &Row : Instances) {
-    const std::uint64_t Score =
-        rendezvousScore(Limit.Row.Id, stableId(Row.Name));
-    auto &Best = BestByRegion[Row.Region];
-    if (Best.second.empty() || Score > Best.first)
-      Best = {Score, Row.Name};
-  }
-  Limit.Owners.clear();
-  for (const auto &[Region, Best] : BestByRegion)
-    if (Region == Settings.Region)
-      Limit.Owners.insert(Limit.Owners.begin(), Best.second);
-    else
-      Limit.Owners.push_back(Best.second);
-  const auto Own = BestByRegion.find(Settings.Region);
-  const bool IsOwner =
-      Own != BestByRegion.end() && Own->second.second == Settings.Instance;
+  assignLenders(Limit);
+  if (Resigned)
+    return;
+  const bool IsOwner = ranksFirst(Limit.Row.Id);
+  if (IsOwner && Limit.MintsFrom && !Limit.LapsesAt)
+    return;
+  refill(Limit, Now);
   if (!IsOwner) {
-    Limit.MintsFrom.reset();
-    Limit.Level = 0;
+    if (Limit.MintsFrom && !Limit.LapsesAt)
+      Limit.LapsesAt = LeaseEnd;
     return;
   }
-  if (Limit.MintsFrom)
-    return;
-  const bool Starting = Now - StartedAt < Settings.StartupWindow;
-  Limit.MintsFrom = Starting ? Now : Now + Settings.HandoverDelay;
+  Limit.LapsesAt.reset();
+  Limit.Level = 0;
+  Limit.MintsFrom = handoverEnd(Limit.Row.Id, Now);
   Limit.RefilledAt = *Limit.MintsFrom;
-  if (Starting)
+  if (Now - StartedAt < Settings.StartupWindow && *Limit.MintsFrom == Now)
     Limit.Level = (Limit.Row.Rate * Settings.InitialFillSeconds /
                        static_cast<double>(Regions) +
                    Settings.InitialFillTokens) *
@@ -106,18 +179,57 @@
   }
 }
 
-void fleet_limiter::setInstances(std::vector<limiter_instance> NewInstances,
-                                 std::size_t NewRegions, steady_time Now) {
-  std::sort(NewInstances.begin(), NewInstances.end(),
-            [](const limiter_instance &A, const limiter_instance &B) {
-              return A.Name < B.Name;
-            });
+/// Contenders that vanish without having left may mint until their lease ends.
+void fleet_limiter::noteDepartures(const limiter_roster &Next,
+                                   steady_time Now) {
+  for (const std::string &Name : Roster.Contenders)
+    if (Name != Settings.Instance && !contains(Next.Contenders, Name))
+      Departed.try_emplace(Name, Now + Settings.HandoverDelay);
+  for (const std::string &Name : Next.Gone)
+    Departed.try_emplace(Name, Now + Settings.HandoverDelay);
+  std::erase_if(Departed, [&](const auto &Row) {
+    return contains(Next.Contenders, Row.first) ||
+           contains(Next.Left, Row.first) ||
+           (Row.second <= Now && !contains(Next.Gone, Row.first));
+  });
+}
+
+void fleet_limiter::setRoster(limiter_roster Next, steady_time NextLeaseEnd,
+                              steady_time Now) {
+  if (Next != Roster) {
+    noteDepartures(Next, Now);
+    Roster = std::move(Next);
+    for (limit_state &Limit : Limits)
+      assignOwners(Limit, Now);
+  }
+  renewLease(NextLeaseEnd, Now);
+}
+
+void fleet_limiter::renewLease(steady_time NextLeaseEnd, steady_time Now) {
+  // Nothing is minted for the time between two leases.
+  if (Now >= LeaseEnd)
+    for (limit_state &Limit : Limits)
+      refill(Limit, Now);
+  LeaseEnd = NextLeaseEnd;
+}
+
+void fleet_limiter::setRemoteInstances(
+    std::vector<limiter_instance> NewInstances, std::size_t NewRegions) {
   Regions = std::max<std::size_t>(1, NewRegions);
-  if (NewInstances == Instances)
+  if (NewInstances == RemoteInstances)
     return;
-  Instances = std::move(NewInstances);
+  RemoteInstances = std::move(NewInstances);
   for (limit_state &Limit : Limits)
-    assignOwners(Limit, Now);
+    assignLenders(Limit);
+}
+
+void fleet_limiter::resign(steady_time Now) {
+  for (limit_state &Limit : Limits) {
+    refill(Limit, Now);
+    Limit.MintsFrom.reset();
+    Limit.LapsesAt.reset();
+  }
+  Resigned = true;
 }
 
 void fleet_limiter::setReachable(std::set<std::string> Names) {
@@ -132,8 +244,21 @@
                   static_cast<double>(MilliPerToken));
 }
 
+/// What the bucket holds lapses with the lease.
 void fleet_limiter::refill(limit_state &Limit, steady_time Now) const {
-  if (!Limit.MintsFrom || Now <= Limit.RefilledAt)
+  if (!Limit.MintsFrom || Now < *Limit.MintsFrom)
+    return;
+  const steady_time End = Limit.LapsesAt.value_or(LeaseEnd);
+  if (Now >= End) {
+    Limit.Level = 0;
+    Limit.RefilledAt = Now;
+    if (Limit.LapsesAt) {
+      Limit.LapsesAt.reset();
+      Limit.MintsFrom.reset();
+    }
+    return;
+  }
+  if (Now <= Limit.RefilledAt)
     return;
   const double MilliPerShare =
       static_cast<double>(MilliPerToken) / static_cast<double>(Regions);
@@ -184,6 +309,12 @@
   return Limit != nullptr && trySpend(*Limit, Tokens, Now);
 }
 
+std::size_t fleet_limiter::minted(steady_time Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      Limits.begin(), Limits.end(),
+      [&](const limit_state &Limit) { return mints(Limit, Now); }));
+}
+
 /// An owner puts the token back into its bucket, as if never spent.
 void fleet_limiter::refund(limit_id Id, milli_tokens Tokens,
                            steady_time SpentAt, steady_time Now) {
@@ -223,15 +354,16 @@
   return std::max<milli_tokens>(0, Want - Unspent);
 }
 
-/// The region's owner if it is another, reachable instance, else the next
-/// reachable owner in turn; null if there is none.
+/// The region's owner if it is another, reachable instance that mints, else the
+/// next reachable owner in turn; null if there is none.
 const std::string *fleet_limiter::chooseLender(limit_state &Limit) const {
   const auto CanRequestFrom = [this](const std::string &Name) {
     return Name != Settings.Instance && Reachable.contains(Name);
   };
   if (Limit.Owners.empty())
     return nullptr;
-  if (!Limit.MintsFrom && CanRequestFrom(Limit.Owners.front()))
+  if (!Limit.MintsFrom && !Limit.FirstIdle &&
+      CanRequestFrom(Limit.Owners.front()))
     return &Limit.Owners.front();
   for (std::size_t Tries = 0; Tries < Limit.Owners.size(); ++Tries) {
     const std::string &Name =
@@ -264,6 +396,7 @@
       continue;
     Limit.RequestPending = true;
     Limit.RequestedAt = Now;
+    Limit.AskedFirst = To == &Limit.Owners.front();
     Limit.UnmetTokens = 0;
     token_request_row Row;
     Row.Limit = Limit.Row.Id;
@@ -311,6 +444,9 @@
     grant_row Row;
     Row.Limit = Requested.Limit;
     Row.Tokens = Granted;
+    if (mints(*Limit, Now))
+      Row.MintedPerSecond = static_cast<milli_tokens>(std::ceil(
+          Limit->Row.Rate * MilliPerToken / static_cast<double>(Regions)));
     Row.Left = static_cast<milli_tokens>(waitFor(Requested.Limit, Now).count());
     Grant.Rows.push_back(Row);
   }
@@ -328,6 +464,8 @@
         Now - Limit->RequestedAt >= Settings.RequestTimeout)
       continue;
     Limit->RequestPending = false;
+    if (Limit->AskedFirst)
+      Limit->FirstIdle = Row.MintedPerSecond == 0;
     Limit->Wait = milliseconds(Row.Left);
     if (Row.Tokens > 0)
       Limit->Borrowed.push_back({Row.Tokens, Now + Settings.TokenLife});
@@ -343,7 +481,7 @@
                          static_cast<double>(Limit->Waiting);
   if (Missing <= 0)
     return milliseconds(0);
-  if (!Limit->MintsFrom)
+  if (!Limit->MintsFrom || Now < *Limit->MintsFrom)
     return Limit->Wait;
   const double Rate = Limit->Row.Rate * static_cast<double>(MilliPerToken) /
                       static_cast<double>(Regions);
--- a/packages/coordination/src/memberviews.cpp
+++ b/packages/coordination/src/memberviews.cpp
@@ -40,6 +40,15 @@
   return Eligible;
 }
 
+bool membership::isLive(steady_time Now, std::string_view Name) const {
+  const instance_handle Handle = Table.byName(Name);
+  if (!Handle.valid() || !Table.at(Handle).live())
+    return false;
+  const remote_centre *Centre =
+      findCentre(Table.at(Handle).Row.Identity.DataCentre);
+  return Centre == nullptr || !isSilent(Now, *Centre);
+}
+
 std::optional<member_row> membership::find(std::string_view Name) const {
   if (Name == Self.Name)
     return self();
--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -107,7 +107,7 @@
   Gate.onQuarantine(
       [this](const suspect_report &Report) { Quarantines.save(Report); });
   Follower.onHistoryLost([this] {
-    Members.historyLost();
+    Members.historyLost(View.history().era());
     Quarantines.historyLost();
   });
   GateSettings.Secret = Secret;
@@ -148,6 +148,11 @@
   Gauges.SpreadKinds = Counts.SpreadKinds;
   Gauges.HeldWorkspaces = Counts.HeldWorkspaces;
   Gauges.ShareRefusals = Counts.ShareRefusals;
+  Gauges.MintedLimits = Limiter.minted(Now);
+  const instance_roster &Roster = Members.registry().roster();
+  if (Roster.known())
+    Gauges.RosterStaleness =
+        duration_cast<milliseconds>(Clock.boot() - Roster.stamp().AsOf);
   if (DrainingSince)
     Gauges.Draining = duration_cast<milliseconds>(Now - *DrainingSince);
   Metrics.setGauges(Gauges);
@@ -195,6 +200,7 @@
       log_level::Info, "drain_started",
       {{"instance", Settings.Name}, {"in_flight", Gate.counts().InFlight}});
   Gate.setLeaving();
+  Limiter.resign(Clock.now());
   Members.leave();
 }
 
--- a/packages/daemon/src/gateway_p.h
+++ b/packages/daemon/src/gateway_p.h
@@ -61,7 +61,10 @@
   void updatePeers(steady_time Now);
   void updateForwardPeers(steady_time Now);
   void runLimits(steady_time Now);
-  std::vector<limiter_instance> limiterInstances(steady_time Now) const;
+  void updateRoster(steady_time Now);
+  void hearRoster(const member_identity &Peer, const view_reply &Reply);
+  /// Adds how current this instance's roster is.
+  void addRoster(view_reply &Reply) const;
   void receive(const endpoint_address &From, const received_datagram &Datagram);
   void receive(std::uint64_t Sender, const quota_message &Message);
   void applyViewReply(std::uint64_t Sender, const view_reply &Reply);
@@ -139,6 +142,11 @@
   /// Live instances of all data centres, without this one.
   std::vector<member_row> Peers;
   std::size_t PeerCount = 0;
+  std::set<std::string> PeerNames;
+  /// The roster that the limiter has.
+  std::uint64_t RosterHash = 0;
+  bool RosterMinting = false;
+  bool FetchingRoster = false;
   /// Incarnations of Peers.
   std::set<std::uint64_t> KnownIncarnations;
   load_summary Load;
--- a/packages/daemon/src/gatewaypages.cpp
+++ b/packages/daemon/src/gatewaypages.cpp
@@ -29,7 +29,7 @@
 
 admin_answer gateway::peerPage(const admin_port::request &Request) const {
   const std::string_view Path = Request.target();
-  if (Path != ConfigPath && Path != SnapshotPath)
+  if (Path != ConfigPath && Path != SnapshotPath && Path != RosterPath)
     return {404, "application/json", "{\"error\":\"not_found\"}"};
   const status Verified =
       verifyFetch(Request.base(), Path, Secret, Clock.wall());
@@ -37,6 +37,8 @@
     return {403, "application/json", "{\"error\":\"peer_rejected\"}"};
   if (Path == SnapshotPath)
     return snapshotPage();
+  if (Path == RosterPath)
+    return {200, "application/json", Members.registry().rowsText()};
   if (InForce == nullptr)
     return {404, "application/json", "{\"error\":\"not_found\"}"};
   return {200, "application/json", Source.Json};
--- a/packages/daemon/src/gatewaypeers.cpp
+++ b/packages/daemon/src/gatewaypeers.cpp
@@ -1,6 +1,8 @@
 /// The gateway's exchange with other instances.
 #include "gateway_p.h"
 
+#include "peerfetch_p.h"
+
 #include <magnoliaspread/demandview.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/ownership.h>
@@ -11,6 +13,7 @@
 
 namespace magnoliaspread {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 namespace {
@@ -18,9 +21,6 @@
 constexpr milliseconds PeersPeriod{250};
 /// About the time a target takes for one request; an older update is stale.
 constexpr milliseconds ObjectUpdatePeriod{100};
-/// Without the list of registered instances, limits are spread over the live
-/// ones after this time.
-constexpr milliseconds RegistrationWait{3000};
 /// Fraction of its capacity from which an instance assumes that the directory
 /// lists weaker ones too; below the two thirds at which entry_policy adds more.
 constexpr double BusyPart = 0.33;
@@ -39,22 +39,55 @@
   return {stableId(Settings.Name), Load.Capacity, Load.Rate};
 }
 
-/// Instances that may own a limit: the registered ones, or the live ones until
-/// the registrations are known.
-std::vector<limiter_instance> gateway::limiterInstances(steady_time Now) const {
-  std::vector<limiter_instance> Instances{{Settings.Name, Settings.Region}};
-  if (const auto &Registered = Members.registered()) {
-    for (const registered_instance &Row : *Registered)
-      if (const auto Region = Settings.Gateway->Regions.find(Row.DataCentre);
-          Region != Settings.Gateway->Regions.end())
-        Instances.push_back({Row.Name, Region->second});
-    return Instances;
-  }
-  if (Now - StartedAt < RegistrationWait)
-    return {};
-  for (const member_row &Row : Peers)
-    Instances.push_back({Row.Identity.Name, Row.Identity.Region});
-  return Instances;
+/// Hands the region's registrations to the limiter; its lease is renewed each
+/// time.
+void gateway::updateRoster(steady_time Now) {
+  const instance_roster &Roster = Members.registry().roster();
+  const steady_time LeaseEnd = Now + duration_cast<steady_time::duration>(
+                                         Roster.leaseEnd() - Clock.boot());
+  if (Roster.stamp().Hash == RosterHash && Roster.minting() == RosterMinting)
+    return Limiter.renewLease(LeaseEnd, Now);
+  RosterHash = Roster.stamp().Hash;
+  RosterMinting = Roster.minting();
+  Limiter.setRoster(limiterRoster(Roster), LeaseEnd, Now);
+}
+
+/// Fetches the rows of a peer of the region whose roster differs and is newer.
+void gateway::hearRoster(const member_identity &Peer, const view_reply &Reply) {
+  const roster_stamp Stamp{Reply.RosterHash, Reply.AskedAt - Reply.RosterAge,
+                           Reply.RosterEra};
+  if (Reply.RosterHash == 0 || Peer.Region != Settings.Region ||
+      !Members.registry().hearPeer(Stamp) || FetchingRoster)
+    return;
+  FetchingRoster = true;
+  fetchFromPeer(Context, Clock, Secret, Peer.Internal, RosterPath,
+                [this, From = textOf(Peer.Internal),
+                 AsOf = Stamp.AsOf](const result<std::string> &Fetched) {
+                  FetchingRoster = false;
+                  status Applied;
+                  if (failed(Fetched))
+                    Applied = errorOf(Fetched);
+                  else
+                    Applied = Members.registry().applyRowsText(valueOf(Fetched),
+                                                               AsOf);
+                  logEvent(log_level::Info, "roster_fetched",
+                           {{"peer", From},
+                            {"detail", failed(Applied) ? errorOf(Applied).Detail
+                                                       : std::string("ok")}});
+                  updateRoster(Clock.now());
+                });
+}
+
+void gateway::addRoster(view_reply &Reply) const {
+  const instance_roster &Roster = Members.registry().roster();
+  if (!Roster.known())
+    return;
+  Reply.RosterHash = Roster.stamp().Hash;
+  // Rounded up, so that the roster never counts as newer than it is.
+  Reply.RosterAge =
+      duration_cast<milliseconds>(Clock.boot() - Roster.stamp().AsOf) +
+      milliseconds(1);
+  Reply.RosterEra = Roster.era();
 }
 
 /// Refreshes the live peers and everything derived from them.
@@ -80,9 +113,10 @@
   if (Names.size() != PeerCount) {
     PeerCount = Names.size();
     logEvent(log_level::Info, "peers_changed", {{"alive", PeerCount}});
-    const auto &Registered = Members.registered();
-    if (Registered && Registered->size() < PeerCount)
-      Members.listSoon();
+  }
+  if (Names != PeerNames) {
+    PeerNames = Names;
+    Members.registry().liveInstancesChanged();
   }
   std::vector<std::string> RegionalPeers;
   std::vector<std::string> RemotePeers;
@@ -100,9 +134,14 @@
   Gate.setDemand(
       regionDemands(Members.members(), Settings.Gateway->Regions, Now));
   Limiter.setReachable(std::move(Names));
-  std::vector<limiter_instance> Instances = limiterInstances(Now);
-  Gate.setInstances(Instances.size());
-  Limiter.setInstances(std::move(Instances), Regions, Now);
+  std::vector<limiter_instance> Remote;
+  for (const member_row &Row : Peers)
+    if (Row.Identity.Region != Settings.Region)
+      Remote.push_back({Row.Identity.Name, Row.Identity.Region});
+  Limiter.setRemoteInstances(std::move(Remote), Regions);
+  Members.setReader(View.isReader());
+  Gate.setInstances(
+      std::max(Members.registry().roster().fleetSize(), Peers.size() + 1));
 }
 
 /// Tells the gate which peers may serve its requests.
@@ -128,6 +167,7 @@
 }
 
 void gateway::runLimits(steady_time Now) {
+  updateRoster(Now);
   for (const outgoing_token_request &Row : Limiter.tick(Now))
     sendTo(Members.members().find(Row.To), Row.Ask);
   std::vector<token_wait> Waits;
@@ -159,8 +199,10 @@
     return Gate.receive(*Update);
   if (const auto *Request = std::get_if<view_request>(&Message)) {
     const auto Requester = Members.members().findIncarnation(Datagram.Sender);
-    for (const view_reply &Reply : View.answers(*Request, Clock.boot()))
+    for (view_reply &Reply : View.answers(*Request, Clock.boot())) {
+      addRoster(Reply);
       sendTo(Requester, Reply);
+    }
     return;
   }
   if (const auto *Reply = std::get_if<view_reply>(&Message))
@@ -179,8 +221,10 @@
 
 void gateway::receive(std::uint64_t Sender, const quota_message &Message) {
   const auto Row = Members.members().findIncarnation(Sender);
-  if (const auto *Request = std::get_if<token_request>(&Message))
+  if (const auto *Request = std::get_if<token_request>(&Message)) {
+    updateRoster(Clock.now());
     return sendTo(Row, Limiter.answer(*Request, Clock.now()));
+  }
   if (const auto *Grant = std::get_if<token_grant>(&Message)) {
     Limiter.accept(*Grant, Clock.now());
     Gate.retryTokenWaiters();
--- a/packages/daemon/src/gatewaystate.cpp
+++ b/packages/daemon/src/gatewaystate.cpp
@@ -122,7 +122,7 @@
 /// the seeds of the settings.
 std::vector<endpoint_address> gateway::startPeers() const {
   std::vector<endpoint_address> Candidates;
-  for (const seed_address &Row : Members.listed())
+  for (const seed_address &Row : Members.registry().seeds())
     if (const auto Region = Settings.Gateway->Regions.find(Row.DataCentre);
         Region != Settings.Gateway->Regions.end() &&
         Region->second == Settings.Region)
@@ -206,6 +206,8 @@
   Follower.applyReply(Result);
   Gate.setConfigConfirmed(View.routesConfirmedAt());
   const auto Row = Members.members().findIncarnation(Sender);
+  if (Row)
+    hearRoster(Row->Identity, Reply);
   if (Result.FetchRoutes && Row)
     fetchRoutes(Row->Identity.Internal, Result.RoutesAsOf, Result.RoutesEra);
   if (Result.RequestNextPart)
--- a/packages/daemon/src/membersys_p.h
+++ b/packages/daemon/src/membersys_p.h
@@ -4,6 +4,7 @@
 #define MAGNOLIASPREAD_MEMBERSYS_P_H
 
 #include "datagrams_p.h"
+#include "rostersys_p.h"
 
 #include <magnoliaspread/clock.h>
 #include <magnoliaspread/member.h>
@@ -13,19 +14,11 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <optional>
-#include <random>
 #include <set>
 #include <string>
 
 namespace magnoliaspread {
 
-/// An instance as registered in the platform.
-struct registered_instance {
-  std::string Name;
-  std::string DataCentre;
-};
-
 class member_system {
 public:
   /// Called with the incarnation of a process that is confirmed dead.
@@ -48,21 +41,14 @@
   void addSeedHosts(const std::vector<std::string> &Hosts,
                     const std::vector<std::string> &DataCentres);
 
-  /// The instances registered in the platform, without this one; empty before
-  /// the first list.
-  const std::optional<std::vector<registered_instance>> &registered() const {
-    return Registrations;
-  }
+  /// Whether this instance reads the platform for its region.
+  void setReader(bool Reads) { IsReader = Reads; }
 
-  /// The platform lost a part of its history: registers again, and lists the
-  /// instances once the others have registered again.
-  void historyLost();
+  /// The platform lost a part of its history; \p Era is the new one.
+  void historyLost(store_era Era) { Registry.historyLost(Era); }
 
-  /// Lists the instances again soon, when more are alive than are listed.
-  void listSoon();
-
-  /// The registered instances' addresses, without this one's.
-  const std::vector<seed_address> &listed() const { return Listed; }
+  roster_system &registry() { return Registry; }
+  const roster_system &registry() const { return Registry; }
 
   membership &members() { return Members; }
   const membership &members() const { return Members; }
@@ -70,9 +56,6 @@
 private:
   void send(const outbox &Messages);
   void updateSeeds();
-  void listInstances();
-  void registerSelf();
-  bool isRegistrationCurrent(const object_list &List) const;
   void probeSuspects();
   void probe(const member_identity &Peer);
 
@@ -83,31 +66,13 @@
   const instance_settings &Settings;
   membership Members;
   death_handler OnDeath;
-  std::vector<seed_address> Listed;
+  roster_system Registry;
+  bool IsReader = false;
   std::vector<seed_address> Hosts;
-  std::optional<std::vector<registered_instance>> Registrations;
-  /// The platform has an object of this instance's name.
-  bool ObjectExists = false;
   std::set<std::uint64_t> Probing;
-  steady_time ListedAt;
-  steady_time NextList;
-  steady_time NextRegister;
   steady_time NextProbe;
-  bool Registered = false;
-  bool Registering = false;
-  bool Listing = false;
-  /// The list in progress may lack instances that register again.
-  bool DropList = false;
-  bool RegisterAgain = false;
-  std::mt19937_64 Random;
-  bool Leaving = false;
-  /// No instance has registered before this start of the fleet.
-  bool FirstStart = false;
 };
 
-/// Name of the platform object in which an instance registers its addresses.
-std::string instanceObjectName(const std::string &Instance);
-
 } // namespace magnoliaspread
 
 #endif
--- a/packages/report/include/magnoliaspread/metrics.h
+++ b/packages/report/include/magnoliaspread/metrics.h
@@ -69,6 +69,10 @@
   std::uint64_t ShareRefusals = 0;
   /// Requests that peers served, as this instance reached no targets.
   std::uint64_t Forwarded = 0;
+  /// Limits whose share this instance mints, and the age of the instance roster
+  /// that allows it.
+  std::size_t MintedLimits = 0;
+  std::chrono::milliseconds RosterStaleness{};
 };
 
 class instance_metrics {
--- a/packages/report/src/metrics.cpp
+++ b/packages/report/src/metrics.cpp
@@ -76,6 +76,8 @@
   prometheus::Gauge &SpreadKinds;
   prometheus::Gauge &HeldWorkspaces;
   prometheus::Gauge &ShareRefusals;
+  prometheus::Gauge &MintedLimits;
+  prometheus::Gauge &RosterStaleness;
 
   /// Guards Ids and the growth of Meters.
   mutable std::mutex Lock;
@@ -152,7 +154,14 @@
                               "Workspaces held to their share of a service")),
       ShareRefusals(addGauge(Registry, "magnoliaspread_share_refusals",
                              "Requests refused so that their workspace keeps "
-                             "to its share")) {
+                             "to its share")),
+      MintedLimits(addGauge(Registry, "magnoliaspread_limits_minted",
+                            "Limits whose regional share this instance "
+                            "mints")),
+      RosterStaleness(addGauge(Registry,
+                               "magnoliaspread_roster_staleness_seconds",
+                               "Time since the region's registered instances "
+                               "were known to be the latest")) {
   auto &Family = prometheus::BuildCounter()
                      .Name("magnoliaspread_errors_total")
                      .Help("Requests answered by the instance itself")
@@ -231,6 +240,8 @@
   State->SpilledPart.Set(Gauges.SpilledPart);
   State->Holders.Set(static_cast<double>(Gauges.Holders));
   State->Forgotten.Set(static_cast<double>(Gauges.Forgotten));
+  State->MintedLimits.Set(static_cast<double>(Gauges.MintedLimits));
+  State->RosterStaleness.Set(seconds_double(Gauges.RosterStaleness).count());
   State->MeasuredKinds.Set(static_cast<double>(Gauges.MeasuredKinds));
   State->SpreadKinds.Set(static_cast<double>(Gauges.SpreadKinds));
   State->HeldWorkspaces.Set(static_cast<double>(Gauges.HeldWorkspaces));
--- a/packages/wire/gen/control_types.cpp
+++ b/packages/wire/gen/control_types.cpp
@@ -4749,6 +4749,18 @@
 void ViewReply::__set_evacuatedEra(const int64_t val) {
   this->evacuatedEra = val;
 }
+
+void ViewReply::__set_rosterHash(const int64_t val) {
+  this->rosterHash = val;
+}
+
+void ViewReply::__set_rosterAgeMs(const int64_t val) {
+  this->rosterAgeMs = val;
+}
+
+void ViewReply::__set_rosterEra(const int64_t val) {
+  this->rosterEra = val;
+}
 std::ostream& operator<<(std::ostream& out, const ViewReply& obj)
 {
   obj.printTo(out);
@@ -4929,6 +4941,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterHash);
+          this->__isset.rosterHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterAgeMs);
+          this->__isset.rosterAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterEra);
+          this->__isset.rosterEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5026,6 +5062,18 @@
   xfer += oprot->writeI64(this->evacuatedEra);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rosterHash", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->rosterHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rosterAgeMs", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->rosterAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rosterEra", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->rosterEra);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5049,6 +5097,9 @@
   swap(a.targetsEra, b.targetsEra);
   swap(a.routesEra, b.routesEra);
   swap(a.evacuatedEra, b.evacuatedEra);
+  swap(a.rosterHash, b.rosterHash);
+  swap(a.rosterAgeMs, b.rosterAgeMs);
+  swap(a.rosterEra, b.rosterEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -5069,6 +5120,9 @@
   targetsEra = other148.targetsEra;
   routesEra = other148.routesEra;
   evacuatedEra = other148.evacuatedEra;
+  rosterHash = other148.rosterHash;
+  rosterAgeMs = other148.rosterAgeMs;
+  rosterEra = other148.rosterEra;
   __isset = other148.__isset;
 }
 ViewReply& ViewReply::operator=(const ViewReply& other149) {
@@ -5088,6 +5142,9 @@
   targetsEra = other149.targetsEra;
   routesEra = other149.routesEra;
   evacuatedEra = other149.evacuatedEra;
+  rosterHash = other149.rosterHash;
+  rosterAgeMs = other149.rosterAgeMs;
+  rosterEra = other149.rosterEra;
   __isset = other149.__isset;
   return *this;
 }
@@ -5110,6 +5167,9 @@
   out << ", " << "targetsEra=" << to_string(targetsEra);
   out << ", " << "routesEra=" << to_string(routesEra);
   out << ", " << "evacuatedEra=" << to_string(evacuatedEra);
+  out << ", " << "rosterHash=" << to_string(rosterHash);
+  out << ", " << "rosterAgeMs=" << to_string(rosterAgeMs);
+  out << ", " << "rosterEra=" << to_string(rosterEra);
   out << ")";
 }
 
--- a/packages/wire/gen/control_types.h
+++ b/packages/wire/gen/control_types.h
@@ -1939,7 +1939,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetChange& obj);
 
 typedef struct _ViewReply__isset {
-  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false), evacuatedAgeMs(false), era(false), targetsEra(false), routesEra(false), evacuatedEra(false) {}
+  _ViewReply__isset() : askedAtNs(false), version(false), ageMs(false), revision(false), targetsAgeMs(false), changes(false), partial(false), evacuated(false), skip(false), more(false), follows(false), evacuatedAgeMs(false), era(false), targetsEra(false), routesEra(false), evacuatedEra(false), rosterHash(false), rosterAgeMs(false), rosterEra(false) {}
   bool askedAtNs :1;
   bool version :1;
   bool ageMs :1;
@@ -1956,6 +1956,9 @@
   bool targetsEra :1;
   bool routesEra :1;
   bool evacuatedEra :1;
+  bool rosterHash :1;
+  bool rosterAgeMs :1;
+  bool rosterEra :1;
 } _ViewReply__isset;
 
 class ViewReply : public virtual ::apache::thrift::TBase {
@@ -1977,7 +1980,10 @@
               era(0),
               targetsEra(0),
               routesEra(0),
-              evacuatedEra(0) {
+              evacuatedEra(0),
+              rosterHash(0),
+              rosterAgeMs(0),
+              rosterEra(0) {
   }
 
   virtual ~ViewReply() noexcept;
@@ -1997,6 +2003,9 @@
   int64_t targetsEra;
   int64_t routesEra;
   int64_t evacuatedEra;
+  int64_t rosterHash;
+  int64_t rosterAgeMs;
+  int64_t rosterEra;
 
   _ViewReply__isset __isset;
 
@@ -2032,6 +2041,12 @@
 
   void __set_evacuatedEra(const int64_t val);
 
+  void __set_rosterHash(const int64_t val);
+
+  void __set_rosterAgeMs(const int64_t val);
+
+  void __set_rosterEra(const int64_t val);
+
   bool operator == (const ViewReply & rhs) const
   {
     if (!(askedAtNs == rhs.askedAtNs))
@@ -2066,6 +2081,12 @@
       return false;
     if (!(evacuatedEra == rhs.evacuatedEra))
       return false;
+    if (!(rosterHash == rhs.rosterHash))
+      return false;
+    if (!(rosterAgeMs == rhs.rosterAgeMs))
+      return false;
+    if (!(rosterEra == rhs.rosterEra))
+      return false;
     return true;
   }
   bool operator != (const ViewReply &rhs) const {
--- a/packages/wire/idl/control.thrift
+++ b/packages/wire/idl/control.thrift
@@ -227,6 +227,9 @@
   14: i64 targetsEra
   15: i64 routesEra
   16: i64 evacuatedEra
+  17: i64 rosterHash
+  18: i64 rosterAgeMs
+  19: i64 rosterEra
 }
 
 /// The rate limit of a target; without a rate it was withdrawn.
--- a/packages/wire/src/viewcodec.cpp
+++ b/packages/wire/src/viewcodec.cpp
@@ -103,6 +103,9 @@
   To.targetsEra = static_cast<std::int64_t>(Reply.TargetsEra);
   To.routesEra = static_cast<std::int64_t>(Reply.RoutesEra);
   To.evacuatedEra = static_cast<std::int64_t>(Reply.EvacuatedEra);
+  To.rosterHash = static_cast<std::int64_t>(Reply.RosterHash);
+  To.rosterAgeMs = Reply.RosterAge.count();
+  To.rosterEra = static_cast<std::int64_t>(Reply.RosterEra);
   Body.__set_viewReply(To);
 }
 
@@ -147,6 +150,9 @@
   Reply.TargetsEra = static_cast<store_era>(From.targetsEra);
   Reply.RoutesEra = static_cast<store_era>(From.routesEra);
   Reply.EvacuatedEra = static_cast<store_era>(From.evacuatedEra);
+  Reply.RosterHash = static_cast<std::uint64_t>(From.rosterHash);
+  Reply.RosterAge = readAge(From.rosterAgeMs);
+  Reply.RosterEra = static_cast<store_era>(From.rosterEra);
   for (const std::string &Name : From.evacuated)
     Reply.Evacuated.push_back(readName(Name));
   return Reply;
--- a/packages/wire/tests/datagram.cpp
+++ b/packages/wire/tests/datagram.cpp
@@ -43,6 +43,9 @@
   Reply.Follows = true;
   Reply.ChangesUnknown = true;
   Reply.Evacuated = {"porto-1", "faro-1"};
+  Reply.RosterHash = ~std::uint64_t{0};
+  Reply.RosterAge = 1100ms;
+  Reply.RosterEra = 3;
   return Reply;
 }
 
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -68,12 +68,17 @@
   soak_world &operator=(const soak_world &) = delete;
 
   void start(soak_instance &Instance);
+  /// Stops an instance for good and starts one with another name and address in
+  /// its place.
+  void replace(soak_instance &Instance);
   bool ready(const soak_instance &Instance) const;
   bool waitAllReady(std::chrono::milliseconds Limit);
 
   /// Stores the next version of the configuration. After a call with
   /// \p WithoutKey every later version omits the key "key-gone" too.
   void configure(bool WithoutKey);
+  /// Adds workspaces with the key "key-" and their name to every later version.
+  void addWorkspaces(const std::vector<std::string> &Names, int Rate);
   void putTarget(const soak_target &Target, const std::string &State);
 
   /// Sends requests that crash their targets to random instances until the
@@ -106,7 +111,11 @@
 
   std::string Folder;
   std::uint16_t InternalPort = freePort();
+  int NextHost = 20;
+  /// The fleet starts for the first time.
+  bool FirstStart = true;
   int Version = 0;
+  boost::json::array AddedWorkspaces;
   bool KeyWithdrawn = false;
   std::atomic<bool> Calling = false;
   std::atomic<std::uint64_t> NextId = 0;
