LOST: a drain wakes idle connections instead of cancelling them

Cause: gate::stopAccepting cancelled the sockets of idle connections, and caller_input took any error of its pending wait for the caller's close. A request whose bytes had come, but which had not started in that turn of the event loop, was parsed and passed on; then the cancel arrived, the caller counted as gone, the call to the target was cut and nothing was written.

Change: idle connections are woken and close themselves if nothing has arrived; an operation aborted by this process is no close. The end of the idle time had dropped a request that came with it: served now.

--- a/packages/traffic/src/caller_input.cpp
+++ b/packages/traffic/src/caller_input.cpp
@@ -32,6 +32,9 @@
                               Shared->Waiting = false;
                               if (!Shared->Alive)
                                 return;
+                              // Aborted by this process, not by the caller.
+                              if (Failure == asio::error::operation_aborted)
+                                return;
                               if (Failure)
                                 Shared->Closed = true;
                               else
--- a/packages/traffic/src/caller_input_p.h
+++ b/packages/traffic/src/caller_input_p.h
@@ -35,7 +35,8 @@
 
   beast::flat_buffer &buffer() { return Shared->Buffer; }
   std::size_t maxSize() const { return Shared->Buffer.max_size(); }
-  /// The caller has closed the connection, or it has been cancelled.
+  /// The caller has closed the connection. Operations that this process cancels
+  /// don't count.
   bool closed() const { return Shared->Closed; }
   steady_time lastReadAt() const { return Shared->LastReadAt; }
 
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -506,8 +506,12 @@
   error_code Ignored;
   State->Acceptor.close(Ignored);
   State->ForwardAcceptor.close(Ignored);
-  for (const auto &[Id, Socket] : State->IdleCallers)
-    Socket->cancel(Ignored);
+  State->ClosesIdle = true;
+  logEvent(log_level::Info, "idle_connections_closed",
+           {{"count", State->IdleCallers.size()},
+            {"connections", State->Connections}});
+  for (const auto &[Id, Changed] : State->IdleCallers)
+    Changed->cancel();
 }
 
 void gate::receive(const quarantine_update &Update) {
--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -68,6 +68,7 @@
   asio::awaitable<error_code> readBody(pending_request &Row);
   error_code parse();
   void beginHead();
+  bool nothingArrived();
   asio::awaitable<bool> awaitChange(steady_time Until);
   asio::awaitable<bool> awaitTurn(std::uint64_t Request);
   asio::awaitable<void> closeWhenRead();
@@ -145,6 +146,13 @@
   co_return Cancelled.failed();
 }
 
+/// True if no bytes wait to be read. A request that has arrived when its
+/// connection is to be closed for being idle is still served.
+bool gate_connection::nothingArrived() {
+  error_code Ignored;
+  return Input.buffer().size() == 0 && Socket.available(Ignored) == 0;
+}
+
 error_code gate_connection::parse() {
   error_code Failure;
   Input.buffer().consume(Parser->put(Input.buffer().data(), Failure));
@@ -186,14 +194,16 @@
       Until = IdleUntil;
     }
     const bool Idle = Order.empty() && Input.buffer().size() == 0;
+    if (Idle && State.ClosesIdle && nothingArrived())
+      break;
     if (Idle)
-      State.IdleCallers.emplace(Number, &Socket);
+      State.IdleCallers.emplace(Number, &Changed);
     const bool InTime = co_await awaitChange(Until);
     if (Idle)
       State.IdleCallers.erase(Number);
     if (!InTime && HeadSince)
       co_return asio::error::operation_aborted;
-    if (!InTime)
+    if (!InTime && nothingArrived())
       break;
   }
   co_return http::error::end_of_stream;
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -179,7 +179,10 @@
   fleet_retry_budget Retries;
   /// By route; spreads requests evenly by the weights of its parts.
   name_map<even_draw> Draws;
-  std::map<std::uint64_t, tcp::socket *> IdleCallers;
+  /// Wakes connections without a request, by their numbers.
+  std::map<std::uint64_t, asio::steady_timer *> IdleCallers;
+  /// Connections are closed as soon as they are idle.
+  bool ClosesIdle = false;
   /// Route and service by kind of request.
   std::unordered_map<std::uint64_t, std::string> KindNames;
   steady_time NextGainLog;
--- a/packages/traffic/tests/timers.cpp
+++ b/packages/traffic/tests/timers.cpp
@@ -152,3 +152,36 @@
   CPPUNIT_ASSERT(Caller.gone() && Watchdog.callerGone());
   CPPUNIT_ASSERT(Read && *Read == asio::error::operation_aborted);
 }
+
+// Guards against closes by this process that look like the caller's.
+STORY(caller_input_tells_a_cancel_from_a_close) {
+  asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket Caller(Context);
+  Caller.connect(Acceptor.local_endpoint());
+  tcp::socket Socket = Acceptor.accept();
+  const system_clock Clock;
+  std::size_t Changes = 0;
+  caller_input Input(
+      Socket, Clock, [] { return std::size_t{1000}; }, [&] { ++Changes; });
+  Input.resume();
+
+  section("a cancel between bytes and their request is no close", [&] {
+    Caller.write_some(asio::buffer("GET", 3));
+    std::this_thread::sleep_for(5ms);
+    Context.poll_one();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Input.buffer().size());
+    Socket.cancel();
+    Context.restart();
+    Context.poll();
+    CPPUNIT_ASSERT(!Input.closed());
+  });
+  section("the caller's close is one", [&] {
+    Input.resume();
+    Caller.close();
+    std::this_thread::sleep_for(5ms);
+    Context.restart();
+    Context.poll();
+    CPPUNIT_ASSERT(Input.closed());
+  });
+}
