Drain: refuse what can't end before the process does

Cause: a stopping instance asked only whether a request was still accepted, not whether it could end.

Change: the gate knows when its process ends (setLeaving). A request whose answer can't be expected by then, by the mean and deviation of its kind's answers and at most by its deadline, is refused at once as not run: at admission, while it waits, and before it is sent. A body that doesn't end in time is refused.

--- a/packages/daemon/src/gateway.cpp
+++ b/packages/daemon/src/gateway.cpp
@@ -199,7 +199,7 @@
   logEvent(
       log_level::Info, "drain_started",
       {{"instance", Settings.Name}, {"in_flight", Gate.counts().InFlight}});
-  Gate.setLeaving();
+  Gate.setLeaving(*DrainingSince + Settings.Gateway->Grace - GraceMargin);
   Limiter.resign(Clock.now());
   Members.leave();
 }
--- a/packages/steering/include/magnoliaspread/placer.h
+++ b/packages/steering/include/magnoliaspread/placer.h
@@ -296,6 +296,9 @@
 
   /// Measured service time of a kind of request; zero when unknown.
   std::chrono::nanoseconds expectedService(std::uint64_t Kind, bool Warm) const;
+  /// Time within which nearly all requests of a kind are answered once they are
+  /// sent; zero when unknown.
+  std::chrono::nanoseconds longestAnswer(std::uint64_t Kind) const;
 
   const crossing_counts &crossings() const { return Crossing.counts(); }
   /// Targets that report that their work takes longer than usual.
@@ -345,6 +348,10 @@
   struct service_times {
     double Warm = 0;
     double Cold = 0;
+    /// From the send to the whole answer, on any target: the mean, and the mean
+    /// deviation from it.
+    double Answer = 0;
+    double AnswerDeviation = 0;
   };
 
   /// A target that has an object cached or is being warmed up for it.
--- a/packages/steering/src/placerchoice.cpp
+++ b/packages/steering/src/placerchoice.cpp
@@ -19,6 +19,9 @@
 
 /// Rendezvous candidates compared for one request.
 constexpr std::size_t MaxCandidates = 4;
+/// Mean deviations above the mean within which nearly all answers come, as for
+/// the retransmission timeout of TCP (RFC 6298).
+constexpr double AnswerDeviations = 4;
 /// Extra time of a target with failure score 1, in latency targets.
 constexpr double FailurePenalty = 2.5;
 
@@ -43,6 +46,14 @@
       duration<double>(Warm ? Found->second.Warm : Found->second.Cold));
 }
 
+nanoseconds placer::longestAnswer(std::uint64_t Kind) const {
+  const auto Found = Times.find(Kind);
+  if (Found == Times.end())
+    return nanoseconds(0);
+  return duration_cast<nanoseconds>(duration<double>(
+      Found->second.Answer + AnswerDeviations * Found->second.AnswerDeviation));
+}
+
 /// Expected wait for a slot of the target, in seconds, if each request ahead
 /// runs for \p ServiceSeconds.
 double placer::waitSeconds(const target_state &Target, double ServiceSeconds,
--- a/packages/steering/src/placeroutcomes.cpp
+++ b/packages/steering/src/placeroutcomes.cpp
@@ -55,6 +55,16 @@
   const double Took =
       std::max(0.001, seconds(End.Took) - seconds(Policy.RoundTrip[Distance]));
   service_times &Known = Times[End.Kind];
+  const double Answered = seconds(End.Took);
+  if (Known.Answer <= 0) {
+    Known.Answer = Answered;
+    Known.AnswerDeviation = Answered / 2;
+  } else {
+    Known.AnswerDeviation +=
+        (std::abs(Answered - Known.Answer) - Known.AnswerDeviation) *
+        SampleWeight;
+    Known.Answer += (Answered - Known.Answer) * SampleWeight;
+  }
   bool Warm = isWarm(Target.Info.Handle, End.Object, Now);
   // Another instance may have warmed up the object.
   if (!Warm && Known.Warm > 0 && Known.Cold > 0)
--- a/packages/traffic/include/magnoliaspread/gate.h
+++ b/packages/traffic/include/magnoliaspread/gate.h
@@ -138,8 +138,9 @@
   using leaving_handler =
       std::function<bool(const std::string &Name, std::int64_t StartedAtMs)>;
   void onTargetLeaving(leaving_handler Handler);
-  /// From now on connections are closed after each answer.
-  void setLeaving();
+  /// From now on connections are closed after each answer, and requests that
+  /// can't be expected to end before \p EndsAt are refused.
+  void setLeaving(steady_time EndsAt);
 
   /// Lets requests that wait for tokens retry; call every few tens of
   /// milliseconds.
--- a/packages/traffic/src/gate.cpp
+++ b/packages/traffic/src/gate.cpp
@@ -15,6 +15,11 @@
 
 /// Interval between placement retries of waiting requests.
 constexpr milliseconds PollPeriod{15};
+/// From a target's answer to its last byte at the caller.
+constexpr milliseconds AnswerTime{50};
+/// Time for the refusal of a request whose body doesn't end in time: its caller
+/// may be sending, and has to read it.
+constexpr milliseconds RefusalTime{400};
 /// A request is quarantined from the third target crash on.
 constexpr std::uint32_t CrashesToQuarantine = 3;
 /// Covers the time in which callers are likely to repeat a request that crashed
@@ -118,7 +123,7 @@
 gate::state::place(const place_request &Request) {
   placement_verdict Verdict = Placer.place(Request, Clock.now());
   if (std::holds_alternative<place_wait>(Verdict)) {
-    place_waiter Waiter(Context);
+    place_waiter Waiter(Context, Request);
     Waiter.Signal.expires_at(Request.Deadline);
     Waiters.emplace(Request.Id, &Waiter);
     requestPermits();
@@ -144,6 +149,38 @@
   co_return std::get<error>(Verdict);
 }
 
+bool gate::state::endsInTime(const place_request &Request) const {
+  if (!Leaving)
+    return true;
+  const steady_time Now = Clock.now();
+  const auto Longest = Placer.longestAnswer(Request.Kind);
+  const steady_time AnsweredBy =
+      Longest.count() == 0
+          ? Request.Deadline
+          : std::min<steady_time>(Request.Deadline, Now + Longest);
+  return AnsweredBy + AnswerTime <= EndsAt;
+}
+
+steady_time gate::state::bodiesUntil() const {
+  return Leaving ? EndsAt - RefusalTime : steady_time::max();
+}
+
+void gate::state::refuseLate() {
+  if (!Leaving)
+    return;
+  for (const auto &[Id, Waiter] : Waiters) {
+    if (Waiter->Verdict || endsInTime(Waiter->Request))
+      continue;
+    Placer.cancel(Id);
+    Waiter->Verdict = endsTooSoon();
+    Waiter->Signal.cancel();
+  }
+}
+
+error endsTooSoon() {
+  return {error_kind::Draining, "this instance stops before it can end", {}};
+}
+
 void gate::state::cancelPlacement(std::uint64_t Id) {
   if (const auto Found = Waiters.find(Id); Found != Waiters.end())
     Found->second->Signal.cancel();
@@ -492,13 +529,15 @@
   State->OnQuarantine = std::move(Handler);
 }
 
-void gate::setLeaving() {
+void gate::setLeaving(steady_time EndsAt) {
   State->Leaving = true;
+  State->EndsAt = EndsAt;
   State->Permits.lender().leave();
 }
 
 void gate::tick() {
   State->Tokens.tick();
+  State->refuseLate();
   State->requestPermits();
 }
 
--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -224,7 +224,7 @@
       continue;
     if (Input.closed())
       Failure = http::error::partial_message;
-    else if (!co_await awaitChange(Until))
+    else if (!co_await awaitChange(std::min(Until, State.bodiesUntil())))
       Failure = asio::error::operation_aborted;
   }
   ReadingBody = false;
@@ -313,7 +313,9 @@
   Order.close();
   if (!Ended) {
     error_kind Kind = error_kind::BadRequest;
-    if (Stalled)
+    if (Stalled && State.Clock.now() >= State.bodiesUntil())
+      Kind = error_kind::Draining;
+    else if (Stalled)
       Kind = error_kind::RequestStalled;
     else if (NoMemory)
       Kind = error_kind::QueueFull;
--- a/packages/traffic/src/gate_p.h
+++ b/packages/traffic/src/gate_p.h
@@ -61,6 +61,13 @@
   /// Waits until a target can take the request. After an error the request has
   /// not run.
   asio::awaitable<result<target_handle>> place(const place_request &Request);
+  /// False if the process is likely to end before a request that is sent now
+  /// has its answer.
+  bool endsInTime(const place_request &Request) const;
+  /// When bodies that are still being read are refused.
+  steady_time bodiesUntil() const;
+  /// Refuses the requests that wait for a target and would end too late.
+  void refuseLate();
   /// Ends the wait of a request that is being placed.
   void cancelPlacement(std::uint64_t Id);
   void wakePlaced();
@@ -125,7 +132,9 @@
   void logAffinity();
 
   struct place_waiter {
-    explicit place_waiter(asio::io_context &Context) : Signal(Context) {}
+    place_waiter(asio::io_context &Context, const place_request &Request)
+        : Request(Request), Signal(Context) {}
+    const place_request &Request;
     asio::steady_timer Signal;
     std::optional<placement_verdict> Verdict;
   };
@@ -159,6 +168,8 @@
   route_index_ptr Routes;
   boot_time ConfigConfirmedAt;
   bool Leaving = false;
+  /// When the process ends, once it is leaving.
+  steady_time EndsAt = steady_time::max();
   stable_names<service_handle> Services{MaxServices};
   name_map<std::size_t> RegionNumbers;
   spill_log SpillLog;
@@ -201,6 +212,9 @@
   bool Polling = false;
 };
 
+/// Refusal of a request for which the process ends too soon.
+error endsTooSoon();
+
 /// Who sends the requests of a connection.
 enum class request_source : std::uint8_t { Caller, Peer };
 
--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -48,6 +48,8 @@
                           attempt_id Attempt, const call_result &Result);
   bool refuseQuarantined(const gate_request &Request,
                          request_outcome &Outcome) const;
+  bool refuseBeforeSend(const gate_request &Request,
+                        request_outcome &Outcome) const;
   bool concludeAttempt(gate_request &Request, target_handle Target,
                        call_result Result, std::chrono::nanoseconds Took,
                        request_outcome &Outcome);
@@ -279,6 +281,23 @@
   return true;
 }
 
+/// Gives up a request that has waited for its target and connection, if it
+/// shouldn't be sent any more; true if so.
+bool gate_run::refuseBeforeSend(const gate_request &Wanted,
+                                request_outcome &Outcome) const {
+  if (Caller.gone()) {
+    Outcome.Error = {error_kind::CallerGone, "closed while it waited", {}};
+    return true;
+  }
+  if (refuseQuarantined(Wanted, Outcome))
+    return true;
+  if (State.endsInTime(Wanted.Place))
+    return false;
+  if (!Outcome.MayHaveRun)
+    Outcome.Error = endsTooSoon();
+  return true;
+}
+
 asio::awaitable<bool> gate_run::attempt(gate_request &Wanted,
                                         target_handle Target,
                                         request_outcome &Outcome) {
@@ -293,12 +312,7 @@
     Wanted.Place.Tried.push_back(Target);
     co_return true;
   }
-  if (Caller.gone()) {
-    cancelAttempt(Target, std::move(Connection));
-    Outcome.Error = {error_kind::CallerGone, "closed while it waited", {}};
-    co_return false;
-  }
-  if (refuseQuarantined(Wanted, Outcome)) {
+  if (refuseBeforeSend(Wanted, Outcome)) {
     cancelAttempt(Target, std::move(Connection));
     co_return false;
   }
@@ -387,6 +401,10 @@
   Outcome.Sends = Wanted.EarlierSends;
   if (refuseQuarantined(Wanted, Outcome))
     co_return Outcome;
+  if (!State.endsInTime(Wanted.Place)) {
+    Outcome.Error = endsTooSoon();
+    co_return Outcome;
+  }
   // The peer takes the token.
   if (State.canForward(Wanted) &&
       co_await forwardRequest(State, Caller, Request, Wanted, Outcome))
