Answers: reserve a body's larger buffer before it grows

Here no process ended, but the budget of 32 MB for bodies was passed: with 200 requests at once and 42 targets that send bodies without end the peak was 106, 107 and 121 MB (machine: 160 MB).

Cause: memory was accounted for after a body had grown, to twice its size and beside the buffer that it was copied from.

Change: the larger buffer is reserved together with the old one before the next piece is read.

Test: gateway_bounds_answers_without_end_of_many_targets. Its bound is the machine's memory, so it passed before, too.

--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::uint32_t MaxAnswerHeaderBytes = 65536;
 constexpr std::uint64_t MaxAnswerBytes = 32u << 20;
+/// Most that is read of a body at once.
+constexpr std::size_t MaxPieceBytes = 65536;
 /// Answers to other requests that are skipped before the connection is closed:
 /// a target may repeat an answer, and rarely more than once.
 constexpr int MaxMismatchedAnswers = 3;
@@ -37,6 +39,7 @@
   asio::awaitable<bool> readAnswer();
   asio::awaitable<error_code> readHead(answer_parser &Parser);
   asio::awaitable<error_code> readBody(answer_parser &Parser);
+  bool makeRoom(answer_parser &Parser);
   asio::awaitable<bool> awaitHead(answer_parser &Parser);
   bool keepWaiting();
   void recordFailure(const error_code &Failure);
@@ -85,6 +88,24 @@
   co_return Failure;
 }
 
+/// Makes room for the next piece of a body within its memory budget, old and
+/// new buffer together. A body that grows by itself is copied to one of twice
+/// its size, which the budget learns of only then.
+bool exchange::makeRoom(answer_parser &Parser) {
+  std::string &Body = Parser.get().body();
+  const std::size_t Capacity = Body.capacity();
+  std::size_t Needed = MaxPieceBytes;
+  if (const auto Left = Parser.content_length_remaining())
+    Needed = static_cast<std::size_t>(std::min<std::uint64_t>(Needed, *Left));
+  if (Capacity < MaxPieceBytes || Capacity - Body.size() >= Needed)
+    return true;
+  const std::size_t Larger = 2 * Capacity;
+  if (!Result.BodyMemory->resize(Capacity + Larger))
+    return false;
+  Body.reserve(Larger);
+  return Result.BodyMemory->resize(Body.capacity());
+}
+
 /// Reads the body in pieces and accounts for its memory as it grows, since a
 /// target may send without end.
 asio::awaitable<error_code> exchange::readBody(answer_parser &Parser) {
@@ -92,6 +113,8 @@
   while (!Failure && !Parser.is_done()) {
     if (Watchdog.callerGone())
       co_return asio::error::operation_aborted;
+    if (!makeRoom(Parser))
+      co_return http::make_error_code(http::error::body_limit);
     std::tie(Failure, std::ignore) = co_await http::async_read_some(
         Outbound.Socket, Outbound.Buffer, Parser, Awaited);
     if (!Result.BodyMemory->resize(Parser.get().body().capacity()))
