--- a/packages/coordination/include/magnoliaspread/roster.h
+++ b/packages/coordination/include/magnoliaspread/roster.h
@@ -116,6 +116,8 @@
   std::chrono::milliseconds JoiningGoneAfter{10000};
   /// Registrations that are Leaving or Gone are removed after this time.
   std::chrono::milliseconds KeepAfterEnd{30000};
+  /// Interval between looks for registrations to mark.
+  std::chrono::milliseconds MarkPeriod{250};
   std::chrono::milliseconds RetryPause{500};
 };
 
@@ -266,6 +268,7 @@
   steady_time LastRead;
   steady_time LastList;
   steady_time NextWrite;
+  steady_time NextMark;
   std::map<std::string, absence> Absent;
   /// Registrations that were marked since the last read.
   std::set<std::string> Marked;
--- a/packages/coordination/src/roster.cpp
+++ b/packages/coordination/src/roster.cpp
@@ -49,7 +49,7 @@
 instance_roster::instance_roster(roster_settings InitialSettings,
                                  steady_time Now)
     : Settings(std::move(InitialSettings)), StartedAt(Now), NextRead(Now),
-      LastRead(Now), LastList(Now), NextWrite(Now) {
+      LastRead(Now), LastList(Now), NextWrite(Now), NextMark(Now) {
   if (!Settings.FirstStart)
     return;
   Phase = phase::Unwritten;
@@ -377,8 +377,10 @@
 
 std::optional<registration_write>
 instance_roster::takeMark(steady_time Now, const live_predicate &IsLive) {
-  if (Marking || Objects.empty() || !Settings.Leases || Phase != phase::Live)
+  if (Marking || Now < NextMark || Objects.empty() || !Settings.Leases ||
+      Phase != phase::Live)
     return std::nullopt;
+  NextMark = Now + Settings.MarkPeriod;
   std::erase_if(Absent,
                 [&](const auto &Row) { return !Objects.contains(Row.first); });
   for (const auto &[Name, Row] : Objects) {
