--- a/packages/daemon/src/gatewaypeers.cpp
+++ b/packages/daemon/src/gatewaypeers.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds PeersPeriod{250};
 /// About the time a target takes for one request; an older update is stale.
 constexpr milliseconds ObjectUpdatePeriod{100};
+/// An instance doesn't read the registrations for its region before it knows
+/// its regional peers: several rounds of heartbeats.
+constexpr milliseconds ReaderSettleTime{3000};
 /// Fraction of its capacity from which an instance assumes that the directory
 /// lists weaker ones too; below the two thirds at which entry_policy adds more.
 constexpr double BusyPart = 0.33;
@@ -139,7 +142,7 @@
     if (Row.Identity.Region != Settings.Region)
       Remote.push_back({Row.Identity.Name, Row.Identity.Region});
   Limiter.setRemoteInstances(std::move(Remote), Regions);
-  Members.setReader(View.isReader());
+  Members.setReader(View.isReader() && Now - StartedAt >= ReaderSettleTime);
   Gate.setInstances(
       std::max(Members.registry().roster().fleetSize(), Peers.size() + 1));
 }
