Drain: a request isn't given up for an attempt that can't end in time

SIGTERM 1.0 s, sent 1.513 s, its server begins 2.189 s, 504 at 3.711 s.

Change: another target is looked for only if an attempt there can end in time, and what may have run is sent in any case.

--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -106,6 +106,8 @@
 std::optional<target_handle>
 gate_run::placeElsewhere(const gate_request &Wanted, target_handle Unresponsive,
                          const request_outcome &Outcome) {
+  if (!State.endsInTime(Wanted.Place))
+    return std::nullopt;
   place_request Again = Wanted.Place;
   Again.Tried.push_back(Unresponsive);
   const std::optional<target_handle> Next = State.placeNow(Again);
@@ -291,10 +293,10 @@
   }
   if (refuseQuarantined(Wanted, Outcome))
     return true;
-  if (State.endsInTime(Wanted.Place))
+  // One that was given up elsewhere can only gain by being sent.
+  if (Outcome.MayHaveRun || State.endsInTime(Wanted.Place))
     return false;
-  if (!Outcome.MayHaveRun)
-    Outcome.Error = endsTooSoon();
+  Outcome.Error = endsTooSoon();
   return true;
 }
 
