Answers: the class of a status follows from its number

Cause: the class of a status was asked of the HTTP library by its enumeration, which has one value for codes without a name and for numbers that are no codes; that value has no class. So 103 was not interim, 299 no success that needs a signature, and 000 an answer like any other. No place asked whether the number is a status code.

Both ways to a target pass on 000, 099, 600 and 999 (broken_answers_are_not_passed_on_by_the_gate, ..._by_the_relay); 103 before a 200 fails in sound_answers_pass_whole_through_the_gate and ..._through_the_relay. Tests had only codes that the library names.

Change: statusClassOf() goes by the number, in the four places that asked, and checkAnswerHead() fails as the parser does where it gives no class: RFC 9110, 15 has codes from 100 to 599. Such a head is rejected before any of its fields is used, so that none of them can say "not run" either. The request ends with 502, or is sent elsewhere if it may be repeated, as with any other bytes that are no answer; the attempt counts as failed.

Handled before and kept as tests: two and four digits, HTTP/2.0, 101, failures of all codes from 300 on.

--- /dev/null
+++ b/packages/base/include/magnoliaspread/httpanswer.h
@@ -0,0 +1,25 @@
+/// Checks of HTTP answers that the parser leaves to its users.
+#ifndef MAGNOLIASPREAD_HTTPANSWER_H
+#define MAGNOLIASPREAD_HTTPANSWER_H
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace magnoliaspread {
+
+/// Interim answers that a sender may put before the final one.
+inline constexpr int MaxInterimAnswers = 8;
+
+/// Class of an answer's status by its number; unknown below 100 and from 600
+/// on, where numbers are no status codes (RFC 9110, 15).
+boost::beast::http::status_class
+statusClassOf(const boost::beast::http::response_header<> &Head);
+
+/// http::error::bad_status if the status is no status code.
+boost::system::error_code
+checkAnswerHead(const boost::beast::http::response_header<> &Head);
+
+} // namespace magnoliaspread
+
+#endif
--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -1,5 +1,6 @@
 #include "gate_run_p.h"
 
+#include <magnoliaspread/httpanswer.h>
 #include <magnoliaspread/log.h>
 
 #include <algorithm>
@@ -236,8 +237,7 @@
     State.Quarantine.ended(Attempt);
     // A server error may come from a target that fails every request, so it
     // doesn't clear this one.
-    if (http::to_status_class(Result.Answer.result()) !=
-        http::status_class::server_error)
+    if (statusClassOf(Result.Answer) != http::status_class::server_error)
       State.Quarantine.clear(Wanted.Fingerprint, State.Clock.now());
     return;
   case call_end::Misdirected:
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -1,5 +1,7 @@
 #include "relay_p.h"
 
+#include <magnoliaspread/httpanswer.h>
+
 #include <algorithm>
 #include <charconv>
 #include <optional>
@@ -209,8 +211,12 @@
       recordFailure(Failure);
       co_return false;
     }
-    if (http::to_status_class(Answer->get().result()) !=
-        http::status_class::informational)
+    const error_code Malformed = checkAnswerHead(Answer->get());
+    if (Malformed) {
+      fail(error_kind::TargetFailed, Malformed.message());
+      co_return false;
+    }
+    if (statusClassOf(Answer->get()) != http::status_class::informational)
       co_return true;
   }
 }
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -2,6 +2,8 @@
 
 #include "watchdog_p.h"
 
+#include <magnoliaspread/httpanswer.h>
+
 #include <algorithm>
 
 namespace magnoliaspread {
@@ -18,8 +20,6 @@
 /// Answers to other requests that are skipped before the connection is closed:
 /// a target may repeat an answer, and rarely more than once.
 constexpr int MaxMismatchedAnswers = 3;
-/// Interim answers before the final one; targets send one at most.
-constexpr int MaxInterimAnswers = 8;
 /// Wait for the answer of a target that stopped reading the request.
 constexpr milliseconds EarlyAnswerTimeout{1000};
 
@@ -155,8 +155,8 @@
   Result.End = Result.Head.Misdirected ? call_end::Misdirected
                : Result.Head.NotRun    ? call_end::NotRun
                                        : call_end::Answered;
-  const bool Success = http::to_status_class(Parser.get().result()) ==
-                       http::status_class::successful;
+  const bool Success =
+      statusClassOf(Parser.get()) == http::status_class::successful;
   if (Result.End == call_end::Answered && Success && !Result.Head.Signed) {
     Result.End = call_end::Broken;
     Result.Detail = "a success that no target vouches for";
@@ -185,13 +185,18 @@
     const bool HeadCame = co_await awaitHead(Parser);
     if (!HeadCame)
       co_return false;
+    // The fields of a malformed head mean nothing.
+    const error_code Malformed = checkAnswerHead(Parser.get());
+    if (Malformed) {
+      Result.Detail = Malformed.message();
+      co_return false;
+    }
     Watchdog.expireAt(Call.Deadline);
     Result.BodyMemory.emplace(*Call.Memory);
     Result.Head = Dialect.parseAnswerHead(Parser.get(), Call.Id);
     if (!Result.Head.Misdirected)
       Result.Leaving = Result.Leaving || Result.Head.Leaving;
-    if (http::to_status_class(Parser.get().result()) ==
-        http::status_class::informational) {
+    if (statusClassOf(Parser.get()) == http::status_class::informational) {
       if (++Interim > MaxInterimAnswers) {
         Result.Detail = "interim answers without end";
         co_return false;
--- /dev/null
+++ b/packages/traffic/tests/answers.cpp
@@ -0,0 +1,297 @@
+/// What the two paths to a target make of its answers: the gate's, which
+/// gathers them and serves peers as well, and the relay of the project's own
+/// interface.
+#include "relay_p.h"
+#include "target_call_p.h"
+
+#include <magnoliaspread/story.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace magnoliaspread;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *Host = "127.0.0.1";
+
+/// Takes every answer for one to the request, signed by its target.
+class trusting_dialect final : public gate_dialect {
+public:
+  caller_head read(const gate_request_head &) const override { return {}; }
+  void rewriteRequest(gate_request_head &, const target_head &) const override {
+  }
+  void eraseHopByHop(gate_request_head &) const override {}
+  answer_head parseAnswerHead(const gate_answer_head &,
+                              std::string_view) const override {
+    answer_head Read;
+    Read.Named = true;
+    Read.Signed = true;
+    return Read;
+  }
+  void rewriteAnswer(gate_answer_head &) const override {}
+  void refuse(gate_answer_head &, const error &,
+              std::string_view) const override {}
+  std::optional<directory_query>
+  readDirectory(std::string_view) const override {
+    return std::nullopt;
+  }
+  std::string directoryAnswer(const std::vector<std::string> &,
+                              std::chrono::milliseconds) const override {
+    return {};
+  }
+  bool isReadinessProbe(std::string_view) const override { return false; }
+};
+
+enum class answer_end { Keep, Close, Reset };
+
+/// A connected pair of sockets, one of which the test holds.
+struct connection_fixture {
+  explicit connection_fixture(asio::io_context &Context) : Near(Context) {
+    Near.connect(Acceptor.local_endpoint());
+    Acceptor.accept(Far);
+    Near.set_option(tcp::no_delay(true));
+    Far.set_option(tcp::no_delay(true));
+  }
+
+  void send(const std::string &Text, answer_end End) {
+    asio::write(Far, asio::buffer(Text));
+    if (End == answer_end::Close)
+      Far.shutdown(tcp::socket::shutdown_send);
+    if (End == answer_end::Reset)
+      reset();
+  }
+
+  void reset() {
+    Far.set_option(asio::socket_base::linger(true, 0));
+    Far.close();
+  }
+
+  asio::io_context FarContext;
+  tcp::acceptor Acceptor{FarContext, {asio::ip::make_address(Host), 0}};
+  tcp::socket Far{FarContext};
+  tcp::socket Near;
+};
+
+/// The answer as it came through.
+struct passed_answer {
+  bool Whole = false;
+  unsigned Status = 0;
+  std::string Body;
+  std::string Detail;
+};
+
+/// One exchange with a target that the test plays.
+class exchange_fixture {
+public:
+  virtual ~exchange_fixture() = default;
+
+  passed_answer exchange(http::verb Method, const std::string &Answer,
+                         answer_end End) {
+    start(Method);
+    const auto Until = std::chrono::steady_clock::now() + 2s;
+    while (Target.Far.available() == 0 &&
+           std::chrono::steady_clock::now() < Until)
+      Context.poll();
+    Target.send(Answer, End);
+    while (!Ended && std::chrono::steady_clock::now() < Until)
+      Context.run_one_for(10ms);
+    CPPUNIT_ASSERT_MESSAGE(Answer, Ended);
+    return passed();
+  }
+
+protected:
+  virtual void start(http::verb Method) = 0;
+  virtual passed_answer passed() = 0;
+
+  template <class Awaitable, class Result>
+  void run(Awaitable Exchange, std::optional<Result> &Into) {
+    asio::co_spawn(Context, std::move(Exchange),
+                   [this, &Into](const std::exception_ptr &Thrown, Result End) {
+                     CPPUNIT_ASSERT(!Thrown);
+                     Into.emplace(std::move(End));
+                     Ended = true;
+                   });
+  }
+
+  asio::io_context Context{1};
+  connection_fixture Target{Context};
+  outbound_connection Outbound{1, std::move(Target.Near)};
+  bool Ended = false;
+};
+
+class gate_exchange final : public exchange_fixture {
+  void start(http::verb Method) override {
+    Request = whole_request(Method, "/1", 11);
+    Request.set(http::field::host, Host);
+    Request.prepare_payload();
+    target_call Call;
+    Call.Request = &Request;
+    Call.Id = "id-1";
+    Call.Deadline = std::chrono::steady_clock::now() + 1s;
+    Call.Memory = &Memory;
+    run(callTarget(Dialect, Caller, Outbound, Call), Result);
+  }
+
+  passed_answer passed() override {
+    return {Result->End == call_end::Answered, Result->Answer.result_int(),
+            Result->Answer.body(), Result->Detail};
+  }
+
+  trusting_dialect Dialect;
+  caller_watch Caller;
+  memory_budget Memory{1 << 20};
+  whole_request Request;
+  std::optional<call_result> Result;
+};
+
+class relay_exchange final : public exchange_fixture {
+  void start(http::verb Method) override {
+    const std::string Head = std::string(http::to_string(Method)) +
+                             " /1 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
+    asio::write(Caller.Far, asio::buffer(Head));
+    http::read_header(Caller.Near, Buffer, Parser);
+    relay_request Request;
+    Request.Head = Parser.get().base();
+    Request.Id = "id-1";
+    Request.Deadline = std::chrono::steady_clock::now() + 1s;
+    Request.ProgressTimeout = 1s;
+    run(relayExchange(Side, Outbound, std::move(Request)), Result);
+  }
+
+  passed_answer passed() override {
+    passed_answer Passed;
+    Passed.Whole = Result->Answered;
+    Passed.Status = Result->Answered ? Result->Status : 0;
+    Passed.Detail = Result->Error.Detail;
+    std::string Text(Caller.Far.available(), ' ');
+    asio::read(Caller.Far, asio::buffer(Text));
+    const std::size_t Body = Text.find("\r\n\r\n");
+    if (Body != std::string::npos)
+      Passed.Body = Text.substr(Body + 4);
+    return Passed;
+  }
+
+  connection_fixture Caller{Context};
+  beast::flat_buffer Buffer;
+  caller_parser Parser;
+  caller_side Side{Caller.Near, Buffer, Parser};
+  std::optional<relay_outcome> Result;
+};
+
+struct broken_answer {
+  const char *What;
+  std::string Text;
+  answer_end End = answer_end::Keep;
+};
+
+std::vector<broken_answer> brokenAnswers() {
+  const std::string Rest = " Reason\r\nContent-Length: 5\r\n\r\nwhole";
+  return {
+      {"status 000", "HTTP/1.1 000" + Rest},
+      {"status 099", "HTTP/1.1 099" + Rest},
+      {"status 600", "HTTP/1.1 600" + Rest},
+      {"status 999", "HTTP/1.1 999" + Rest},
+      {"status 099 before a sound answer",
+       "HTTP/1.1 099 Reason\r\n\r\nHTTP/1.1 200" + Rest},
+      {"a status of two digits", "HTTP/1.1 20" + Rest},
+      {"a status of four digits", "HTTP/1.1 2000" + Rest},
+      {"a version of another protocol", "HTTP/2.0 200" + Rest},
+      {"101 and the end", "HTTP/1.1 101 Switching\r\n\r\n", answer_end::Close},
+  };
+}
+
+/// The broken answers that came through.
+template <class Exchange> std::string passedOn() {
+  std::string Names;
+  for (const broken_answer &Broken : brokenAnswers()) {
+    const passed_answer Passed =
+        Exchange().exchange(http::verb::get, Broken.Text, Broken.End);
+    if (Passed.Whole || !Passed.Body.empty())
+      Names += std::string("\n  ") + Broken.What;
+  }
+  return Names;
+}
+
+} // namespace
+
+namespace {
+
+struct sound_answer {
+  const char *What;
+  std::string Text;
+  unsigned Status = 200;
+  std::string Body = "whole";
+  http::verb Method = http::verb::get;
+  answer_end End = answer_end::Keep;
+};
+
+std::vector<sound_answer> soundAnswers() {
+  const std::string Rest = " Reason\r\nContent-Length: 5\r\n\r\nwhole";
+  return {
+      {"with a length", "HTTP/1.1 200" + Rest},
+      {"with a length of HTTP/1.0", "HTTP/1.0 200" + Rest},
+      {"with a length, then a close", "HTTP/1.1 200" + Rest, 200, "whole",
+       http::verb::get, answer_end::Close},
+      {"without a name for its status", "HTTP/1.1 299" + Rest, 299},
+      {"a failure without a name", "HTTP/1.1 599" + Rest, 599},
+      {"after 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200" + Rest},
+      {"after two of 103", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
+                           "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200" +
+                               Rest},
+      {"204", "HTTP/1.1 204 Reason\r\n\r\n", 204, ""},
+      {"304 with the length that a 200 would have",
+       "HTTP/1.1 304 Reason\r\nContent-Length: 5\r\n\r\n", 304, ""},
+      {"to HEAD", "HTTP/1.1 200 Reason\r\nContent-Length: 5\r\n\r\n", 200, "",
+       http::verb::head},
+  };
+}
+
+/// The sound answers that didn't come through whole.
+template <class Exchange>
+std::string refused(const std::vector<sound_answer> &Answers) {
+  std::string Names;
+  for (const sound_answer &Sound : Answers) {
+    const passed_answer Passed =
+        Exchange().exchange(Sound.Method, Sound.Text, Sound.End);
+    if (!Passed.Whole || Passed.Status != Sound.Status ||
+        Passed.Body != Sound.Body)
+      Names += std::string("\n  ") + Sound.What + ": " + Passed.Detail;
+  }
+  return Names;
+}
+
+} // namespace
+
+// Guards against answers that HTTP doesn't allow and that reach the caller.
+STORY(broken_answers_are_not_passed_on_by_the_gate) {
+  CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<gate_exchange>());
+}
+
+STORY(broken_answers_are_not_passed_on_by_the_relay) {
+  CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<relay_exchange>());
+}
+
+// Guards against checks that reject what HTTP allows.
+STORY(sound_answers_pass_whole_through_the_gate) {
+  CPPUNIT_ASSERT_EQUAL(std::string(), refused<gate_exchange>(soundAnswers()));
+  section("chunked, or without a length and ended in order", [&] {
+    const std::string Head = "HTTP/1.1 200 Reason\r\n";
+    const std::vector<sound_answer> Unframed{
+        {"chunked",
+         Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+        {"without a length", Head + "\r\nwhole", 200, "whole", http::verb::get,
+         answer_end::Close}};
+    CPPUNIT_ASSERT_EQUAL(std::string(), refused<gate_exchange>(Unframed));
+  });
+}
+
+STORY(sound_answers_pass_whole_through_the_relay) {
+  CPPUNIT_ASSERT_EQUAL(std::string(), refused<relay_exchange>(soundAnswers()));
+}
