Relay: interim answers of a target are bounded

A target that sends interim answers without end kept a request of the project's own interface busy up to its deadline, as fast as the target sends.

Evidence: on the code before, the relay passes on the 200 behind 1,000 of 103 (broken_answers_are_not_passed_on_by_the_relay).

Change: the same bound as the gate's, MaxInterimAnswers.

--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -198,7 +198,7 @@
                         ? answerTime()
                         : std::min(Request.Deadline,
                                    steady_clock::now() + EarlyAnswerTimeout));
-  for (;;) {
+  for (int Interim = 0;;) {
     Answer.emplace();
     Answer->header_limit(MaxAnswerHeaderBytes);
     Answer->body_limit(boost::none);
@@ -218,6 +218,10 @@
     }
     if (statusClassOf(Answer->get()) != http::status_class::informational)
       co_return true;
+    if (++Interim > MaxInterimAnswers) {
+      fail(error_kind::TargetFailed, "interim answers without end");
+      co_return false;
+    }
   }
 }
 
--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -193,6 +193,9 @@
 
 std::vector<broken_answer> brokenAnswers() {
   const std::string Rest = " Reason\r\nContent-Length: 5\r\n\r\nwhole";
+  std::string Interim;
+  for (int I = 0; I < 1000; ++I)
+    Interim += "HTTP/1.1 103 Hints\r\n\r\n";
   return {
       {"status 000", "HTTP/1.1 000" + Rest},
       {"status 099", "HTTP/1.1 099" + Rest},
@@ -204,6 +207,7 @@
       {"a status of four digits", "HTTP/1.1 2000" + Rest},
       {"a version of another protocol", "HTTP/2.0 200" + Rest},
       {"101 and the end", "HTTP/1.1 101 Switching\r\n\r\n", answer_end::Close},
+      {"1,000 interim answers before it", Interim + "HTTP/1.1 200" + Rest},
   };
 }
 
