Tests: answers with a blank or a control byte in a field's name

Each of 21 lines (blank, tab, NUL, 0x01, 0x7f, 0xe9, 0xff, bare CR and LF in a name, blanks around a name, none, no colon, control bytes in values) stands in a final head, an interim head and a trailer, at the gate and at the relay: no answer comes through. The relay has sent a chunked answer's body on when its trailer comes; it cuts the answer before its last chunk.

--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -82,6 +82,8 @@
 /// The answer as it came through.
 struct passed_answer {
   bool Whole = false;
+  /// Its caller can tell that the end is missing.
+  bool Cut = false;
   unsigned Status = 0;
   std::string Body;
   std::string Detail;
@@ -140,8 +142,12 @@
   }
 
   passed_answer passed() override {
-    return {Result->End == call_end::Answered, Result->Answer.result_int(),
-            Result->Answer.body(), Result->Detail};
+    passed_answer Passed;
+    Passed.Whole = Result->End == call_end::Answered;
+    Passed.Status = Result->Answer.result_int();
+    Passed.Body = Result->Answer.body();
+    Passed.Detail = Result->Detail;
+    return Passed;
   }
 
   trusting_dialect Dialect;
@@ -175,6 +181,7 @@
     const std::size_t Body = Text.find("\r\n\r\n");
     if (Body != std::string::npos)
       Passed.Body = Text.substr(Body + 4);
+    Passed.Cut = !Result->Answered && !Text.ends_with("\r\n0\r\n\r\n");
     return Passed;
   }
 
@@ -211,13 +218,66 @@
   };
 }
 
-/// The broken answers that came through.
-template <class Exchange> std::string passedOn() {
+/// Lines in whose field name or value a byte stands that HTTP doesn't allow.
+std::vector<std::pair<const char *, std::string>> brokenLines() {
+  using namespace std::string_literals;
+  return {
+      {"a blank in the name", "X-A B: 1"},
+      {"a blank before the colon", "X-A : 1"},
+      {"a blank before the first name", " X-A: 1"},
+      {"a blank in the name of the length", "Content -Length: 5"},
+      {"a blank behind the name of the length", "Content-Length : 5"},
+      {"a blank behind the name of the coding", "Transfer-Encoding : chunked"},
+      {"a tab in the name", "X-A\tB: 1"},
+      {"NUL in the name", "X-A\0B: 1"s},
+      {"0x01 in the name", "X-A\x01: 1"},
+      {"0x7f in the name", "X-A\x7f: 1"},
+      {"0xe9 in the name", "X-A\xe9: 1"},
+      {"0xff in the name", "X-A\xff: 1"},
+      {"a bare CR in the name", "X-A\rB: 1"},
+      {"a bare LF in the name", "X-A\nB: 1"},
+      {"no name", ": 1"},
+      {"no colon", "X-A"},
+      {"0x01 in the value", "X-A: 1\x01"},
+      {"NUL in the value", "X-A: 1\0"s},
+      {"a bare CR in the value", "X-A: 1\rX-B: 2"},
+      {"a bare LF in the value", "X-A: 1\nX-B: 2"},
+      {"0x01 in a folded line", "X-A: 1\r\n \x01"},
+  };
+}
+
+/// Answers with such a line in the head and in an interim head.
+std::vector<broken_answer> answersWithBrokenLines() {
+  const std::string Rest = "\r\nContent-Length: 5\r\n\r\nwhole";
+  const std::string Final = "\r\n\r\nHTTP/1.1 200 Reason" + Rest;
+  std::vector<broken_answer> Answers;
+  for (const auto &[What, Line] : brokenLines()) {
+    Answers.push_back({What, "HTTP/1.1 200 Reason\r\n"});
+    Answers.back().Text.append(Line).append(Rest);
+    Answers.push_back({What, "HTTP/1.1 103 Hints\r\n"});
+    Answers.back().Text.append(Line).append(Final);
+  }
+  return Answers;
+}
+
+std::vector<broken_answer> answersWithBrokenTrailers() {
+  std::vector<broken_answer> Answers;
+  for (const auto &[What, Line] : brokenLines())
+    Answers.push_back({What, "HTTP/1.1 200 Reason\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
+                                 Line + "\r\n\r\n"});
+  return Answers;
+}
+
+/// The broken answers that came through. One that \p MayBegin may be cut.
+template <class Exchange>
+std::string passedOn(const std::vector<broken_answer> &Answers,
+                     bool MayBegin = false) {
   std::string Names;
-  for (const broken_answer &Broken : brokenAnswers()) {
+  for (const broken_answer &Broken : Answers) {
     const passed_answer Passed =
         Exchange().exchange(http::verb::get, Broken.Text, Broken.End);
-    if (Passed.Whole || !Passed.Body.empty())
+    if (Passed.Whole || (!Passed.Body.empty() && !(MayBegin && Passed.Cut)))
       Names += std::string("\n  ") + Broken.What;
   }
   return Names;
@@ -275,11 +335,32 @@
 
 // Guards against answers that HTTP doesn't allow and that reach the caller.
 STORY(broken_answers_are_not_passed_on_by_the_gate) {
-  CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<gate_exchange>());
+  CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<gate_exchange>(brokenAnswers()));
 }
 
 STORY(broken_answers_are_not_passed_on_by_the_relay) {
-  CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<relay_exchange>());
+  CPPUNIT_ASSERT_EQUAL(std::string(),
+                       passedOn<relay_exchange>(brokenAnswers()));
+}
+
+// Guards against answers with a field whose name or value is malformed.
+STORY(malformed_fields_are_not_passed_on) {
+  section("by the gate, in heads", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         passedOn<gate_exchange>(answersWithBrokenLines()));
+  });
+  section("by the gate, in trailers", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         passedOn<gate_exchange>(answersWithBrokenTrailers()));
+  });
+  section("by the relay, in heads", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         passedOn<relay_exchange>(answersWithBrokenLines()));
+  });
+  section("by the relay, in trailers, before which the answer begins", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(), passedOn<relay_exchange>(
+                                            answersWithBrokenTrailers(), true));
+  });
 }
 
 // Guards against checks that reject what HTTP allows.
