Answers: a body in a transfer coding that isn't decoded is no answer

Cause: the HTTP library decodes chunked where it comes last, takes no notice of other codings, and the gate removes the field, which concerns one connection.

Change: checkAnswerHead() lets no coding or one chunked pass, over all fields, unless the answer has no body, where the field says what another answer would have (HEAD, 304).

--- a/packages/base/include/magnoliaspread/httpanswer.h
+++ b/packages/base/include/magnoliaspread/httpanswer.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/status.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <boost/system/error_code.hpp>
 
 namespace magnoliaspread {
@@ -16,9 +17,17 @@
 boost::beast::http::status_class
 statusClassOf(const boost::beast::http::response_header<> &Head);
 
-/// http::error::bad_status if the status is no status code.
+/// Whether an answer to \p Method has no body, whatever its fields say
+/// (RFC 9112, 6.3).
+bool hasNoBody(const boost::beast::http::response_header<> &Head,
+               boost::beast::http::verb Method);
+
+/// Checks the head of an answer to \p Method. http::error::bad_status if the
+/// status is no status code, http::error::bad_transfer_encoding if the body has
+/// a transfer coding other than chunked, which is the only one decoded.
 boost::system::error_code
-checkAnswerHead(const boost::beast::http::response_header<> &Head);
+checkAnswerHead(const boost::beast::http::response_header<> &Head,
+                boost::beast::http::verb Method);
 
 } // namespace magnoliaspread
 
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -211,7 +211,8 @@
       recordFailure(Failure);
       co_return false;
     }
-    const error_code Malformed = checkAnswerHead(Answer->get());
+    const error_code Malformed =
+        checkAnswerHead(Answer->get(), Request.Head.method());
     if (Malformed) {
       fail(error_kind::TargetFailed, Malformed.message());
       co_return false;
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -192,7 +192,8 @@
     if (!HeadCame)
       co_return false;
     // The fields of a malformed head mean nothing.
-    const error_code Malformed = checkAnswerHead(Parser.get());
+    const error_code Malformed =
+        checkAnswerHead(Parser.get(), Call.Request->method());
     if (Malformed) {
       Result.Detail = Malformed.message();
       co_return false;
--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -158,6 +158,35 @@
   };
 }
 
+/// Answers whose body has a coding that isn't decoded on the way.
+std::vector<broken_answer> codedAnswers() {
+  const std::string Chunks = "5\r\nwhole\r\n0\r\n\r\n";
+  std::vector<broken_answer> Answers;
+  const auto Add = [&](const char *What, const std::string &Fields) {
+    for (const answer_end End : {answer_end::Keep, answer_end::Close}) {
+      Answers.push_back({What, "HTTP/1.1 200 Reason\r\n", End});
+      Answers.back().Text.append(Fields).append("\r\n").append(Chunks);
+    }
+  };
+  Add("gzip", "Transfer-Encoding: gzip\r\n");
+  Add("chunked, gzip", "Transfer-Encoding: chunked, gzip\r\n");
+  Add("gzip, chunked", "Transfer-Encoding: gzip, chunked\r\n");
+  Add("gzip and chunked in two fields",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n");
+  Add("chunked and gzip in two fields",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n");
+  Add("chunked twice", "Transfer-Encoding: chunked, chunked\r\n");
+  Add("chunked in two fields",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n");
+  Add("chunked, identity", "Transfer-Encoding: chunked, identity\r\n");
+  Add("chunked with a parameter", "Transfer-Encoding: chunked;a=b\r\n");
+  Add("gzip with a length",
+      "Transfer-Encoding: gzip\r\nContent-Length: 15\r\n");
+  Add("a length with gzip",
+      "Content-Length: 15\r\nTransfer-Encoding: gzip\r\n");
+  return Answers;
+}
+
 /// Lines in whose field name or value a byte stands that HTTP doesn't allow.
 std::vector<std::pair<const char *, std::string>> brokenLines() {
   using namespace std::string_literals;
@@ -252,6 +281,9 @@
       {"204", "HTTP/1.1 204 Reason\r\n\r\n", 204, ""},
       {"304 with the length that a 200 would have",
        "HTTP/1.1 304 Reason\r\nContent-Length: 5\r\n\r\n", 304, ""},
+      {"to HEAD, with the coding that GET would get",
+       "HTTP/1.1 200 Reason\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 200,
+       "", http::verb::head},
       {"to HEAD", "HTTP/1.1 200 Reason\r\nContent-Length: 5\r\n\r\n", 200, "",
        http::verb::head},
   };
@@ -283,6 +315,18 @@
                        passedOn<relay_exchange>(brokenAnswers()));
 }
 
+// Guards against bodies in a coding that reach callers without its name.
+STORY(coded_answers_are_not_passed_on) {
+  section("by the gate", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         passedOn<gate_exchange>(codedAnswers()));
+  });
+  section("by the relay", [&] {
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         passedOn<relay_exchange>(codedAnswers()));
+  });
+}
+
 // Guards against answers with a field whose name or value is malformed.
 STORY(malformed_fields_are_not_passed_on) {
   section("by the gate, in heads", [&] {
@@ -311,6 +355,9 @@
     const std::vector<sound_answer> Unframed{
         {"chunked",
          Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+        {"Chunked, with an empty element",
+         Head + "Transfer-Encoding: ,Chunked\r\n\r\n"
+                "5;a=b\r\nwhole\r\n0\r\nX-A: 1\r\n\r\n"},
         {"without a length", Head + "\r\nwhole", 200, "whole", http::verb::get,
          answer_end::Close}};
     CPPUNIT_ASSERT_EQUAL(std::string(), refused<gate_exchange>(Unframed));
