Answers: chunks of HTTP/1.0 are no body

Cause: the HTTP library decodes chunks whatever the version. HTTP/1.0 has no transfer codings; RFC 9112, 6.1 has the framing of such an answer taken as faulty, since an older hop may have passed the field on without decoding.

Evidence: on the code before both ways pass it on, with and without a kept connection (broken_answers_are_not_passed_on_by_the_gate, ..._by_the_relay).

Change: checkAnswerHead() refuses the field in answers of HTTP/1.0. One with a length stays sound.

--- a/packages/base/include/magnoliaspread/httpanswer.h
+++ b/packages/base/include/magnoliaspread/httpanswer.h
@@ -24,7 +24,8 @@
 
 /// Checks the head of an answer to \p Method. http::error::bad_status if the
 /// status is no status code, http::error::bad_transfer_encoding if the body has
-/// a transfer coding other than chunked, which is the only one decoded.
+/// a transfer coding other than chunked, which is the only one decoded, or an
+/// answer of HTTP/1.0 names any (RFC 9112, 6.1).
 boost::system::error_code
 checkAnswerHead(const boost::beast::http::response_header<> &Head,
                 boost::beast::http::verb Method);
--- a/packages/base/src/httpanswer.cpp
+++ b/packages/base/src/httpanswer.cpp
@@ -58,6 +58,10 @@
                                           http::verb Method) {
   if (statusClassOf(Head) == http::status_class::unknown)
     return http::make_error_code(http::error::bad_status);
+  constexpr unsigned Http11 = 11;
+  // HTTP/1.0 has no transfer codings.
+  if (Head.version() < Http11 && Head.count(http::field::transfer_encoding) > 0)
+    return http::make_error_code(http::error::bad_transfer_encoding);
   if (!hasNoBody(Head, Method) && !isChunkedAtMost(Head))
     return http::make_error_code(http::error::bad_transfer_encoding);
   return {};
--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -153,6 +153,12 @@
       {"a status of two digits", "HTTP/1.1 20" + Rest},
       {"a status of four digits", "HTTP/1.1 2000" + Rest},
       {"a version of another protocol", "HTTP/2.0 200" + Rest},
+      {"chunks of HTTP/1.0",
+       "HTTP/1.0 200 Reason\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "5\r\nwhole\r\n0\r\n\r\n"},
+      {"chunks of HTTP/1.0, kept open",
+       "HTTP/1.0 200 Reason\r\nConnection: keep-alive\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
       {"101 and the end", "HTTP/1.1 101 Switching\r\n\r\n", answer_end::Close},
       {"1,000 interim answers before it", Interim + "HTTP/1.1 200" + Rest},
   };
