Relay: nothing follows the head of a 204 or 304

Behind the head of a 304 or 204 whose target names Transfer-Encoding chunked, as a 304 may, callers of the project's own interface got "0", the end of chunks. On a kept connection these bytes stand before the next answer.

Cause: only answers to HEAD were sent without a body; others follow their fields, and the serializer ends a body in chunks even if there is none.

Change: hasNoBody() decides for HEAD, 204 and 304, and the field, which concerns one connection, isn't sent where there is no body.

--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -332,13 +332,16 @@
   http::response<http::buffer_body> Message(
       http::response_header<>(Answer->get().base()));
   removeHopFields(Message);
+  const bool HeadOnly = hasNoBody(Message, Request.Head.method());
+  // The serializer would end a body in chunks.
+  if (HeadOnly)
+    Message.erase(http::field::transfer_encoding);
   Message.set("X-Request-Id", Request.Id);
   Outcome.AnswerCopy.ContentType = Message[http::field::content_type];
   const bool KeepCaller =
       Caller.Parser.keep_alive() && RequestEnded && !Request.ClosesCaller;
   Message.keep_alive(KeepCaller);
   http::response_serializer<http::buffer_body> Serializer(Message);
-  const bool HeadOnly = Request.Head.method() == http::verb::head;
   while (!Serializer.is_done()) {
     extendProgressDeadline();
     if (!co_await readAnswerChunk(Message))
