Gate: 204 and 304 keep the fields that they came with

A 204 has no length, and that of a 304 is the one a 200 would have (RFC 9110, 8.6), by which a caller may take its stored copy for outdated.

Cause: the gate sets the length of every answer to its body's, but for answers to HEAD.

Evidence: answers_without_a_body_keep_their_fields, two requests on one kept connection through a process; red on the code before in "204". The second answer followed the first without extra bytes before, too.

Change: hasNoBody() decides where a length is set; a target's length in a 204 is dropped.

--- a/packages/traffic/src/gate_connection.cpp
+++ b/packages/traffic/src/gate_connection.cpp
@@ -4,6 +4,7 @@
 #include "sockets_p.h"
 #include "timers_p.h"
 
+#include <magnoliaspread/httpanswer.h>
 #include <magnoliaspread/log.h>
 #include <magnoliaspread/pipeline.h>
 #include <magnoliaspread/silence.h>
@@ -406,8 +407,10 @@
   Row.AnswerMemory = std::move(Outcome.BodyMemory);
   State.Dialect.rewriteAnswer(Row.Answer.base());
   eraseRefusal(Row.Answer.base());
-  if (Row.Message.method() != http::verb::head)
+  if (!hasNoBody(Row.Answer, Row.Message.method()))
     Row.Answer.prepare_payload();
+  else if (Row.Answer.result() == http::status::no_content)
+    Row.Answer.erase(http::field::content_length);
 }
 
 /// Admits a request of a caller, or one that a peer forwards as of its arrival
