Gate: trailer fields don't join an answer's head

The fields behind a chunked body came to callers as fields of the head: a second Attempt-Id of another request, or a Content-Encoding that the body doesn't have.

Cause: the HTTP library's parser adds the trailer's fields to the head's. RFC 9110, 6.5.1: they are not merged unless their definition allows it.

Evidence: trailers_dont_join_the_head, through a process; red on the code before in its first section. A signature in the trailer alone was no signature before, too, and a length or a coding there broke the answer.

Change: the head of a chunked answer is kept as it came before the body. The relay has sent the head on by then and never had these fields.

--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -210,11 +210,17 @@
       }
       continue;
     }
+    std::optional<gate_answer_head> Head;
+    if (Parser.chunked())
+      Head = Parser.get().base();
     const error_code Failure = co_await readBody(Parser);
     if (Failure) {
       recordFailure(Failure);
       co_return false;
     }
+    // The parser adds the fields of the trailer.
+    if (Head)
+      Parser.get().base() = std::move(*Head);
     if (BrokenOff && Parser.need_eof()) {
       Result.Detail = "the connection broke off before the answer's end";
       co_return false;
