Answers: one that names two requests belongs to neither

Cause: only the first field was read, at the gate and at the relay.

Change: the dialect says that an answer names several requests, and the exchange ends as broken at once, instead of waiting for another answer as behind a late copy.

Two signatures aren't looked at: they are the callers' to read, and nothing here tells which is right.

--- a/packages/traffic/include/magnoliaspread/gate_dialect.h
+++ b/packages/traffic/include/magnoliaspread/gate_dialect.h
@@ -42,6 +42,8 @@
 struct answer_head {
   /// The answer belongs to another request.
   bool WrongRequestId = false;
+  /// The answer names several requests.
+  bool Ambiguous = false;
   /// The answer carries a request id. A duplicate without one could be mistaken
   /// for the answer to a later request.
   bool Named = false;
--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -237,8 +237,11 @@
   const auto &Head = Answer->get();
   Outcome.Status = Head.result_int();
   Outcome.LoadRunning = numberOf(Head["X-Load-Running"]);
-  const auto Id = Head["X-Request-Id"];
-  if (!Id.empty() && Id != Request.Id) {
+  const auto [First, Last] = Head.equal_range("X-Request-Id");
+  const bool IsOfAnother = std::any_of(First, Last, [&](const auto &Field) {
+    return !Field.value().empty() && Field.value() != Request.Id;
+  });
+  if (IsOfAnother) {
     fail(error_kind::TargetFailed, "the answer belongs to another request");
     return false;
   }
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -37,6 +37,8 @@
 private:
   asio::awaitable<bool> send();
   asio::awaitable<bool> readAnswer();
+  bool acceptHead(const answer_parser &Parser);
+  asio::awaitable<bool> readWhole(answer_parser &Parser);
   asio::awaitable<error_code> readHead(answer_parser &Parser);
   asio::awaitable<error_code> readBody(answer_parser &Parser);
   bool makeRoom(answer_parser &Parser);
@@ -174,6 +176,46 @@
   Result.Answer = Parser.release();
 }
 
+/// Reads the head's fields unless it is malformed, in which case they mean
+/// nothing.
+bool exchange::acceptHead(const answer_parser &Parser) {
+  const error_code Malformed =
+      checkAnswerHead(Parser.get(), Call.Request->method());
+  if (Malformed) {
+    Result.Detail = Malformed.message();
+    return false;
+  }
+  const answer_head Head = Dialect.parseAnswerHead(Parser.get(), Call.Id);
+  if (Head.Ambiguous) {
+    Result.Detail = "an answer that names several requests";
+    return false;
+  }
+  Result.Head = Head;
+  if (!Head.Misdirected)
+    Result.Leaving = Result.Leaving || Head.Leaving;
+  return true;
+}
+
+/// Reads the body to its end.
+asio::awaitable<bool> exchange::readWhole(answer_parser &Parser) {
+  std::optional<gate_answer_head> Head;
+  if (Parser.chunked())
+    Head = Parser.get().base();
+  const error_code Failure = co_await readBody(Parser);
+  if (Failure) {
+    recordFailure(Failure);
+    co_return false;
+  }
+  // The parser adds the fields of the trailer.
+  if (Head)
+    Parser.get().base() = std::move(*Head);
+  if (BrokenOff && Parser.need_eof()) {
+    Result.Detail = "the connection broke off before the answer's end";
+    co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<bool> exchange::readAnswer() {
   steady_time HeadBy = Call.Deadline;
   if (Call.HeadTimeout > milliseconds(0))
@@ -189,20 +231,10 @@
       Parser.skip(true);
     Watchdog.expireAt(HeadBy);
     const bool HeadCame = co_await awaitHead(Parser);
-    if (!HeadCame)
+    if (!HeadCame || !acceptHead(Parser))
       co_return false;
-    // The fields of a malformed head mean nothing.
-    const error_code Malformed =
-        checkAnswerHead(Parser.get(), Call.Request->method());
-    if (Malformed) {
-      Result.Detail = Malformed.message();
-      co_return false;
-    }
     Watchdog.expireAt(Call.Deadline);
     Result.BodyMemory.emplace(*Call.Memory);
-    Result.Head = Dialect.parseAnswerHead(Parser.get(), Call.Id);
-    if (!Result.Head.Misdirected)
-      Result.Leaving = Result.Leaving || Result.Head.Leaving;
     if (statusClassOf(Parser.get()) == http::status_class::informational) {
       if (++Interim > MaxInterimAnswers) {
         Result.Detail = "interim answers without end";
@@ -210,21 +242,9 @@
       }
       continue;
     }
-    std::optional<gate_answer_head> Head;
-    if (Parser.chunked())
-      Head = Parser.get().base();
-    const error_code Failure = co_await readBody(Parser);
-    if (Failure) {
-      recordFailure(Failure);
-      co_return false;
-    }
-    // The parser adds the fields of the trailer.
-    if (Head)
-      Parser.get().base() = std::move(*Head);
-    if (BrokenOff && Parser.need_eof()) {
-      Result.Detail = "the connection broke off before the answer's end";
+    const bool Whole = co_await readWhole(Parser);
+    if (!Whole)
       co_return false;
-    }
     if (!Result.Head.WrongRequestId) {
       classifyAnswer(Parser);
       co_return true;
--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -326,6 +326,23 @@
                        passedOn<relay_exchange>(brokenAnswers()));
 }
 
+// Guards against an answer that names two requests; the gate's dialect reads
+// the ids there.
+STORY(answers_of_two_requests_are_not_relayed) {
+  const std::string Own = "X-Request-Id: id-1\r\n";
+  const std::string Other = "X-Request-Id: id-2\r\n";
+  const auto Relay = [](const std::string &Ids) {
+    return relay_exchange().exchange(http::verb::get,
+                                     "HTTP/1.1 200 OK\r\n" + Ids +
+                                         "Content-Length: 5\r\n\r\nwhole",
+                                     answer_end::Keep);
+  };
+  CPPUNIT_ASSERT(Relay(Own).Whole);
+  CPPUNIT_ASSERT(Relay(Own + Own).Whole);
+  for (const std::string &Ids : {Other, Own + Other, Other + Own})
+    CPPUNIT_ASSERT_MESSAGE(Ids, !Relay(Ids).Whole);
+}
+
 // Guards against bodies in a coding that reach callers without its name.
 STORY(coded_answers_are_not_passed_on) {
   section("by the gate", [&] {
