Relay: a refusal of another request is none of this one

An earlier "not run" of a target, sent once more on a kept connection, was taken for the answer to the next request of the project's own interface, whose caller was told that it had not run though it may have.

Cause: whether an answer says "not run" was asked before whose answer it is.

Evidence: refusals_of_other_requests_are_not_relayed, red on the code before. The gate asks in the right order (gateway_attributes_no_repeated_rejection).

Change: the id is compared first; such an answer fails the exchange as any other answer to another request does.

--- a/packages/traffic/src/relay.cpp
+++ b/packages/traffic/src/relay.cpp
@@ -56,6 +56,7 @@
   asio::awaitable<bool> sendRequest();
   asio::awaitable<bool> sendBody(http::request_serializer<http::buffer_body> &);
   asio::awaitable<bool> readAnswerHead();
+  bool isOfAnother();
   bool checkAnswer();
   asio::awaitable<void> readRefusal();
   asio::awaitable<void> sendAnswer();
@@ -232,19 +233,22 @@
           Answer->get().result() == http::status::service_unavailable);
 }
 
-/// False when the answer belongs to another request or has no given length.
+/// Whether the answer names another request; fails the exchange then.
+bool exchange::isOfAnother() {
+  const auto [First, Last] = Answer->get().equal_range("X-Request-Id");
+  const bool Found = std::any_of(First, Last, [&](const auto &Field) {
+    return !Field.value().empty() && Field.value() != Request.Id;
+  });
+  if (Found)
+    fail(error_kind::TargetFailed, "the answer belongs to another request");
+  return Found;
+}
+
+/// False when the answer has no given length.
 bool exchange::checkAnswer() {
   const auto &Head = Answer->get();
   Outcome.Status = Head.result_int();
   Outcome.LoadRunning = numberOf(Head["X-Load-Running"]);
-  const auto [First, Last] = Head.equal_range("X-Request-Id");
-  const bool IsOfAnother = std::any_of(First, Last, [&](const auto &Field) {
-    return !Field.value().empty() && Field.value() != Request.Id;
-  });
-  if (IsOfAnother) {
-    fail(error_kind::TargetFailed, "the answer belongs to another request");
-    return false;
-  }
   if (Answer->need_eof()) {
     fail(error_kind::TargetFailed,
          "the answer's length is not given, so its end can't be checked");
@@ -392,7 +396,7 @@
   if (!co_await sendRequest())
     co_return Outcome;
   Request.Head.method(Method);
-  if (!co_await readAnswerHead())
+  if (!co_await readAnswerHead() || isOfAnother())
     co_return Outcome;
   if (isNotRunAnswer()) {
     co_await readRefusal();
--- a/packages/traffic/tests/answers.cpp
+++ b/packages/traffic/tests/answers.cpp
@@ -98,6 +98,10 @@
 };
 
 class relay_exchange final : public exchange_fixture {
+public:
+  error_kind errorKind() const { return Result->Error.Kind; }
+
+private:
   void start(http::verb Method) override {
     const std::string Head = std::string(http::to_string(Method)) +
                              " /1 HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n";
@@ -343,6 +347,22 @@
     CPPUNIT_ASSERT_MESSAGE(Ids, !Relay(Ids).Whole);
 }
 
+// Guards against an earlier refusal, sent once more on a kept connection, that
+// is taken for one of the next request.
+STORY(refusals_of_other_requests_are_not_relayed) {
+  const auto KindOf = [](const std::string &Id) {
+    relay_exchange Exchange;
+    Exchange.exchange(http::verb::get,
+                      "HTTP/1.1 503 Full\r\nX-Run-State: not_run\r\n"
+                      "X-Request-Id: " +
+                          Id + "\r\nContent-Length: 0\r\n\r\n",
+                      answer_end::Keep);
+    return Exchange.errorKind();
+  };
+  CPPUNIT_ASSERT(KindOf("id-1") == error_kind::TargetShed);
+  CPPUNIT_ASSERT(KindOf("id-2") == error_kind::TargetFailed);
+}
+
 // Guards against bodies in a coding that reach callers without its name.
 STORY(coded_answers_are_not_passed_on) {
   section("by the gate", [&] {
