Store: an answer that HTTP doesn't allow is the platform's word on nothing

Of a store in trouble - an answer with status 000 ended a read or a write as refused, though a write may have been applied, and its Store-Era was taken over, - an answer with a status from 600 on or with a body in a transfer coding was taken by its number; of the latter a write kept no version, - an interim answer, such as 103, was taken for the final one.

Cause: the client read one head as final and asked nothing of it but its number.

What fails is no answer: reads are made again, writes are read back, no era is heard.

--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <utility>
@@ -203,21 +201,26 @@
   return *Read;
 }
 
+awaitable<read_answer>
+http_exchange::connection::exchange(const http_request &Request) {
+  error_code Error;
+  co_await http::async_write(Stream, Request,
+                             redirect_error(use_awaitable, Error));
+  if (Error)
+    co_return read_answer{Error, {}};
+  co_return co_await readAnswer(Stream, Buffer, Request.method(),
+                                MaxAnswerBytes);
+}
+
 awaitable<exchange_reply>
 http_exchange::exchangeOn(connection_id Id, const http_request &Request,
                           std::chrono::milliseconds Timeout) {
   connection &Connection = Connections.at(Id);
   Connection.Stream.expires_after(Timeout);
-  error_code Error;
-  co_await http::async_write(Connection.Stream, Request,
-                             redirect_error(use_awaitable, Error));
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxAnswerBytes);
-  if (!Error)
-    co_await http::async_read(Connection.Stream, Connection.Buffer, Parser,
-                              redirect_error(use_awaitable, Error));
-  if (Error || Stopped) {
-    const bool WasClosed = Connection.Reused && Error != beast::error::timeout;
+  read_answer Answer = co_await Connection.exchange(Request);
+  if (Answer.Failure || Stopped) {
+    const bool WasClosed =
+        Connection.Reused && Answer.Failure != beast::error::timeout;
     release(Id, false);
     co_return exchange_reply{WasClosed ? exchange_outcome::ClosedWhileIdle
                                        : exchange_outcome::NoAnswer,
@@ -225,7 +228,7 @@
                              {},
                              Era};
   }
-  http_response Response = Parser.release();
+  http_response &Response = Answer.Message;
   release(Id, Response.keep_alive());
   if (isServerError(Response.result_int()))
     co_return exchange_reply{
--- a/packages/platform/src/http_exchange_p.h
+++ b/packages/platform/src/http_exchange_p.h
@@ -3,6 +3,7 @@
 #ifndef MAGNOLIASPREAD_HTTP_EXCHANGE_P_H
 #define MAGNOLIASPREAD_HTTP_EXCHANGE_P_H
 
+#include <magnoliaspread/answerreader.h>
 #include <magnoliaspread/http_store.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -82,6 +83,8 @@
   struct connection {
     explicit connection(boost::asio::io_context &Io) : Stream(Io) {}
 
+    boost::asio::awaitable<read_answer> exchange(const http_request &Request);
+
     boost::beast::tcp_stream Stream;
     boost::beast::flat_buffer Buffer;
     bool Idle = false;
