Store: bytes behind an answer are not the answer to the next call

Bytes that the platform sends behind an answer, such as a second copy of it, were read with it, and the next call on the connection took them for its answer: a read returned the object as it had been for an earlier read.

Cause: before a connection is used again only its socket is looked at, not the buffer of what has been read from it.

Evidence: a_repeated_answer_of_the_platform_is_not_the_next_one, red on the code before (value 1 read after it had become 2).

Change: a connection is kept only if nothing is left in its buffer, as for connections to targets.

--- a/packages/platform/src/http_exchange.cpp
+++ b/packages/platform/src/http_exchange.cpp
@@ -229,7 +229,8 @@
                              Era};
   }
   http_response &Response = Answer.Message;
-  release(Id, Response.keep_alive());
+  // What follows the answer belongs to no call.
+  release(Id, Response.keep_alive() && Connection.Buffer.size() == 0);
   if (isServerError(Response.result_int()))
     co_return exchange_reply{
         exchange_outcome::NoAnswer, Response.result_int(), {}, Era};
--- a/packages/platform/tests/brokenanswers.cpp
+++ b/packages/platform/tests/brokenanswers.cpp
@@ -150,3 +150,18 @@
   CPPUNIT_ASSERT_MESSAGE(failed(Got) ? errorOf(Got).Detail : "", !failed(Got));
   CPPUNIT_ASSERT_EQUAL(std::string("1"), valueOf(Got).Value);
 }
+
+// Guards against a second copy of an answer that is taken for the next one.
+STORY(a_repeated_answer_of_the_platform_is_not_the_next_one) {
+  broken_platform Platform;
+  Platform.Raw.Next = {[](const std::string &Body) {
+    const std::string Text = "HTTP/1.1 200 OK\r\n" + withLength(Body);
+    return Text + Text;
+  }};
+  CPPUNIT_ASSERT(!failed(Platform.Fixture.get(*Platform.Store, "a")));
+  Platform.Raw.Value = "2";
+  Platform.Raw.Version = 2;
+  const auto Got = Platform.Fixture.get(*Platform.Store, "a");
+  CPPUNIT_ASSERT(!failed(Got));
+  CPPUNIT_ASSERT_EQUAL(std::string("2"), valueOf(Got).Value);
+}
