Peers, magnoliactl: pages are read as final, whole answers

A fetch from a peer or from an instance's pages that got an interim answer first failed, and one whose body had a transfer coding returned the coded bytes.

Evidence: fetches_get_whole_final_answers and pages_are_whole_final_answers, each red on the code before in "behind an interim one" and, tried alone, in "not one in a coding".

Change: both read by readAnswer().

--- a/packages/ctl/src/http_get.cpp
+++ b/packages/ctl/src/http_get.cpp
@@ -1,5 +1,7 @@
 #include "http_get_p.h"
 
+#include <magnoliaspread/answerreader.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,13 +66,11 @@
   if (WriteFailure)
     co_return unreachable(WriteFailure);
   beast::flat_buffer Buffer;
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxBodyBytes);
-  auto [ReadFailure, Read] =
-      co_await http::async_read(Stream, Buffer, Parser, Awaited);
-  if (ReadFailure)
-    co_return unreachable(ReadFailure);
-  co_return bodyOf(Parser.get());
+  const read_answer Answer =
+      co_await readAnswer(Stream, Buffer, http::verb::get, MaxBodyBytes);
+  if (Answer.Failure)
+    co_return unreachable(Answer.Failure);
+  co_return bodyOf(Answer.Message);
 }
 
 asio::awaitable<void> runWorker(get_batch &Batch) {
--- a/packages/daemon/src/peerfetch.cpp
+++ b/packages/daemon/src/peerfetch.cpp
@@ -1,5 +1,6 @@
 #include "peerfetch_p.h"
 
+#include <magnoliaspread/answerreader.h>
 #include <magnoliaspread/confsync.h>
 #include <magnoliaspread/silence.h>
 #include <magnoliaspread/traffic.h>
@@ -75,15 +76,13 @@
   if (WriteFailure)
     co_return unreachable(WriteFailure);
   beast::flat_buffer Buffer;
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxTableBytes);
-  auto [ReadFailure, Read] =
-      co_await http::async_read(Stream, Buffer, Parser, Awaited);
-  if (ReadFailure)
-    co_return unreachable(ReadFailure);
-  if (Parser.get().result() != http::status::ok)
-    co_return error{error_kind::PeerRejected, Parser.get().body(), {}};
-  co_return std::move(Parser.get().body());
+  read_answer Answer =
+      co_await readAnswer(Stream, Buffer, http::verb::get, MaxTableBytes);
+  if (Answer.Failure)
+    co_return unreachable(Answer.Failure);
+  if (Answer.Message.result() != http::status::ok)
+    co_return error{error_kind::PeerRejected, Answer.Message.body(), {}};
+  co_return std::move(Answer.Message.body());
 }
 
 } // namespace
