Path: bytes that are no answer came over the path all the same

What callers would see: where all targets answer with status 000, an instance doubts its own path to them, and while it does, doesn't hold the failures against the targets.

Cause: only whole answers counted as heard.

Evidence: gateway_hears_errors_of_targets, "also of answers that are none": with 000, and tried alone with HTTP/2.0, the log has a path_suspected more on the code before.

Change: a call says that bytes of the target have just come which are no answer; resets, ends and time-outs still count against the path.

--- a/packages/traffic/src/gate_run.cpp
+++ b/packages/traffic/src/gate_run.cpp
@@ -181,7 +181,7 @@
       Result.End == call_end::Misdirected ? std::nullopt : Result.Head.PauseFor;
   State.finished({Target, Wanted.Place.Object, Wanted.Place.Kind, Verdict, Took,
                   Result.Head.Report, PauseFor, Result.Answer.body().size()},
-                 Result.End == call_end::Answered);
+                 Result.End == call_end::Answered || Result.Heard);
   if (Result.Leaving)
     State.handleTargetLeaving(Target, Wanted.Id);
   // A shed attempt doesn't rule out that an earlier one ran.
--- a/packages/traffic/src/target_call.cpp
+++ b/packages/traffic/src/target_call.cpp
@@ -59,8 +59,17 @@
   call_result Result;
 };
 
+/// True if \p Failure is of what was received, false if of the connection.
+bool isOfContent(const error_code &Failure) {
+  return Failure.category() ==
+             http::make_error_code(http::error::bad_status).category() &&
+         Failure != http::error::end_of_stream &&
+         Failure != http::error::partial_message;
+}
+
 void exchange::recordFailure(const error_code &Failure) {
   Result.Detail = Failure.message();
+  Result.Heard = isOfContent(Failure);
   if (Watchdog.callerGone())
     Result.End = call_end::CallerGone;
   else if (!Watchdog.expired())
@@ -182,11 +191,13 @@
   const error_code Malformed =
       checkAnswerHead(Parser.get(), Call.Request->method());
   if (Malformed) {
+    Result.Heard = true;
     Result.Detail = Malformed.message();
     return false;
   }
   const answer_head Head = Dialect.parseAnswerHead(Parser.get(), Call.Id);
   if (Head.Ambiguous) {
+    Result.Heard = true;
     Result.Detail = "an answer that names several requests";
     return false;
   }
--- a/packages/traffic/src/target_call_p.h
+++ b/packages/traffic/src/target_call_p.h
@@ -56,6 +56,8 @@
   answer_head Head;
   /// The target announced that it leaves, in the final or an interim answer.
   bool Leaving = false;
+  /// The target has sent bytes that are no answer, so the path to it works.
+  bool Heard = false;
   /// Human-readable cause of a failure.
   std::string Detail;
   bool ConnectionReusable = false;
